--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: each module is one command, ``python -m bench.<name>``."""
--- /dev/null
+++ b/cyclamenlift/__main__.py
@@ -0,0 +1,6 @@
+"""Run the command line: ``python -m cyclamenlift``."""
+
+from cyclamenlift.cli import main
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/cyclamenlift/calls/attempt.py
@@ -0,0 +1,64 @@
+"""One try of a call at one gate: its request frames and its answer."""
+
+import dataclasses
+
+from cyclamenlift.wire.gen.protocol.ttypes import BodyChunk
+from cyclamenlift.wire.gen.protocol.ttypes import CallStart
+from cyclamenlift.wire.gen.protocol.ttypes import Header
+
+# Bodies up to this size travel in one frame with the call.
+INLINE_BODY = 64 * 1024
+# Bytes that may be on their way in one direction without a credit.
+WINDOW = 256 * 1024
+CHUNK = 64 * 1024
+
+
+@dataclasses.dataclass(slots=True)
+class Try:
+    """State of one try; ``number`` is the call id on the link."""
+
+    number: int
+    instance: str
+    link: object
+    started_at: float
+    hedge: bool = False
+    body: bytes = b''
+    offset: int = 0
+    window: int = WINDOW
+    status: int = 0
+    headers: list[Header] = dataclasses.field(default_factory=list)
+    length: int = -1
+    answering: bool = False
+    gathered: list[bytes] = dataclasses.field(default_factory=list)
+    gathered_size: int = 0
+
+    def send(self, start: CallStart, body: bytes) -> bool:
+        """Send the call; False proves that nothing left this process."""
+        whole = len(body) <= INLINE_BODY
+        start.call_id = self.number
+        start.body = body if whole else b''
+        start.body_complete = whole
+        if not self.link.send(start):
+            return False
+        if not whole:
+            self.body = body
+            self.send_more()
+        return True
+
+    def send_more(self) -> None:
+        """Send body chunks as far as the gate's credit goes."""
+        while self.window > 0 and self.offset < len(self.body):
+            size = min(CHUNK, self.window, len(self.body) - self.offset)
+            part = self.body[self.offset : self.offset + size]
+            self.offset += size
+            self.window -= size
+            last = self.offset == len(self.body)
+            self.link.send(BodyChunk(self.number, part, last))
+
+    def take_credit(self, allowed: int) -> None:
+        self.window += allowed
+        self.send_more()
+
+    def never_left(self) -> bool:
+        """Tell whether the connection never came up: surely not run."""
+        return not self.link.was_up
--- /dev/null
+++ b/cyclamenlift/calls/intake.py
@@ -0,0 +1,112 @@
+"""From a caller's request to a checked call, or a numbered problem."""
+
+import dataclasses
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.problems import Problem
+from cyclamenlift.http.exchange import Exchange
+from cyclamenlift.models.rules import EventRules
+from cyclamenlift.models.rules import ServiceRule
+
+TIMEOUT_HEADER = 'cyclamenlift-timeout-ms'
+DEPTH_HEADER = 'cyclamenlift-depth'
+KEY_HEADER = 'idempotency-key'
+KEY_EXPIRES_HEADER = 'cyclamenlift-key-expires'
+CALL_ID_HEADER = 'cyclamenlift-call-id'
+MAX_KEY = 255
+MAX_CALL_ID = 128
+UPLOAD_BYTES = 64 * 1024
+MILLISECONDS = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A checked request; ``key`` is empty for idempotent operations."""
+
+    rule: ServiceRule
+    idempotent: bool
+    deadline: float
+    depth: int
+    key: str
+    key_expires_unix_ms: int
+    call_id: str
+
+
+def read_request(
+    exchange: Exchange, rules: EventRules | None, max_depth: int
+) -> Result[Request, Problem]:
+    """Check the head of a request against the event document."""
+    if rules is None:
+        return fail(ResultCode.NO_CONFIGURATION)
+    rule = rules.services.get(service_name(exchange))
+    if rule is None:
+        return fail(ResultCode.UNKNOWN_SERVICE, service_name(exchange))
+    if (exchange.body_length or 0) > rule.max_body_bytes:
+        return fail(ResultCode.BODY_TOO_LARGE)
+    depth = read_number(exchange, DEPTH_HEADER, -1)
+    if depth is None:
+        return fail(ResultCode.BAD_REQUEST, DEPTH_HEADER)
+    if depth + 1 >= max_depth:
+        return fail(ResultCode.TOO_DEEP)
+    deadline = read_deadline(exchange, rule)
+    if deadline is None:
+        return fail(ResultCode.BAD_TIMEOUT)
+    idempotent = rule.is_idempotent(exchange.method, exchange.path)
+    key = exchange.header(KEY_HEADER) or ''
+    if not idempotent and not 0 < len(key) <= MAX_KEY:
+        return fail(ResultCode.KEY_REQUIRED)
+    expires = read_number(exchange, KEY_EXPIRES_HEADER, 0)
+    if expires is None:
+        return fail(ResultCode.BAD_REQUEST, KEY_EXPIRES_HEADER)
+    call_id = exchange.header(CALL_ID_HEADER) or ''
+    return Success(
+        Request(
+            rule=rule,
+            idempotent=idempotent,
+            deadline=deadline,
+            depth=depth + 1,
+            key='' if idempotent else key,
+            key_expires_unix_ms=expires * MILLISECONDS,
+            call_id=call_id[:MAX_CALL_ID],
+        )
+    )
+
+
+def fail(code: ResultCode, detail: str = '') -> Result[Request, Problem]:
+    return Failure(Problem(code, detail))
+
+
+def service_name(exchange: Exchange) -> str:
+    """Return the service that ``Host`` names, without a port."""
+    return (exchange.header('host') or '').partition(':')[0].lower()
+
+
+def read_number(exchange: Exchange, name: str, default: int) -> int | None:
+    """Return a header's number, the default if absent, None if wrong."""
+    text = exchange.header(name)
+    if text is None:
+        return default
+    if not (text.isascii() and text.isdigit() and len(text) <= 15):
+        return None
+    return int(text)
+
+
+def read_deadline(exchange: Exchange, rule: ServiceRule) -> float | None:
+    """Return the stored deadline, None when the header is wrong.
+
+    Bodies over 64 KiB and bodies of unknown length count as uploads, which
+    have a deadline of their own.
+    """
+    length = exchange.body_length
+    upload = length is None or length > UPLOAD_BYTES
+    seconds = rule.upload_seconds if upload else rule.call_seconds
+    if exchange.header(TIMEOUT_HEADER) is not None:
+        asked = read_number(exchange, TIMEOUT_HEADER, 0)
+        if not asked:
+            return None
+        seconds = min(seconds, asked / MILLISECONDS)
+    return exchange.received_at + seconds
--- /dev/null
+++ b/cyclamenlift/calls/state.py
@@ -0,0 +1,123 @@
+"""What to do next with a call after one of its tries has ended.
+
+Pure decisions. The rule behind all of them: a caller may be told "not run"
+only if *every* try is proven not run, and only proven not-run tries or
+idempotent operations are tried again.
+"""
+
+import dataclasses
+import enum
+
+from cyclamenlift.calls.budgets import RetryBudget
+from cyclamenlift.core.codes import ResultCode
+
+
+class EndKind(enum.Enum):
+    """How one try ended."""
+
+    ANSWERED = enum.auto()
+    TARGET_ERROR = enum.auto()
+    NOT_RUN = enum.auto()
+    UNKNOWN = enum.auto()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ending:
+    """The end of one try; ``code`` says why when it was not answered."""
+
+    kind: EndKind
+    code: ResultCode = ResultCode.ANSWERED
+    retry_after_ms: int = 0
+
+
+class Step(enum.Enum):
+    """What the entry does next."""
+
+    WAIT = enum.auto()
+    RETRY = enum.auto()
+    ANSWER = enum.auto()
+    GIVE_UP = enum.auto()
+
+
+# These refusals move a call elsewhere without adding load to a service in
+# trouble, so they do not count against the retry budget.
+FREE_CODES = frozenset((ResultCode.DRAINING, ResultCode.TARGET_UNREACHABLE))
+
+
+@dataclasses.dataclass(slots=True)
+class CallState:
+    """What is known of one call.
+
+    ``unknown_code`` is set by the first try that may have run and stays.
+    """
+
+    idempotent: bool
+    max_tries: int
+    deadline: float
+    budget: RetryBudget
+    tries: int = 0
+    open_tries: int = 0
+    unknown_code: ResultCode | None = None
+    last_code: ResultCode = ResultCode.NO_TARGET
+    retry_after_ms: int = 0
+    done: bool = False
+
+    def try_started(self) -> None:
+        if self.tries == 0:
+            self.budget.earn()
+        self.tries += 1
+        self.open_tries += 1
+
+    def may_hedge(self) -> bool:
+        """Spend budget on a second try beside the one that is out."""
+        if not self.idempotent or self.done or self.open_tries != 1:
+            return False
+        if self.tries >= self.max_tries:
+            return False
+        return self.budget.take()
+
+    def try_ended(self, ending: Ending, now: float) -> Step:
+        """Note the end of one try and say what follows."""
+        self.open_tries -= 1
+        if self.done:
+            return Step.WAIT
+        self.retry_after_ms = max(self.retry_after_ms, ending.retry_after_ms)
+        if ending.kind is EndKind.ANSWERED:
+            return Step.ANSWER
+        if ending.kind is not EndKind.TARGET_ERROR:
+            self.note_code(ending)
+        if self.open_tries > 0:
+            return Step.WAIT
+        if self.may_retry(ending, now):
+            return Step.RETRY
+        if ending.kind is EndKind.TARGET_ERROR:
+            return Step.ANSWER
+        return Step.GIVE_UP
+
+    def note_code(self, ending: Ending) -> None:
+        if ending.kind is EndKind.UNKNOWN and self.unknown_code is None:
+            self.unknown_code = ending.code
+        self.last_code = ending.code
+
+    def may_retry(self, ending: Ending, now: float) -> bool:
+        if self.tries >= self.max_tries or now >= self.deadline:
+            return False
+        if ending.kind is not EndKind.NOT_RUN and not self.idempotent:
+            return False
+        if ending.kind is EndKind.NOT_RUN and ending.code in FREE_CODES:
+            return True
+        return self.budget.take()
+
+    def final_code(self) -> ResultCode:
+        """Return the code of a call that is given up."""
+        if self.unknown_code is not None:
+            return self.unknown_code
+        return self.last_code
+
+    def deadline_code(self, all_unsent: bool) -> ResultCode:
+        """Return the code at the deadline; not run only when proven."""
+        if self.unknown_code is not None:
+            return self.unknown_code
+        if self.open_tries and not all_unsent:
+            return ResultCode.DEADLINE_UNKNOWN
+        return ResultCode.DEADLINE_NOT_RUN
--- /dev/null
+++ b/cyclamenlift/calls/tasks.py
@@ -0,0 +1,231 @@
+"""The entry's end of all calls: takes requests, hands frames to calls."""
+
+from collections.abc import Callable
+import itertools
+import uuid
+
+from returns.result import Success
+import structlog
+
+from cyclamenlift.calls.answers import problem_answer
+from cyclamenlift.calls.attempt import Try
+from cyclamenlift.calls.budgets import BodyBudget
+from cyclamenlift.calls.budgets import RetryBudget
+from cyclamenlift.calls.intake import KEY_EXPIRES_HEADER
+from cyclamenlift.calls.intake import read_request
+from cyclamenlift.calls.intake import TIMEOUT_HEADER
+from cyclamenlift.calls.life import as_headers
+from cyclamenlift.calls.life import Call
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.http.exchange import Exchange
+from cyclamenlift.http.headers import end_to_end
+from cyclamenlift.models.rules import EventRules
+from cyclamenlift.models.rules import ServiceRule
+from cyclamenlift.wire.gen.protocol.ttypes import AnswerStart
+from cyclamenlift.wire.gen.protocol.ttypes import BodyChunk
+from cyclamenlift.wire.gen.protocol.ttypes import Broken
+from cyclamenlift.wire.gen.protocol.ttypes import Cancelled
+from cyclamenlift.wire.gen.protocol.ttypes import Credit
+from cyclamenlift.wire.gen.protocol.ttypes import Header
+from cyclamenlift.wire.gen.protocol.ttypes import Probe
+from cyclamenlift.wire.gen.protocol.ttypes import ProbeAnswer
+from cyclamenlift.wire.gen.protocol.ttypes import Refused
+
+LOG = structlog.get_logger('calls')
+# The entry answers these itself; the target learns them from the gate.
+OWN_HEADERS = frozenset(
+    (
+        TIMEOUT_HEADER,
+        KEY_EXPIRES_HEADER,
+        'cyclamenlift-depth',
+        'cyclamenlift-call-id',
+        'content-length',
+        'expect',
+    )
+)
+
+
+class Calls:
+    """Owns every call that entered here and is not yet answered."""
+
+    def __init__(
+        self,
+        scheduler,
+        routing,
+        claims,
+        link_to: Callable[[object], object],
+        instance: str,
+        body_budget: int,
+        max_depth: int,
+    ):
+        self.scheduler = scheduler
+        self.clock = scheduler.clock
+        self.routing = routing
+        self.claims = claims
+        self.link_to = link_to
+        self.instance = instance
+        self.max_depth = max_depth
+        self.boot = uuid.uuid4().hex[:12]
+        self.numbers = itertools.count(1)
+        self.body_budget = BodyBudget(body_budget)
+        self.retry_budgets: dict[str, RetryBudget] = {}
+        self.rules: EventRules | None = None
+        self.tries: dict[int, Call] = {}
+        self.open_calls: set[Call] = set()
+        self.probes: dict[int, tuple[str, str]] = {}
+        self.finished_hooks: list[Callable[[Call, ResultCode], None]] = []
+
+    def subscribe(self, network) -> None:
+        """Take the messages of gates from the peer network."""
+        network.subscribe(AnswerStart, self.on_answer_start)
+        network.subscribe(Refused, self.on_refused)
+        network.subscribe(Broken, self.on_broken)
+        network.subscribe(Cancelled, self.on_cancelled)
+        network.subscribe(ProbeAnswer, self.on_probe_answer)
+        network.subscribe_lost(self.on_link_lost)
+
+    # -- commands ---------------------------------------------------------
+
+    def apply_rules(self, rules: EventRules) -> None:
+        self.rules = rules
+        self.routing.set_rules(rules)
+
+    def take(self, exchange: Exchange) -> None:
+        """Take one request from the HTTP border."""
+        result = read_request(exchange, self.rules, self.max_depth)
+        if not isinstance(result, Success):
+            status, headers, body = problem_answer(result.failure())
+            exchange.respond(status, headers, body)
+            return
+        call = Call(self, exchange, result.unwrap())
+        self.open_calls.add(call)
+        call.begin()
+        self.send_probes(call.service)
+
+    def send_probes(self, service: str) -> None:
+        """Send the probes that the entry's own share allows now."""
+        now = self.now()
+        for order in self.routing.probes_due(service, now):
+            number = self.next_number()
+            self.probes[number] = (service, order.instance)
+            link = self.link_to(order)
+            if not link.send(Probe(number, service)):
+                self.probes.pop(number, None)
+            self.scheduler.after(
+                1.0, lambda number=number: self.probes.pop(number, None)
+            )
+
+    def finished(self, call: Call, code: ResultCode) -> None:
+        self.open_calls.discard(call)
+        for hook in self.finished_hooks:
+            hook(call, code)
+
+    # -- queries ----------------------------------------------------------
+
+    def now(self) -> float:
+        return self.clock.now()
+
+    def next_number(self) -> int:
+        return next(self.numbers)
+
+    def next_attempt_id(self) -> str:
+        return f'{self.instance}/{self.boot}/{self.next_number()}'
+
+    def trace_id(self, call: Call) -> str:
+        return f'{self.instance}-{self.boot}-{next(iter(call.tries), 0)}'
+
+    def retry_budget(self, rule: ServiceRule) -> RetryBudget:
+        budget = self.retry_budgets.get(rule.name)
+        if budget is None:
+            budget = RetryBudget(rule.retry_share)
+            self.retry_budgets[rule.name] = budget
+        budget.share = rule.retry_share
+        return budget
+
+    def forwarded_headers(self, exchange: Exchange) -> list[Header]:
+        """Return the caller's headers that the target should see."""
+        kept = [
+            pair
+            for pair in end_to_end(exchange.headers)
+            if pair[0] not in OWN_HEADERS
+        ]
+        return as_headers(kept)
+
+    def is_idle(self) -> bool:
+        return not self.open_calls
+
+    # -- messages ---------------------------------------------------------
+
+    def find(self, link, number: int) -> tuple[Call, Try] | None:
+        """Return the try that a message is about.
+
+        A number is never used twice in a process and counts only on the
+        link it was sent on, so a late answer can't reach another call.
+        """
+        call = self.tries.get(number)
+        if call is None:
+            return None
+        attempt = call.tries.get(number)
+        if attempt is None or attempt.link is not link:
+            return None
+        return call, attempt
+
+    def note_load(self, call: Call, attempt: Try, load) -> None:
+        if load is not None:
+            self.routing.note_load(
+                call.service, attempt.instance, load, self.now()
+            )
+
+    def on_answer_start(self, link, answer: AnswerStart) -> None:
+        found = self.find(link, answer.call_id)
+        if found is not None:
+            call, attempt = found
+            self.note_load(call, attempt, answer.load)
+            call.on_answer_start(attempt, answer)
+
+    def on_body_chunk(self, link, chunk: BodyChunk) -> None:
+        found = self.find(link, chunk.call_id)
+        if found is not None:
+            call, attempt = found
+            call.on_answer_body(attempt, chunk)
+
+    def on_credit(self, link, credit: Credit) -> None:
+        found = self.find(link, credit.call_id)
+        if found is not None:
+            found[1].take_credit(credit.bytes_allowed)
+
+    def on_refused(self, link, refused: Refused) -> None:
+        found = self.find(link, refused.call_id)
+        if found is not None:
+            call, attempt = found
+            self.note_load(call, attempt, refused.load)
+            call.on_refused(attempt, refused)
+
+    def on_broken(self, link, broken: Broken) -> None:
+        found = self.find(link, broken.call_id)
+        if found is not None:
+            call, attempt = found
+            self.note_load(call, attempt, broken.load)
+            call.on_broken(attempt, broken)
+
+    def on_cancelled(self, link, cancelled: Cancelled) -> None:
+        found = self.find(link, cancelled.call_id)
+        if found is not None:
+            call, attempt = found
+            call.on_cancelled(attempt, cancelled)
+
+    def on_probe_answer(self, _link, answer: ProbeAnswer) -> None:
+        asked = self.probes.pop(answer.probe_id, None)
+        if asked is not None and answer.load is not None:
+            service, instance = asked
+            self.routing.note_load(service, instance, answer.load, self.now())
+
+    def on_link_lost(self, link) -> None:
+        for call in list(self.tries.values()):
+            for attempt in list(call.tries.values()):
+                if attempt.link is link:
+                    call.on_link_lost(attempt)
+
+    def credit(self, attempt: Try, size: int) -> None:
+        """Let the gate send on while an answer is gathered."""
+        attempt.link.send(Credit(attempt.number, size))
--- a/cyclamenlift/core/codes.py
+++ b/cyclamenlift/core/codes.py
@@ -29,8 +29,6 @@
     SHUTTING_DOWN = 2009
     NO_CONFIGURATION = 2010
     DEADLINE_NOT_RUN = 2011
-    OUTSIDE_EVENT = 2012
-    OVERLOADED_DEEPER = 2013
 
     TARGET_BROKE_OFF = 3000
     PEER_LOST = 3001
@@ -39,6 +37,7 @@
     CLAIM_UNKNOWN = 3004
     BAD_TARGET_ANSWER = 3005
     RECORD_TOO_LARGE = 3006
+    PAGE_FAILED = 3007
 
     BAD_REQUEST = 4000
     UNKNOWN_SERVICE = 4001
@@ -133,16 +132,6 @@
         'the deadline passed before it ran',
         _RETRY,
     ),
-    ResultCode.OUTSIDE_EVENT: (
-        503,
-        'the event does not run now',
-        'Try again within the window of the event.',
-    ),
-    ResultCode.OVERLOADED_DEEPER: (
-        503,
-        'a service further down is overloaded',
-        _RETRY,
-    ),
     ResultCode.TARGET_BROKE_OFF: (502, 'the target broke off', _ASK),
     ResultCode.PEER_LOST: (502, 'the connection to the gate was lost', _ASK),
     ResultCode.DEADLINE_UNKNOWN: (
@@ -170,6 +159,11 @@
         'it ran; its answer was too large to keep',
         'The operation ran once: look up its effect.',
     ),
+    ResultCode.PAGE_FAILED: (
+        500,
+        'the page failed',
+        'Look at the logs and at the current state before trying again.',
+    ),
     ResultCode.BAD_REQUEST: (400, 'the request is wrong', _MEND),
     ResultCode.UNKNOWN_SERVICE: (
         404,
--- /dev/null
+++ b/cyclamenlift/gate/running.py
@@ -0,0 +1,205 @@
+"""One call at the gate, from its frame to its answer.
+
+A ``GateCall`` listens to the target and speaks to the entry. It tells the
+entry exactly one end: a whole answer, ``Refused`` (proven not run),
+``Broken`` (may have run) or ``Cancelled``.
+"""
+
+import typing
+
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.http.headers import end_to_end
+from cyclamenlift.http.target import TargetRequest
+from cyclamenlift.wire.gen.protocol.ttypes import AnswerStart
+from cyclamenlift.wire.gen.protocol.ttypes import BodyChunk
+from cyclamenlift.wire.gen.protocol.ttypes import Broken
+from cyclamenlift.wire.gen.protocol.ttypes import CallStart
+from cyclamenlift.wire.gen.protocol.ttypes import Credit
+from cyclamenlift.wire.gen.protocol.ttypes import Header
+from cyclamenlift.wire.gen.protocol.ttypes import Refused
+
+if typing.TYPE_CHECKING:
+    from cyclamenlift.gate.tasks import Gate
+
+# Answers up to this size travel in one frame with their head.
+INLINE_ANSWER = 64 * 1024
+# Bytes that may be on their way in one direction without a credit.
+WINDOW = 256 * 1024
+CHUNK = 64 * 1024
+MILLISECONDS = 1000
+MICROSECONDS = 1_000_000
+SERVER_ERROR = 500
+
+
+class GateCall:
+    """State of one call; also the listener of its target connection."""
+
+    def __init__(self, gate: 'Gate', link, start: CallStart, now: float):
+        self.gate = gate
+        self.link = link
+        self.start = start
+        self.key = (link.number, start.call_id)
+        self.deadline = now + start.time_left_us / MICROSECONDS
+        self.timer = None
+        self.target_call = None
+        self.started_at = 0.0
+        self.ended = False
+        self.body: list[bytes] = [start.body] if start.body else []
+        self.body_whole = start.body_complete
+        self.status = 0
+        self.headers: list[Header] = []
+        self.length: int | None = None
+        self.answer: list[bytes] = []
+        self.answer_size = 0
+        self.streaming = False
+        self.window = WINDOW
+        self.owed_credit = 0
+
+    # -- from the gate ----------------------------------------------------
+
+    def begin(self, now: float) -> None:
+        """Send the request to the target; its slot is taken."""
+        self.started_at = now
+        self.target_call = self.gate.client.request(self.request(), self)
+        self.forward_body()
+
+    def request(self) -> TargetRequest:
+        start = self.start
+        headers = [(h.name, h.value) for h in start.headers]
+        headers.extend(self.gate.call_headers(self))
+        return TargetRequest(
+            method=start.method,
+            path=start.path,
+            headers=headers,
+            body_length=start.body_length,
+        )
+
+    def take_body(self, data: bytes, last: bool) -> None:
+        """Take a chunk of the request's body from the entry."""
+        if data:
+            self.body.append(data)
+        self.body_whole = self.body_whole or last
+        if self.target_call is not None and not self.ended:
+            self.forward_body()
+
+    def forward_body(self) -> None:
+        if self.ended or not (self.body or self.body_whole):
+            return
+        data = b''.join(self.body)
+        self.body.clear()
+        self.target_call.send_body(data, self.body_whole)
+        if self.ended or self.body_whole:
+            return
+        if self.target_call.pending < WINDOW:
+            self.link.send(Credit(self.start.call_id, len(data)))
+        else:
+            self.owed_credit = len(data)
+
+    def take_credit(self, allowed: int) -> None:
+        """The entry takes that many further bytes of the answer."""
+        self.window += allowed
+        if self.window > 0 and self.target_call is not None:
+            self.target_call.resume()
+
+    def stop_target(self) -> None:
+        """Close the connection to the target: it may have run."""
+        if self.target_call is not None:
+            self.target_call.cancel()
+
+    def was_sent(self) -> bool:
+        return self.target_call is not None and self.target_call.sent
+
+    # -- from the target --------------------------------------------------
+
+    def on_head(self, status, headers, length: int | None) -> None:
+        self.status = status
+        self.headers = [Header(n, v) for n, v in end_to_end(headers)]
+        self.length = length
+        if length is not None and length > INLINE_ANSWER:
+            self.start_streaming()
+
+    def on_body(self, data: bytes) -> None:
+        if self.streaming:
+            self.stream(data)
+            return
+        self.answer.append(data)
+        self.answer_size += len(data)
+        if self.answer_size > INLINE_ANSWER:
+            self.start_streaming()
+
+    def on_end(self) -> None:
+        seconds = self.gate.now() - self.started_at
+        self.gate.release(self, seconds, self.status >= SERVER_ERROR)
+        if self.streaming:
+            self.link.send(BodyChunk(self.start.call_id, b'', True))
+            return
+        body = b''.join(self.answer)
+        self.link.send(self.head(body, True, seconds))
+
+    def on_drained(self) -> None:
+        if self.owed_credit:
+            self.link.send(Credit(self.start.call_id, self.owed_credit))
+            self.owed_credit = 0
+
+    def on_failure(self, failure) -> None:
+        self.gate.release(self, None, True)
+        if failure.sent:
+            self.tell_broken(ResultCode.TARGET_BROKE_OFF, failure.detail)
+        else:
+            code = ResultCode.TARGET_UNREACHABLE
+            self.tell_refused(code, failure.detail)
+
+    # -- to the entry -----------------------------------------------------
+
+    def head(self, body: bytes, whole: bool, seconds: float) -> AnswerStart:
+        length = len(body) if whole else self.length
+        return AnswerStart(
+            call_id=self.start.call_id,
+            status=self.status,
+            headers=self.headers,
+            body_length=-1 if length is None else length,
+            body=body,
+            body_complete=whole,
+            load=self.gate.figures(),
+            service_time_us=int(seconds * MICROSECONDS),
+        )
+
+    def start_streaming(self) -> None:
+        self.streaming = True
+        seconds = self.gate.now() - self.started_at
+        self.link.send(self.head(b'', False, seconds))
+        waiting = b''.join(self.answer)
+        self.answer.clear()
+        if waiting:
+            self.stream(waiting)
+
+    def stream(self, data: bytes) -> None:
+        for at in range(0, len(data), CHUNK):
+            part = data[at : at + CHUNK]
+            self.link.send(BodyChunk(self.start.call_id, part, False))
+        self.window -= len(data)
+        if self.window <= 0:
+            self.target_call.pause()
+
+    def tell_refused(
+        self, code: ResultCode, detail: str = '', wait: float = 0.0
+    ) -> None:
+        """Say that the call did not run: nothing reached the target."""
+        message = Refused(
+            call_id=self.start.call_id,
+            code=int(code),
+            detail=detail,
+            retry_after_ms=int(wait * MILLISECONDS),
+            load=self.gate.figures(),
+        )
+        self.link.send(message)
+
+    def tell_broken(self, code: ResultCode, detail: str = '') -> None:
+        """Say that the call may have run."""
+        message = Broken(
+            call_id=self.start.call_id,
+            code=int(code),
+            detail=detail,
+            load=self.gate.figures(),
+        )
+        self.link.send(message)
--- /dev/null
+++ b/cyclamenlift/gate/tasks.py
@@ -0,0 +1,216 @@
+"""The gate: takes calls from entries and lets them into its own target."""
+
+from collections.abc import Callable
+from collections.abc import Hashable
+
+import structlog
+
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.gate.probes import ProbeBudget
+from cyclamenlift.gate.running import GateCall
+from cyclamenlift.gate.state import GateState
+from cyclamenlift.gate.state import Turn
+from cyclamenlift.gate.state import Verdict
+from cyclamenlift.models.rules import EventRules
+from cyclamenlift.models.rules import ServiceRule
+from cyclamenlift.wire.gen.protocol.ttypes import BodyChunk
+from cyclamenlift.wire.gen.protocol.ttypes import CallStart
+from cyclamenlift.wire.gen.protocol.ttypes import Cancel
+from cyclamenlift.wire.gen.protocol.ttypes import Cancelled
+from cyclamenlift.wire.gen.protocol.ttypes import Credit
+from cyclamenlift.wire.gen.protocol.ttypes import LoadFigures
+from cyclamenlift.wire.gen.protocol.ttypes import Probe
+from cyclamenlift.wire.gen.protocol.ttypes import ProbeAnswer
+from cyclamenlift.wire.gen.protocol.ttypes import Refused
+from cyclamenlift.wire.gen.protocol.ttypes import TargetState
+
+LOG = structlog.get_logger('gate')
+MILLISECONDS = 1000
+
+
+class Gate:
+    """Owns the calls inside one target and the budget for measuring it."""
+
+    def __init__(self, scheduler, client, service: str, slots: int):
+        self.scheduler = scheduler
+        self.clock = scheduler.clock
+        self.client = client
+        self.service = service
+        self.state = GateState(slots)
+        self.budget = ProbeBudget()
+        self.calls: dict[Hashable, GateCall] = {}
+        self.rule: ServiceRule | None = None
+        self.idle_hooks: list[Callable[[], None]] = []
+        self.state_hooks: list[Callable[[TargetState], None]] = []
+
+    def subscribe(self, network) -> None:
+        """Take the messages of entries from the peer network."""
+        network.subscribe(CallStart, self.on_call_start)
+        network.subscribe(Cancel, self.on_cancel)
+        network.subscribe(Probe, self.on_probe)
+        network.subscribe_lost(self.on_link_lost)
+
+    # -- commands ---------------------------------------------------------
+
+    def apply_rules(self, rules: EventRules, gates: int) -> None:
+        """Take a new event document; ``gates`` share its probe budget."""
+        self.rule = rules.services.get(self.service)
+        if self.rule is None:
+            self.budget.set_share(0.0, self.now())
+            return
+        self.state.queue_limit = self.rule.queue_limit
+        share = self.rule.probes_per_second / max(1, gates)
+        self.budget.set_share(share, self.now())
+
+    def drain(self) -> None:
+        """Take no new call; queued ones are refused as not run."""
+        if self.state.target_state == TargetState.DRAINING:
+            return
+        waiting = self.state.drain()
+        LOG.info('gate_draining', queued=len(waiting))
+        self.follow(Turn(expired=waiting))
+        self.tell_state()
+        self.check_idle()
+
+    def set_target_state(self, state: TargetState) -> None:
+        """Note a change that start-up or the target's health showed."""
+        before = self.state.target_state
+        self.state.set_target_state(state)
+        if self.state.target_state != before:
+            self.tell_state()
+
+    def release(
+        self, call: GateCall, seconds: float | None, failed: bool
+    ) -> None:
+        """End a call that held a slot and start those that waited."""
+        self.forget(call)
+        turn = self.state.finish(call.key, seconds, failed, self.now())
+        self.follow(turn)
+        self.check_idle()
+
+    # -- queries ----------------------------------------------------------
+
+    def now(self) -> float:
+        return self.clock.now()
+
+    def figures(self) -> LoadFigures:
+        return self.state.figures(self.now())
+
+    def is_idle(self) -> bool:
+        return self.state.is_idle()
+
+    def call_headers(self, call: GateCall) -> list[tuple[str, str]]:
+        """Return the headers that tell the target depth and time left."""
+        left = max(1, int((call.deadline - self.now()) * MILLISECONDS))
+        return [
+            ('cyclamenlift-timeout-ms', str(left)),
+            ('cyclamenlift-depth', str(call.start.depth)),
+            ('cyclamenlift-call-id', call.start.trace_id),
+        ]
+
+    # -- messages ---------------------------------------------------------
+
+    def on_call_start(self, link, start: CallStart) -> None:
+        now = self.now()
+        call = GateCall(self, link, start, now)
+        if start.service_name != self.service:
+            call.tell_refused(ResultCode.NO_TARGET, 'another service')
+            return
+        admission = self.state.admit(call.key, call.deadline, now)
+        if admission.verdict is Verdict.REFUSED:
+            call.tell_refused(admission.code, '', admission.retry_after)
+            return
+        self.calls[call.key] = call
+        call.timer = self.scheduler.at(
+            call.deadline, lambda: self.on_deadline(call)
+        )
+        if admission.verdict is Verdict.START:
+            call.begin(now)
+
+    def on_body_chunk(self, link, chunk: BodyChunk) -> None:
+        call = self.calls.get((link.number, chunk.call_id))
+        if call is not None:
+            call.take_body(chunk.data, chunk.last)
+
+    def on_credit(self, link, credit: Credit) -> None:
+        call = self.calls.get((link.number, credit.call_id))
+        if call is not None:
+            call.take_credit(credit.bytes_allowed)
+
+    def on_cancel(self, link, cancel: Cancel) -> None:
+        """Confirm a cancellation; only a queued call is proven not run."""
+        call = self.calls.get((link.number, cancel.call_id))
+        if call is None:
+            return
+        not_run = not call.was_sent()
+        self.cut(call)
+        link.send(Cancelled(cancel.call_id, not_run, self.figures()))
+
+    def on_probe(self, link, probe: Probe) -> None:
+        """Answer from our own counters, within the budget; else drop it."""
+        if self.budget.take(self.now()):
+            link.send(ProbeAnswer(probe.probe_id, self.figures()))
+
+    def on_link_lost(self, link) -> None:
+        """Stop the calls of an entry that is gone.
+
+        A call that may not be repeated and has begun runs on: cutting it
+        would leave a booking half done for nobody's gain.
+        """
+        for key, call in list(self.calls.items()):
+            if key[0] != link.number:
+                continue
+            if call.start.idempotent or not call.was_sent():
+                self.cut(call)
+
+    def on_deadline(self, call: GateCall) -> None:
+        if call.ended:
+            return
+        sent = call.was_sent()
+        self.cut(call)
+        if sent:
+            call.tell_broken(ResultCode.DEADLINE_UNKNOWN)
+        else:
+            call.tell_refused(ResultCode.DEADLINE_NOT_RUN)
+
+    # -- steps ------------------------------------------------------------
+
+    def cut(self, call: GateCall) -> None:
+        """Take a call out, wherever it is."""
+        if self.state.withdraw(call.key):
+            self.forget(call)
+            self.check_idle()
+            return
+        call.stop_target()
+        self.release(call, None, False)
+
+    def forget(self, call: GateCall) -> None:
+        call.ended = True
+        self.calls.pop(call.key, None)
+        if call.timer is not None:
+            call.timer.cancel()
+
+    def follow(self, turn: Turn) -> None:
+        """Refuse what expired and begin what has its turn."""
+        for expired in turn.expired:
+            call = self.calls[expired.key]
+            self.forget(call)
+            call.tell_refused(expired.code)
+        for key in turn.started:
+            call = self.calls.get(key)
+            if call is not None:
+                call.begin(self.now())
+
+    def check_idle(self) -> None:
+        if self.state.is_idle():
+            for hook in self.idle_hooks:
+                hook()
+
+    def tell_state(self) -> None:
+        for hook in self.state_hooks:
+            hook(self.state.target_state)
+
+
+def refuse_call(link, start: CallStart, code: ResultCode) -> None:
+    """Refuse a call where there is no gate at all."""
+    link.send(Refused(start.call_id, int(code), 'no target here', 0, None))
--- /dev/null
+++ b/cyclamenlift/http/__init__.py
@@ -0,0 +1,33 @@
+"""The strict HTTP border: towards callers, the target and operators."""
+
+from cyclamenlift.http.client import TargetClient
+from cyclamenlift.http.exchange import Exchange
+from cyclamenlift.http.headers import end_to_end
+from cyclamenlift.http.headers import HeaderError
+from cyclamenlift.http.limits import ClientLimits
+from cyclamenlift.http.limits import HttpLimits
+from cyclamenlift.http.pages import Deferred
+from cyclamenlift.http.pages import WebAnswer
+from cyclamenlift.http.server import HttpServer
+from cyclamenlift.http.target import TargetFailure
+from cyclamenlift.http.target import TargetListener
+from cyclamenlift.http.target import TargetRequest
+from cyclamenlift.http.target_call import TargetCall
+from cyclamenlift.http.web import WebServer
+
+__all__ = [
+    'ClientLimits',
+    'Deferred',
+    'Exchange',
+    'HeaderError',
+    'HttpLimits',
+    'HttpServer',
+    'TargetCall',
+    'TargetClient',
+    'TargetFailure',
+    'TargetListener',
+    'TargetRequest',
+    'WebAnswer',
+    'WebServer',
+    'end_to_end',
+]
--- /dev/null
+++ b/cyclamenlift/http/client.py
@@ -0,0 +1,295 @@
+"""The client component towards the target: a pool of connections."""
+
+from collections import deque
+import socket
+
+import structlog
+
+from cyclamenlift.core.streams import Address
+from cyclamenlift.core.streams import Stream
+from cyclamenlift.core.streams import StreamOwner
+from cyclamenlift.core.tasks import Timer
+from cyclamenlift.http.answer_parser import AnswerParser
+from cyclamenlift.http.limits import ClientLimits
+from cyclamenlift.http.target import TargetFailure
+from cyclamenlift.http.target import TargetListener
+from cyclamenlift.http.target import TargetRequest
+from cyclamenlift.http.target_call import TargetCall
+
+LOG = structlog.get_logger('http')
+
+
+class TargetConnection:
+    """State of one connection in the pool."""
+
+    __slots__ = ('call', 'parser', 'timer')
+
+    def __init__(self, limits: ClientLimits, call: TargetCall | None):
+        self.call = call
+        self.parser = AnswerParser(limits)
+        self.timer: Timer | None = None
+
+
+class TargetClient(StreamOwner):
+    """Sends requests to one target, each on a connection of its own.
+
+    Connections are kept alive and used again only after an answer that
+    was whole, ended by its own framing and was followed by nothing.
+    """
+
+    def __init__(
+        self, poller, address: Address, limits: ClientLimits, channel: str
+    ):
+        super().__init__(poller, channel)
+        self.address = address
+        self.limits = limits
+        self.idle: list[Stream] = []
+        self.waiting: deque[TargetCall] = deque()
+        self.keep_warm = False
+        self.warm_timer: Timer | None = None
+
+    # -- commands ---------------------------------------------------------
+
+    def request(
+        self, request: TargetRequest, listener: TargetListener
+    ) -> TargetCall:
+        """Start a request; the listener hears nothing before this returns.
+
+        The head goes out together with the first piece of the body. Raises
+        HeaderError when the head is malformed.
+        """
+        call = TargetCall(self, request, listener)
+        self.assign(call)
+        return call
+
+    def warm(self) -> None:
+        """Open the kept connections now, and again when they are lost."""
+        self.keep_warm = True
+        self.top_up()
+
+    def close_all(self) -> None:
+        """Close every connection; calls under way hear nothing more."""
+        self.keep_warm = False
+        self.idle.clear()
+        self.waiting.clear()
+        super().close_all()
+
+    # -- pool -------------------------------------------------------------
+
+    def assign(self, call: TargetCall) -> None:
+        """Give the call a connection, or let it wait for one."""
+        while self.idle:
+            stream = self.idle.pop()
+            if is_quiet(stream):
+                self.start(call, stream)
+                return
+            stream.close()
+        if len(self.streams) < self.limits.max_connections:
+            self.open(call)
+        else:
+            self.waiting.append(call)
+
+    def open(self, call: TargetCall | None) -> None:
+        """Open a connection, for a call or for the pool."""
+        stream = self.connect_to(self.address)
+        connection = TargetConnection(self.limits, call)
+        stream.context = connection
+        connection.timer = self.root.scheduler.after(
+            self.limits.connect_seconds,
+            lambda: self.lose(stream, TimeoutError('connect timed out')),
+        )
+        if call is not None:
+            call.stream = stream
+
+    def start(self, call: TargetCall, stream: Stream) -> None:
+        """Begin a call on an established connection."""
+        call.stream = stream
+        stream.context.call = call
+        stream.context.parser.expect_answer(call.request.method)
+        if call.paused:
+            stream.pause_reading()
+        self.push(call)
+
+    def push(self, call: TargetCall) -> None:
+        """Write what there is of the request."""
+        stream = call.stream
+        if stream is None or not stream.connected:
+            return
+        if not call.unsent and not call.request_whole:
+            return
+        data = b''.join(call.unsent)
+        call.unsent.clear()
+        if not call.head_given:
+            call.head_given = True
+            data = call.head + data
+        if not data:
+            return
+        stream.write(data)
+        # A first write that fails at once has moved no byte.
+        if stream.open:
+            call.sent = True
+
+    def release(self, stream: Stream) -> None:
+        """Put a clean connection back, or to the next call's use."""
+        stream.context.call = None
+        stream.resume_reading()
+        if not self.waiting:
+            self.idle.append(stream)
+        elif is_quiet(stream):
+            self.start(self.waiting.popleft(), stream)
+        else:
+            self.discard(stream)
+
+    def drop(self, call: TargetCall) -> None:
+        """Take a cancelled call off its connection, which is closed."""
+        if call.stream is None:
+            if call in self.waiting:
+                self.waiting.remove(call)
+            return
+        self.discard(call.stream)
+
+    def discard(self, stream: Stream) -> None:
+        """Close a connection that can't be used again."""
+        stop_timer(stream.context)
+        stream.context.call = None
+        stream.close()
+        self.replace_lost()
+
+    def replace_lost(self) -> None:
+        """Serve waiting calls and the warm pool after a loss."""
+        while self.waiting and len(self.streams) < self.limits.max_connections:
+            self.open(self.waiting.popleft())
+        if self.keep_warm and self.warm_timer is None:
+            self.warm_timer = self.root.scheduler.after(
+                self.limits.rewarm_seconds, self.top_up
+            )
+
+    def top_up(self) -> None:
+        """Open connections up to the number that is kept."""
+        self.warm_timer = None
+        limits = self.limits
+        kept = min(limits.warm_connections, limits.max_connections)
+        while self.keep_warm and len(self.streams) < kept:
+            self.open(None)
+
+    # -- stream hooks -----------------------------------------------------
+
+    def on_connected(self, stream: Stream) -> None:
+        connection = stream.context
+        stop_timer(connection)
+        call = connection.call
+        if call is None:
+            self.release(stream)
+        else:
+            self.start(call, stream)
+
+    def on_data(self, stream: Stream, data: bytes) -> None:
+        call = stream.context.call
+        if call is None or not call.head_given:
+            # Nothing was asked: the next answer could not be trusted.
+            self.leave(stream, call)
+            return
+        parser = stream.context.parser
+        parser.feed(data)
+        if parser.problem:
+            self.fail(call, f'the answer is malformed: {parser.problem}')
+            self.discard(stream)
+            return
+        try:
+            self.deliver(stream, call, parser)
+        except Exception:
+            LOG.exception('listener_failed', target=str(self.address))
+            self.fail(call, 'the answer could not be taken')
+            self.discard(stream)
+
+    def leave(self, stream: Stream, call: TargetCall | None) -> None:
+        """Close a connection before anything was sent on it for a call."""
+        self.forget_idle(stream)
+        self.discard(stream)
+        if call is not None:
+            call.stream = None
+            self.assign(call)
+
+    def deliver(
+        self, stream: Stream, call: TargetCall, parser: AnswerParser
+    ) -> None:
+        """Hand over what the parser has found, then end or go on."""
+        listener = call.listener
+        if parser.head_ready and not call.answering:
+            call.answering = True
+            listener.on_head(parser.status, parser.headers, parser.length)
+        if parser.chunks and not call.done:
+            data = b''.join(parser.chunks)
+            parser.chunks.clear()
+            listener.on_body(data)
+        if parser.complete and not call.done:
+            self.complete(stream, call)
+
+    def complete(self, stream: Stream, call: TargetCall) -> None:
+        """End a call whose answer is whole."""
+        call.done = True
+        parser = stream.context.parser
+        clean = parser.keep_alive and not parser.stray and call.request_whole
+        if clean and not stream.pending:
+            self.release(stream)
+        else:
+            self.discard(stream)
+        call.listener.on_end()
+
+    def on_drained(self, stream: Stream) -> None:
+        call = stream.context.call
+        if call is not None and not call.done:
+            call.listener.on_drained()
+
+    def on_lost(self, stream: Stream, error: OSError | None) -> None:
+        connection = stream.context
+        stop_timer(connection)
+        self.forget_idle(stream)
+        call = connection.call
+        connection.call = None
+        self.replace_lost()
+        if call is None or call.done:
+            return
+        if stream.connected and not call.head_given:
+            call.stream = None
+            self.assign(call)
+            return
+        if error is None and connection.parser.end_of_input():
+            call.done = True
+            call.listener.on_end()
+            return
+        reason = error or 'it closed the connection'
+        self.fail(call, f'no whole answer of the target: {reason}')
+
+    def fail(self, call: TargetCall, detail: str) -> None:
+        """Report a failure at the next round, never inside a command."""
+
+        def report() -> None:
+            if not call.done:
+                call.done = True
+                call.listener.on_failure(TargetFailure(call.sent, detail))
+
+        self.root.scheduler.after(0.0, report)
+
+    def forget_idle(self, stream: Stream) -> None:
+        if stream in self.idle:
+            self.idle.remove(stream)
+
+
+def is_quiet(stream: Stream) -> bool:
+    """Tell whether a kept connection is open and has nothing to read."""
+    if not stream.open:
+        return False
+    try:
+        stream.sock.recv(1, socket.MSG_PEEK)
+    except (BlockingIOError, InterruptedError):
+        return True
+    except OSError:
+        return False
+    return False
+
+
+def stop_timer(connection: TargetConnection) -> None:
+    if connection.timer is not None:
+        connection.timer.cancel()
+        connection.timer = None
--- /dev/null
+++ b/cyclamenlift/http/deadline.py
@@ -0,0 +1,62 @@
+"""A deadline that moves with each request, on one timer."""
+
+from collections.abc import Callable
+
+from cyclamenlift.core.tasks import Scheduler
+from cyclamenlift.core.tasks import Timer
+
+
+class MovingDeadline:
+    """Runs ``expired`` once the deadline passes; None means no deadline.
+
+    A timer for each request would fill the scheduler's heap. So a later
+    deadline is only noted, and the timer looks at it when it runs.
+    """
+
+    __slots__ = ('deadline', 'expired', 'scheduler', 'timer')
+
+    def __init__(self, scheduler: Scheduler, expired: Callable[[], None]):
+        self.scheduler = scheduler
+        self.expired = expired
+        self.deadline: float | None = None
+        self.timer: Timer | None = None
+
+    def set_after(self, seconds: float) -> None:
+        """Move the deadline to ``seconds`` from now."""
+        self.set_at(self.scheduler.clock.now() + seconds)
+
+    def set_at(self, deadline: float) -> None:
+        """Move the deadline; only an earlier one needs another timer."""
+        self.deadline = deadline
+        if self.timer is not None:
+            if self.timer.deadline <= deadline:
+                return
+            self.timer.cancel()
+        self.timer = self.scheduler.at(deadline, self.look)
+
+    def clear(self) -> None:
+        """Have no deadline for now."""
+        self.deadline = None
+
+    def left(self) -> float | None:
+        """Return the seconds that are left, None without a deadline."""
+        if self.deadline is None:
+            return None
+        return self.deadline - self.scheduler.clock.now()
+
+    def cancel(self) -> None:
+        """Drop deadline and timer for good."""
+        self.deadline = None
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+    def look(self) -> None:
+        """Run by the timer: act if the deadline has passed, or wait on."""
+        self.timer = None
+        if self.deadline is None:
+            return
+        if self.deadline > self.scheduler.clock.now():
+            self.set_at(self.deadline)
+        else:
+            self.expired()
--- /dev/null
+++ b/cyclamenlift/http/ending.py
@@ -0,0 +1,99 @@
+"""How a connection of a caller ends: after an answer, late, or broken."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from typing import TYPE_CHECKING
+
+from cyclamenlift.core.problems import Problem
+from cyclamenlift.core.streams import Stream
+from cyclamenlift.http.deadline import MovingDeadline
+from cyclamenlift.http.exchange import CLOSE
+from cyclamenlift.http.response import answer_head
+from cyclamenlift.http.response import problem_body
+from cyclamenlift.http.response import problem_headers
+from cyclamenlift.http.response import problem_status
+
+if TYPE_CHECKING:
+    from cyclamenlift.http.server import HttpServer
+
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
+
+class EndingConnection:
+    """The part of a caller's connection that closes it.
+
+    ``lingering`` is set once the last answer was written: what still comes
+    in is dropped until the caller closes too or ``linger_seconds`` pass.
+    """
+
+    __slots__ = ('deadline', 'lingering', 'pending_seen', 'server', 'stream')
+
+    def __init__(self, server: HttpServer, stream: Stream):
+        self.server = server
+        self.stream = stream
+        self.lingering = False
+        self.pending_seen = 0
+        self.deadline = MovingDeadline(server.root.scheduler, self.expire)
+
+    def expire(self) -> None:
+        """End the connection, since its time is up."""
+        raise NotImplementedError
+
+    def refuse(self, problem: Problem) -> None:
+        """Answer a request that has no exchange, then close."""
+        if self.lingering or not self.stream.open:
+            return
+        body = problem_body(problem)
+        framing = [CLOSE, ('Content-Length', str(len(body)))]
+        head = answer_head(
+            problem_status(problem), problem_headers(problem), framing
+        )
+        self.stream.write(head + body)
+        self.linger()
+
+    def linger(self) -> None:
+        """Close after everything went out, reading on for a while.
+
+        Closing with unread input would make the kernel send a reset, which
+        can destroy the answer before the caller has read it.
+        """
+        if self.lingering or not self.stream.open:
+            return
+        self.lingering = True
+        limits = self.server.limits
+        self.stream.resume_reading()
+        if self.stream.pending:
+            self.deadline.set_after(limits.send_seconds)
+        else:
+            self.end_output()
+
+    def end_output(self) -> None:
+        """Tell the caller that nothing more comes."""
+        self.deadline.set_after(self.server.limits.linger_seconds)
+        try:
+            self.stream.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.stream.close()
+
+    def expire_output(self) -> None:
+        """Give a slow reader more time as long as it takes something."""
+        pending = self.stream.pending
+        if not pending:
+            self.stream.close()
+        elif self.pending_seen and pending >= self.pending_seen:
+            self.reset()
+        else:
+            self.pending_seen = pending
+            self.deadline.set_after(self.server.limits.send_seconds)
+
+    def reset(self) -> None:
+        """Close with a reset: the answer must not look whole."""
+        self.deadline.cancel()
+        if not self.stream.open:
+            return
+        self.stream.sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+        )
+        self.stream.close()
--- /dev/null
+++ b/cyclamenlift/http/exchange.py
@@ -0,0 +1,261 @@
+"""One request of a caller and the answer to it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import enum
+from typing import TYPE_CHECKING
+
+from cyclamenlift.core.problems import Problem
+from cyclamenlift.core.streams import Address
+from cyclamenlift.http.headers import find_header
+from cyclamenlift.http.headers import Headers
+from cyclamenlift.http.request_parser import IncomingRequest
+from cyclamenlift.http.response import answer_head
+from cyclamenlift.http.response import has_no_body
+from cyclamenlift.http.response import LAST_CHUNK
+from cyclamenlift.http.response import problem_body
+from cyclamenlift.http.response import problem_headers
+from cyclamenlift.http.response import problem_status
+
+if TYPE_CHECKING:
+    from cyclamenlift.http.connection import CallerConnection
+
+OnBody = Callable[[bytes, bool], None]
+CLOSE = ('Connection', 'close')
+KEEP_ALIVE = ('Connection', 'keep-alive')
+CHUNKED = ('Transfer-Encoding', 'chunked')
+
+
+class AnswerState(enum.Enum):
+    """How far the answer to a request is."""
+
+    NONE = 'none'
+    STREAMING = 'streaming'
+    DONE = 'done'
+
+
+class Exchange:
+    """A request of a caller, read and answered through this object.
+
+    ``method``, ``path`` (with the query), ``headers`` (lower-case names, in
+    order), ``body_length`` (None: chunked, 0: no body), ``remote`` and
+    ``received_at`` (monotonic seconds) describe the request.
+
+    Hooks that the owner of the exchange may set, each called once at most:
+    ``on_gone()`` when the caller left before the answer was whole, and
+    ``on_broken(problem)`` when the body turned out bad after a part of it
+    was handed over; only the owner knows whether something ran, so it
+    answers. Without that hook such a connection is closed unanswered.
+    ``on_drained()`` runs each time the kernel has taken all bytes.
+
+    An answer to a caller who has left is dropped without an error.
+    """
+
+    __slots__ = (
+        'body_length',
+        'chunked',
+        'connection',
+        'handed_over',
+        'headers',
+        'left',
+        'method',
+        'on_body',
+        'on_broken',
+        'on_drained',
+        'on_gone',
+        'path',
+        'paused',
+        'received_at',
+        'remote',
+        'request',
+        'state',
+        'without_body',
+    )
+
+    def __init__(
+        self,
+        connection: CallerConnection,
+        request: IncomingRequest,
+        received_at: float,
+    ):
+        self.connection = connection
+        self.request = request
+        self.method: str = request.method
+        self.path: str = request.path
+        self.headers: Headers = request.headers
+        self.body_length: int | None = request.body_length
+        self.remote: Address = connection.stream.remote
+        self.received_at = received_at
+        self.on_gone: Callable[[], None] | None = None
+        self.on_broken: Callable[[Problem], None] | None = None
+        self.on_drained: Callable[[], None] | None = None
+        self.on_body: OnBody | None = None
+        self.paused = False
+        self.handed_over = False
+        self.state = AnswerState.NONE
+        self.left: int | None = None
+        self.chunked = False
+        self.without_body = False
+
+    # -- queries ----------------------------------------------------------
+
+    def header(self, name: str) -> str | None:
+        """Return the first field of this lower-case name."""
+        return find_header(self.headers, name)
+
+    @property
+    def pending(self) -> int:
+        """Bytes of the answer that the kernel has not taken."""
+        return self.connection.stream.pending
+
+    @property
+    def done(self) -> bool:
+        """Whether the answer is complete or the caller is gone."""
+        return self.state is AnswerState.DONE
+
+    # -- the body of the request ------------------------------------------
+
+    def read_body(self, on_body: OnBody) -> None:
+        """Hand over the body as it comes, as ``on_body(data, last)``.
+
+        The first pieces may be handed over before this returns. Asks the
+        caller to go on if it waits for that.
+        """
+        if self.done:
+            return
+        self.on_body = on_body
+        if not self.request.complete:
+            self.connection.await_body(self)
+        self.deliver_body()
+
+    def deliver_body(self) -> None:
+        """Hand over what has arrived, unless paused."""
+        request = self.request
+        if self.on_body is None or self.paused or self.done:
+            return
+        if not request.chunks and not request.complete:
+            return
+        data = b''.join(request.chunks)
+        request.chunks.clear()
+        last = request.complete
+        on_body = self.on_body
+        if last:
+            self.on_body = None
+        self.handed_over = self.handed_over or bool(data)
+        on_body(data, last)
+
+    def pause(self) -> None:
+        """Leave the rest of the body with the caller: back-pressure."""
+        if not self.paused:
+            self.paused = True
+            self.connection.pause_body(self)
+
+    def resume(self) -> None:
+        """Go on after ``pause``."""
+        if self.paused:
+            self.paused = False
+            self.deliver_body()
+            self.connection.resume_body(self)
+
+    # -- the answer -------------------------------------------------------
+
+    def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send the whole answer in one write.
+
+        Framing fields in ``headers`` are replaced by the right ones; to a
+        HEAD request a given ``Content-Length`` is kept. Raises HeaderError,
+        with nothing sent, when a field holds a line break.
+        """
+        if self.state is not AnswerState.NONE:
+            return
+        framing = self.connection.closing_fields(self)
+        if has_no_body(self.method, status):
+            framing = framing + self.stated_length(status, headers, body)
+            body = b''
+        else:
+            framing = framing + [('Content-Length', str(len(body)))]
+        data = answer_head(status, headers, framing) + body
+        self.state = AnswerState.DONE
+        self.connection.stream.write(data)
+        self.connection.answered(self)
+
+    def stated_length(
+        self, status: int, headers: Headers, body: bytes
+    ) -> Headers:
+        """Return the length field of an answer that carries no body."""
+        for name, value in headers:
+            if name.lower() == 'content-length':
+                return [('Content-Length', value)] if status != 204 else []
+        if self.method == 'HEAD' and status not in (204, 304):
+            return [('Content-Length', str(len(body)))]
+        return []
+
+    def respond_problem(self, problem: Problem) -> None:
+        """Answer with the numbered error and its JSON body."""
+        self.respond(
+            problem_status(problem),
+            problem_headers(problem),
+            problem_body(problem),
+        )
+
+    def start(self, status: int, headers: Headers, length: int | None) -> None:
+        """Begin a streamed answer of ``length`` bytes (None: unknown).
+
+        Without a length it is chunked; to a caller of HTTP/1.0 it ends
+        with the connection. Raises HeaderError as ``respond`` does.
+        """
+        if self.state is not AnswerState.NONE:
+            return
+        self.without_body = has_no_body(self.method, status)
+        framing = self.connection.closing_fields(self)
+        if self.without_body:
+            framing = framing + self.stated_length(status, headers, b'')
+        elif length is not None:
+            framing = framing + [('Content-Length', str(length))]
+        elif self.request.minor_version:
+            framing = framing + [CHUNKED]
+            self.chunked = True
+        else:
+            self.request.keep_alive = False
+            framing = [CLOSE]
+        data = answer_head(status, headers, framing)
+        self.left = length
+        self.state = AnswerState.STREAMING
+        self.connection.stream.write(data)
+
+    def send(self, data: bytes) -> None:
+        """Send a piece of a streamed answer.
+
+        More bytes than the declared length abort the answer.
+        """
+        if self.state is not AnswerState.STREAMING or not data:
+            return
+        if self.without_body:
+            return
+        if self.left is not None:
+            self.left -= len(data)
+            if self.left < 0:
+                self.abort()
+                return
+        if self.chunked:
+            data = b'%x\r\n%b\r\n' % (len(data), data)
+        self.connection.stream.write(data)
+
+    def finish(self) -> None:
+        """End a streamed answer; one that is too short is aborted."""
+        if self.state is not AnswerState.STREAMING:
+            return
+        if self.left and not self.without_body:
+            self.abort()
+            return
+        self.state = AnswerState.DONE
+        if self.chunked:
+            self.connection.stream.write(LAST_CHUNK)
+        self.connection.answered(self)
+
+    def abort(self) -> None:
+        """Reset the connection, so that a part can't pass for the whole."""
+        if self.state is not AnswerState.DONE:
+            self.state = AnswerState.DONE
+            self.connection.reset()
--- /dev/null
+++ b/cyclamenlift/http/headers.py
@@ -0,0 +1,83 @@
+"""Header fields: which ones travel, and how they are written."""
+
+from collections.abc import Iterable
+
+Headers = list[tuple[str, str]]
+
+HOP_BY_HOP = frozenset(
+    {
+        'connection',
+        'expect',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+FRAMING = frozenset({'connection', 'content-length', 'transfer-encoding'})
+
+
+class HeaderError(ValueError):
+    """A header field that would change the framing of the message."""
+
+
+def find_header(headers: Headers, name: str) -> str | None:
+    """Return the value of the first field called ``name``.
+
+    >>> find_header([('host', 'a'), ('accept', 'b')], 'accept')
+    'b'
+    """
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Return the fields that go on to the next hop.
+
+    Dropped are the hop-by-hop fields, those that ``Connection`` names, and
+    ``Expect``, since this hop answers it. Names are in lower case.
+
+    >>> end_to_end([('connection', 'x-a'), ('x-a', '1'), ('x-b', '2')])
+    [('x-b', '2')]
+    """
+    dropped = HOP_BY_HOP
+    for name, value in headers:
+        if name == 'connection':
+            named = {part.strip().lower() for part in value.split(',')}
+            dropped = dropped | named
+    return [field for field in headers if field[0] not in dropped]
+
+
+def render_head(start_line: str, fields: Iterable[tuple[str, str]]) -> bytes:
+    """Return a message head, up to and with its empty line.
+
+    Raises HeaderError when a name or value holds a line break, a NUL or a
+    character outside of Latin-1: such a value could forge a second message.
+
+    >>> render_head('HTTP/1.1 200 OK', [('a', 'b')])
+    b'HTTP/1.1 200 OK\\r\\na: b\\r\\n\\r\\n'
+    >>> render_head('HTTP/1.1 200 OK', [('a', 'b\\r\\nc: d')])
+    Traceback (most recent call last):
+    ...
+    cyclamenlift.http.headers.HeaderError: a line break in a header field
+    """
+    lines = [start_line]
+    for name, value in fields:
+        lines.append(f'{name}: {value}')
+    try:
+        head = ('\r\n'.join(lines) + '\r\n\r\n').encode('latin-1')
+    except UnicodeEncodeError as error:
+        raise HeaderError('a header field is not Latin-1') from error
+    # Each line contributes one CR and one LF; any more came from a value.
+    ends = len(lines) + 1
+    if head.count(b'\r') != ends or head.count(b'\n') != ends:
+        raise HeaderError('a line break in a header field')
+    if b'\0' in head:
+        raise HeaderError('a NUL in a header field')
+    return head
--- /dev/null
+++ b/cyclamenlift/http/limits.py
@@ -0,0 +1,44 @@
+"""Limits of the HTTP border, for callers and for the target."""
+
+import dataclasses
+
+KIBIBYTE = 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HttpLimits:
+    """What one caller may take up; sizes in bytes, times in seconds.
+
+    ``max_header_bytes`` counts the request target and all header fields.
+    ``max_connections`` of 0 means no limit. ``linger_seconds`` is how long
+    the input of a closing connection is still read, so that a reset does
+    not destroy the answer on its way.
+    """
+
+    max_header_bytes: int = 16 * KIBIBYTE
+    max_headers: int = 100
+    max_body_bytes: int = 4 * KIBIBYTE**3
+    head_seconds: float = 10.0
+    body_seconds: float = 300.0
+    idle_seconds: float = 60.0
+    send_seconds: float = 60.0
+    linger_seconds: float = 2.0
+    drain_grace_seconds: float = 1.0
+    max_connections: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClientLimits:
+    """How a target is connected to; sizes in bytes, times in seconds.
+
+    ``unsized_answers`` admits answers that end with the connection: a cut
+    one can't be told from a whole one, so they are refused by default.
+    """
+
+    max_connections: int = 260
+    warm_connections: int = 8
+    connect_seconds: float = 1.0
+    rewarm_seconds: float = 0.5
+    max_header_bytes: int = 64 * KIBIBYTE
+    max_headers: int = 200
+    unsized_answers: bool = False
--- /dev/null
+++ b/cyclamenlift/http/pages.py
@@ -0,0 +1,91 @@
+"""What controllers get and give: forms, queries and answers."""
+
+from collections.abc import Callable
+import dataclasses
+import json
+from urllib.parse import parse_qsl
+
+from circuits.web.wrappers import Request
+
+from cyclamenlift.core.problems import Problem
+from cyclamenlift.http.exchange import Exchange
+from cyclamenlift.http.headers import Headers
+from cyclamenlift.http.response import problem_body
+from cyclamenlift.http.response import problem_headers
+from cyclamenlift.http.response import problem_status
+
+MAX_FORM_FIELDS = 20_000
+HTML = 'text/html; charset=utf-8'
+JSON = 'application/json'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WebAnswer:
+    """What a controller answers."""
+
+    body: bytes
+    status: int = 200
+    content_type: str = HTML
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+class Deferred:
+    """An answer that a controller gives later, once."""
+
+    def __init__(self):
+        self.answer: WebAnswer | None = None
+        self.hook: Callable[[WebAnswer], None] | None = None
+
+    def resolve(self, answer: WebAnswer) -> None:
+        """Give the answer; a second one is dropped."""
+        if self.answer is None:
+            self.answer = answer
+            if self.hook is not None:
+                self.hook(answer)
+
+    def then(self, hook: Callable[[WebAnswer], None]) -> None:
+        """Run ``hook`` with the answer, at once if it is there."""
+        self.hook = hook
+        if self.answer is not None:
+            hook(self.answer)
+
+
+def query_of(request: Request) -> dict[str, str]:
+    """Return the fields of the query; the last one of a name counts."""
+    return dict(parse_qsl(request.query, max_num_fields=MAX_FORM_FIELDS))
+
+
+def form_of(request: Request) -> Headers:
+    """Return the fields of an URL-encoded form, in order.
+
+    Raises ValueError when the body is no such form.
+    """
+    return parse_qsl(
+        request.content.decode('utf-8'),
+        keep_blank_values=True,
+        max_num_fields=MAX_FORM_FIELDS,
+    )
+
+
+def json_answer(value, status: int = 200, headers=()) -> WebAnswer:
+    """Return a JSON answer."""
+    body = json.dumps(value, indent=2).encode() + b'\n'
+    return WebAnswer(body, status, JSON, tuple(headers))
+
+
+def problem_answer(problem: Problem) -> WebAnswer:
+    """Return the JSON answer that reports a problem."""
+    fields = dict(problem_headers(problem))
+    kind = fields.pop('Content-Type')
+    return WebAnswer(
+        problem_body(problem),
+        problem_status(problem),
+        kind,
+        tuple(fields.items()),
+    )
+
+
+def give(exchange: Exchange, answer: WebAnswer) -> None:
+    """Send a controller's answer."""
+    headers = [('Content-Type', answer.content_type), *answer.headers]
+    exchange.respond(answer.status, headers, answer.body)
--- /dev/null
+++ b/cyclamenlift/http/request_parser.py
@@ -0,0 +1,288 @@
+"""Requests from bytes: strict framing by llhttp, plus our own limits.
+
+The parser library refuses bad lengths, bare line feeds, folded lines and
+control characters. What it lets through is checked here: versions, the
+``Host`` field, transfer codings, the request target, ``Expect`` and sizes.
+"""
+
+from collections import deque
+import dataclasses
+import re
+
+from httptools import HttpParserError
+from httptools import HttpParserUpgrade
+from httptools import HttpRequestParser
+
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.problems import Problem
+from cyclamenlift.http.headers import Headers
+from cyclamenlift.http.limits import HttpLimits
+
+HOST_PATTERN = re.compile(r'[A-Za-z0-9._~:\[\]-]*')
+FIELD_OVERHEAD = len(': \r\n')
+VERSIONS = {'1.1': 1, '1.0': 0}
+
+
+class RequestRefused(Exception):
+    """The head or body at hand breaks a rule."""
+
+    def __init__(self, code: ResultCode, detail: str):
+        super().__init__(detail)
+        self.problem = Problem(code, detail)
+
+
+@dataclasses.dataclass(slots=True)
+class IncomingRequest:
+    """One request whose head is in; its body may still be arriving.
+
+    ``body_length`` is None for a chunked body. ``chunks`` holds what came
+    and was not yet handed over.
+    """
+
+    method: str
+    path: str
+    headers: Headers
+    body_length: int | None
+    minor_version: int
+    keep_alive: bool
+    expects_continue: bool
+    chunks: list[bytes] = dataclasses.field(default_factory=list)
+    body_bytes: int = 0
+    complete: bool = False
+
+
+class RequestParser:
+    """Cuts the byte stream of one connection into requests.
+
+    ``queue`` holds the requests that are not yet taken, ``problem`` what
+    ended the parsing: nothing after it on this connection can be trusted.
+    """
+
+    __slots__ = (
+        'current',
+        'head_bytes',
+        'headers',
+        'in_head',
+        'limits',
+        'parser',
+        'problem',
+        'progress',
+        'queue',
+        'quiet_bytes',
+        'stopped',
+        'target',
+    )
+
+    def __init__(self, limits: HttpLimits):
+        self.limits = limits
+        self.parser = HttpRequestParser(self)
+        self.queue: deque[IncomingRequest] = deque()
+        self.problem: Problem | None = None
+        self.current: IncomingRequest | None = None
+        self.headers: Headers = []
+        self.target = b''
+        self.head_bytes = 0
+        self.quiet_bytes = 0
+        self.in_head = False
+        self.progress = False
+        self.stopped = False
+
+    def feed(self, data: bytes) -> None:
+        """Parse input; never raises, see ``queue`` and ``problem``."""
+        if self.stopped:
+            return
+        self.progress = False
+        try:
+            self.parser.feed_data(data)
+        except HttpParserUpgrade:
+            self.stopped = True
+        except HttpParserError as error:
+            self.stop_at(error)
+        self.count_quiet(len(data))
+
+    def stop_at(self, error: HttpParserError) -> None:
+        """Note why the parser gave up, unless it had nothing to read."""
+        if self.stopped:
+            return
+        self.stopped = True
+        cause = error.__context__
+        if isinstance(cause, RequestRefused):
+            self.problem = cause.problem
+        else:
+            self.problem = Problem(ResultCode.BAD_FRAMING, str(error))
+
+    def count_quiet(self, size: int) -> None:
+        """Bound the bytes that bring neither a head nor body bytes.
+
+        The library gathers an unfinished line without a limit.
+        """
+        if self.progress or self.stopped:
+            self.quiet_bytes = 0
+            return
+        self.quiet_bytes += size
+        if self.quiet_bytes > self.limits.max_header_bytes:
+            self.stopped = True
+            self.problem = Problem(
+                ResultCode.HEADERS_TOO_LARGE,
+                f'over {self.limits.max_header_bytes} bytes',
+            )
+
+    # -- callbacks of the parser library ----------------------------------
+
+    def on_message_begin(self) -> None:
+        self.in_head = True
+        self.headers = []
+        self.target = b''
+        self.head_bytes = 0
+
+    def on_url(self, piece: bytes) -> None:
+        self.target += piece
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.head_bytes += len(name) + len(value) + FIELD_OVERHEAD
+        limits = self.limits
+        if self.head_bytes + len(self.target) > limits.max_header_bytes:
+            raise RequestRefused(
+                ResultCode.HEADERS_TOO_LARGE,
+                f'over {limits.max_header_bytes} bytes',
+            )
+        if not self.in_head:
+            # A trailer field of a chunked body: counted, then dropped.
+            return
+        field = (
+            name.decode('latin-1').lower(),
+            value.decode('latin-1').rstrip(' \t'),
+        )
+        self.headers.append(field)
+        if len(self.headers) > limits.max_headers:
+            raise RequestRefused(
+                ResultCode.HEADERS_TOO_LARGE,
+                f'over {limits.max_headers} header fields',
+            )
+
+    def on_headers_complete(self) -> None:
+        self.in_head = False
+        self.progress = True
+        self.current = self.build_request()
+        self.queue.append(self.current)
+
+    def on_body(self, data: bytes) -> None:
+        self.progress = True
+        request = self.current
+        request.body_bytes += len(data)
+        if request.body_bytes > self.limits.max_body_bytes:
+            raise RequestRefused(
+                ResultCode.BODY_TOO_LARGE,
+                f'over {self.limits.max_body_bytes} bytes',
+            )
+        request.chunks.append(data)
+
+    def on_message_complete(self) -> None:
+        self.progress = True
+        request = self.current
+        request.complete = True
+        self.head_bytes = 0
+        if not request.keep_alive:
+            # Whatever follows is no request of this connection.
+            self.stopped = True
+
+    # -- rules of a head --------------------------------------------------
+
+    def build_request(self) -> IncomingRequest:
+        """Check the head as a whole; raise RequestRefused if it is bad."""
+        version = self.parser.get_http_version()
+        minor = VERSIONS.get(version)
+        if minor is None:
+            refuse(f'HTTP version {version} is not spoken here')
+        method = self.parser.get_method().decode('ascii')
+        fields = self.single_fields()
+        host = fields.get('host')
+        check_host(host, minor)
+        length = self.body_length(fields, minor)
+        upgrade = self.parser.should_upgrade()
+        if upgrade and (method == 'CONNECT' or length != 0):
+            # The library would take the body for another protocol.
+            refuse('no other protocol is spoken here')
+        return IncomingRequest(
+            method,
+            request_path(self.target.decode('latin-1'), method, host),
+            self.headers,
+            length,
+            minor,
+            self.parser.should_keep_alive() and not upgrade,
+            expects_continue(fields, minor),
+        )
+
+    def single_fields(self) -> dict[str, str]:
+        """Return the fields that rules look at; refuse a doubled host."""
+        fields = {}
+        for name, value in self.headers:
+            if name == 'host' and name in fields:
+                refuse('more than one Host field')
+            fields[name] = value
+        return fields
+
+    def body_length(self, fields: dict[str, str], minor: int) -> int | None:
+        """Return the length of the body, None for a chunked one."""
+        coding = fields.get('transfer-encoding')
+        if coding is not None:
+            if coding.lower() != 'chunked' or not minor:
+                refuse(f'transfer coding {coding!r} is not spoken here')
+            return None
+        length = int(fields.get('content-length', '0'))
+        if length > self.limits.max_body_bytes:
+            raise RequestRefused(
+                ResultCode.BODY_TOO_LARGE,
+                f'{length} bytes, over {self.limits.max_body_bytes}',
+            )
+        return length
+
+
+def refuse(detail: str) -> None:
+    """Raise the refusal of a wrongly framed request."""
+    raise RequestRefused(ResultCode.BAD_FRAMING, detail)
+
+
+def check_host(host: str | None, minor: int) -> None:
+    """Refuse a missing or malformed ``Host``."""
+    if host is None:
+        if minor:
+            refuse('no Host field')
+        return
+    if HOST_PATTERN.fullmatch(host) is None:
+        refuse('the Host field is malformed')
+
+
+def request_path(target: str, method: str, host: str | None) -> str:
+    """Return the path and query of a request target.
+
+    The absolute form is accepted when it names the same host.
+
+    >>> request_path('/a?b=c', 'GET', 'h')
+    '/a?b=c'
+    >>> request_path('http://h/a', 'GET', 'h')
+    '/a'
+    """
+    if '#' in target:
+        refuse('a fragment in the request target')
+    if target.startswith('/') or (target == '*' and method == 'OPTIONS'):
+        return target
+    scheme, mark, rest = target.partition('://')
+    authority, slash, path = rest.partition('/')
+    if not mark or scheme.lower() != 'http':
+        refuse('the request target is malformed')
+    if authority.lower() != (host or '').lower():
+        refuse('the request target names another host')
+    return '/' + path
+
+
+def expects_continue(fields: dict[str, str], minor: int) -> bool:
+    """Tell whether the caller waits for 100; refuse other expectations."""
+    expectation = fields.get('expect')
+    if expectation is None:
+        return False
+    if expectation.lower() != '100-continue':
+        raise RequestRefused(
+            ResultCode.EXPECTATION_FAILED, f'Expect: {expectation[:100]}'
+        )
+    return minor == 1
--- /dev/null
+++ b/cyclamenlift/http/server.py
@@ -0,0 +1,90 @@
+"""The server component at the border towards callers."""
+
+from collections.abc import Callable
+
+import structlog
+
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.problems import Problem
+from cyclamenlift.core.streams import Stream
+from cyclamenlift.core.streams import StreamOwner
+from cyclamenlift.http.connection import CallerConnection
+from cyclamenlift.http.exchange import Exchange
+from cyclamenlift.http.limits import HttpLimits
+
+LOG = structlog.get_logger('http')
+
+
+class HttpServer(StreamOwner):
+    """Serves HTTP/1.1 with strict framing.
+
+    ``take(exchange)`` runs within the read event that brought the head of
+    a request. Requests of one connection are taken one after the other.
+    """
+
+    def __init__(
+        self,
+        poller,
+        limits: HttpLimits,
+        take: Callable[[Exchange], None],
+        channel: str,
+    ):
+        super().__init__(poller, channel)
+        self.limits = limits
+        self.take = take
+        self.draining = False
+
+    def now(self) -> float:
+        """Return the monotonic time of the loop's clock."""
+        return self.root.scheduler.clock.now()
+
+    @property
+    def busy(self) -> int:
+        """Connections with a request in flight or an answer going out."""
+        streams = self.streams.values()
+        return sum(1 for stream in streams if stream.context.busy)
+
+    def begin_drain(self) -> None:
+        """Take no new connections and end the idle ones.
+
+        Busy connections end with their answer. Idle ones end after a grace
+        time, so that a request which is already under way is answered.
+        """
+        if self.draining:
+            return
+        self.draining = True
+        for listener in list(self.listeners):
+            self.accept_from(listener)
+        self.stop_listening()
+        grace = self.limits.drain_grace_seconds
+        self.root.scheduler.after(grace, self.end_idle)
+
+    def end_idle(self) -> None:
+        """Close every connection that has nothing in flight."""
+        for stream in list(self.streams.values()):
+            if not stream.context.busy:
+                stream.context.linger()
+
+    # -- stream hooks -----------------------------------------------------
+
+    def on_accepted(self, stream: Stream) -> None:
+        stream.context = CallerConnection(self, stream)
+        most = self.limits.max_connections
+        if most and len(self.streams) > most:
+            detail = f'{most} connections are open'
+            problem = Problem(ResultCode.OVERLOADED, detail)
+            stream.context.refuse(problem)
+
+    def on_data(self, stream: Stream, data: bytes) -> None:
+        try:
+            stream.context.feed(data)
+        except Exception:
+            # The outcome is not known, so nothing is claimed about it.
+            LOG.exception('request_failed', remote=str(stream.remote))
+            stream.context.fail()
+
+    def on_drained(self, stream: Stream) -> None:
+        stream.context.drained()
+
+    def on_lost(self, stream: Stream, error: OSError | None) -> None:
+        stream.context.lost()
--- /dev/null
+++ b/cyclamenlift/http/target_call.py
@@ -0,0 +1,117 @@
+"""One request to the target, from its head to the end of its answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cyclamenlift.core.streams import Stream
+from cyclamenlift.http.response import LAST_CHUNK
+from cyclamenlift.http.target import TargetListener
+from cyclamenlift.http.target import TargetRequest
+
+if TYPE_CHECKING:
+    from cyclamenlift.http.client import TargetClient
+
+
+class TargetCall:
+    """One request to the target under way.
+
+    ``sent`` is True once any byte of the request may have reached the
+    target. Until then the request is provably not run.
+    """
+
+    __slots__ = (
+        'answering',
+        'body_left',
+        'client',
+        'done',
+        'head',
+        'head_given',
+        'listener',
+        'paused',
+        'request',
+        'request_whole',
+        'sent',
+        'stream',
+        'unsent',
+    )
+
+    def __init__(
+        self,
+        client: TargetClient,
+        request: TargetRequest,
+        listener: TargetListener,
+    ):
+        self.client = client
+        self.request = request
+        self.listener = listener
+        self.head = request.head()
+        self.unsent: list[bytes] = []
+        self.body_left = request.body_length
+        self.request_whole = request.body_length == 0
+        self.head_given = False
+        self.answering = False
+        self.stream: Stream | None = None
+        self.paused = False
+        self.sent = False
+        self.done = False
+
+    @property
+    def pending(self) -> int:
+        """Bytes of the request that the kernel has not taken."""
+        waiting = sum(len(data) for data in self.unsent)
+        return waiting + (self.stream.pending if self.stream else 0)
+
+    def send_body(self, data: bytes, last: bool) -> None:
+        """Send a piece of the body.
+
+        Raises ValueError when the pieces don't add up to the declared
+        length; the caller then cancels.
+        """
+        if self.done or self.request_whole:
+            return
+        self.count_body(len(data), last)
+        if self.request.body_length is None:
+            data = chunk_of(data, last)
+        self.request_whole = last
+        self.unsent.append(data)
+        self.client.push(self)
+
+    def count_body(self, size: int, last: bool) -> None:
+        if self.body_left is None:
+            return
+        left = self.body_left - size
+        if left < 0 or (last and left):
+            raise ValueError('the body does not have its declared length')
+        self.body_left = left
+
+    def cancel(self) -> None:
+        """Give up: the connection is closed, no callback follows."""
+        if not self.done:
+            self.done = True
+            self.client.drop(self)
+
+    def pause(self) -> None:
+        """Leave the rest of the answer with the target: back-pressure.
+
+        Bytes that were read already may still be handed over.
+        """
+        self.paused = True
+        if self.stream is not None:
+            self.stream.pause_reading()
+
+    def resume(self) -> None:
+        """Go on after ``pause``."""
+        self.paused = False
+        if self.stream is not None and self.stream.connected:
+            self.stream.resume_reading()
+
+
+def chunk_of(data: bytes, last: bool) -> bytes:
+    """Return a piece of a chunked body.
+
+    >>> chunk_of(b'abc', True)
+    b'3\\r\\nabc\\r\\n0\\r\\n\\r\\n'
+    """
+    chunk = b'%x\r\n%b\r\n' % (len(data), data) if data else b''
+    return chunk + LAST_CHUNK if last else chunk
--- /dev/null
+++ b/cyclamenlift/http/web.py
@@ -0,0 +1,230 @@
+"""Pages of the daemons: ``circuits.web`` controllers behind our border.
+
+The strict server frames the requests; requests, responses, dispatch and
+controllers are those of ``circuits.web``. Its own parser is left out, and
+so is its reading of forms into keyword arguments: a form field named like
+an argument of a handler would break the handler. Controllers read their
+input with ``query_of`` and ``form_of``.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from circuits.core.components import BaseComponent
+from circuits.core.handlers import handler
+from circuits.web.controllers import BaseController
+from circuits.web.dispatchers.dispatcher import Dispatcher
+from circuits.web.dispatchers.dispatcher import find_handlers
+from circuits.web.events import request as request_event
+from circuits.web.headers import Headers as WebHeaders
+from circuits.web.http import HTTP
+from circuits.web.wrappers import Host
+from circuits.web.wrappers import Request
+from circuits.web.wrappers import Response
+import structlog
+
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.problems import Problem
+from cyclamenlift.core.streams import Address
+from cyclamenlift.http.exchange import Exchange
+from cyclamenlift.http.headers import find_header
+from cyclamenlift.http.limits import HttpLimits
+from cyclamenlift.http.pages import Deferred
+from cyclamenlift.http.pages import give
+from cyclamenlift.http.pages import HTML
+from cyclamenlift.http.pages import WebAnswer
+from cyclamenlift.http.server import HttpServer
+
+LOG = structlog.get_logger('web')
+MAX_PAGE_BODY = 2 * 1024 * 1024
+PROBLEM_OF_STATUS = {
+    404: ResultCode.NOT_FOUND,
+    405: ResultCode.METHOD_NOT_ALLOWED,
+}
+
+
+class BorderAddress(NamedTuple):
+    """What ``circuits.web`` wants to know about its server."""
+
+    host: str
+    port: int
+    secure: bool = False
+    display_banner: bool = False
+
+
+class WebBridge(HTTP):
+    """Turns exchanges into ``circuits.web`` requests and back.
+
+    It stands where ``circuits.web`` has its HTTP protocol component and
+    keeps that component's handling of what controllers return.
+    """
+
+    def __init__(self, address: Address, channel: str):
+        super().__init__(BorderAddress(*address), channel=channel)
+        self.dispatcher = Dispatcher(channel=channel).register(self)
+
+    # -- requests ---------------------------------------------------------
+
+    def take(self, exchange: Exchange) -> None:
+        """Gather the body of a request within the limit, then open it."""
+        parts: list[bytes] = []
+
+        def on_body(data: bytes, last: bool) -> None:
+            parts.append(data)
+            if sum(map(len, parts)) > MAX_PAGE_BODY:
+                refuse_size(exchange)
+            elif last:
+                self.open_request(exchange, b''.join(parts))
+
+        # Nothing runs before the whole body is in.
+        exchange.on_broken = exchange.respond_problem
+        if (exchange.body_length or 0) > MAX_PAGE_BODY:
+            refuse_size(exchange)
+        else:
+            exchange.read_body(on_body)
+
+    def open_request(self, exchange: Exchange, body: bytes) -> None:
+        """Fire the request event, if a page is there for the path."""
+        try:
+            request = self.build_request(exchange, body)
+        except ValueError as error:
+            detail = f'Host: {error}'
+            exchange.respond_problem(Problem(ResultCode.BAD_REQUEST, detail))
+            return
+        if not self.has_page(request):
+            detail = request.path[:100]
+            exchange.respond_problem(Problem(ResultCode.NOT_FOUND, detail))
+            return
+        response = Response(request)
+        self.fire(request_event(request, response), self.channel)
+
+    def build_request(self, exchange: Exchange, body: bytes) -> Request:
+        path, _, query = exchange.path.partition('?')
+        headers = WebHeaders()
+        for name, value in exchange.headers:
+            if name != 'content-type':
+                headers.append(name.title(), value)
+        request = Request(
+            None,
+            exchange.method,
+            path=path,
+            headers=headers,
+            server=self._server,
+        )
+        request.remote = Host(*exchange.remote)
+        request.exchange = exchange
+        request.query = query
+        request.content = body
+        return request
+
+    def has_page(self, request: Request) -> bool:
+        """Tell whether an exposed method answers the path.
+
+        Controllers have other handlers too, of circuits itself.
+        """
+        handlers = find_handlers(request, self.dispatcher.paths)[0]
+        return bool(handlers) and all(hasattr(h, 'args') for h in handlers)
+
+    # -- answers ----------------------------------------------------------
+
+    # circuits hands the current event to a parameter called ``event`` and
+    # keeps the handlers of a base class unless they are overridden so.
+
+    @handler('request_success', override=True)
+    def _on_request_success(self, opened, value) -> None:
+        found = opened.value.getValue()
+        request = opened.args[0]
+        if isinstance(found, Deferred):
+            found.then(lambda answer: give(request.exchange, answer))
+        elif isinstance(found, WebAnswer):
+            give(request.exchange, found)
+        else:
+            super()._on_request_success(opened, value)
+
+    @handler('response', override=True)
+    def _on_response(self, response) -> None:
+        request = response.request
+        body = response.body
+        if not isinstance(body, bytes):
+            body = b''.join(as_bytes(piece) for piece in body or () if piece)
+        headers = [(n, str(v)) for n, v in response.headers.items()]
+        if find_header(headers, 'Content-Type') is None:
+            headers.append(('Content-Type', HTML))
+        response.done = True
+        request.exchange.respond(int(response.status), headers, body)
+
+    @handler('httperror', override=True)
+    def _on_httperror(self, event, request, response, code, **kwargs) -> None:
+        status = event.code
+        if 300 <= status < 400:
+            self._on_response(response)
+            return
+        if event.error is not None:
+            LOG.error('page_failed', path=request.path, error=event.traceback)
+        kind = PROBLEM_OF_STATUS.get(status)
+        if kind is None:
+            kind = ResultCode.BAD_REQUEST
+            if status >= 500:
+                kind = ResultCode.PAGE_FAILED
+        request.exchange.respond_problem(Problem(kind))
+
+    # -- parts of the protocol component that the border replaces ----------
+
+    @handler('ready', override=True)
+    def _on_ready(self, *args) -> None:
+        """Nothing to note: the address was given."""
+
+    @handler('read', override=True)
+    def _on_read(self, *args) -> None:
+        """Nothing to read: the strict server parses."""
+
+    @handler('stream', override=True)
+    def _on_stream(self, *args) -> None:
+        """Nothing to stream: answers are whole."""
+
+    @handler('disconnect', override=True)
+    def _on_disconnect(self, *args) -> None:
+        """Nothing to forget: an exchange knows its end."""
+
+
+class WebServer(BaseComponent):
+    """An address with pages: the border, the bridge and controllers."""
+
+    def __init__(
+        self,
+        root,
+        address: Address,
+        controllers: Iterable[BaseController],
+        limits: HttpLimits | None = None,
+        channel: str = 'admin',
+    ):
+        super().__init__(channel=channel)
+        self.register(root)
+        self.http = HttpServer(
+            root.poller, limits or HttpLimits(), self.take, f'{channel}-http'
+        ).register(self)
+        self.address = self.http.listen(address)
+        self.bridge = WebBridge(self.address, f'{channel}-web').register(self)
+        for controller in controllers:
+            controller.register(self)
+
+    def take(self, exchange: Exchange) -> None:
+        self.bridge.take(exchange)
+
+    def begin_drain(self) -> None:
+        """Take no new connections; requests in flight are answered."""
+        self.http.begin_drain()
+
+    @property
+    def busy(self) -> int:
+        """Requests in flight."""
+        return self.http.busy
+
+
+def refuse_size(exchange: Exchange) -> None:
+    detail = f'over {MAX_PAGE_BODY} bytes'
+    exchange.respond_problem(Problem(ResultCode.BODY_TOO_LARGE, detail))
+
+
+def as_bytes(piece: str | bytes) -> bytes:
+    return piece.encode() if isinstance(piece, str) else piece
--- /dev/null
+++ b/cyclamenlift/routing/ejection.py
@@ -0,0 +1,54 @@
+"""Leaving bad targets out, never more than a share of the service."""
+
+from collections.abc import Sequence
+from typing import TypeVar
+
+T = TypeVar('T')
+
+BASE_SECONDS = 2.0
+MAX_SECONDS = 30.0
+MAX_STREAK = 4
+BAD_LEVEL = 0.6
+
+
+def ejection_limit(total: int, share: float) -> int:
+    """Return how many of ``total`` targets may be left out.
+
+    A share above 0 always allows one of two or more, or a service of three
+    could never lose its one broken target.
+
+    >>> [ejection_limit(n, 0.3) for n in (1, 2, 3, 6, 10)]
+    [0, 1, 1, 1, 3]
+    >>> ejection_limit(10, 0.0)
+    0
+    """
+    if share <= 0.0 or total < 2:
+        return 0
+    return min(total - 1, max(1, int(total * share)))
+
+
+def eject(usable: Sequence[T], bad: Sequence[T], share: float) -> list[T]:
+    """Return the targets that stay; all of them if too many look bad.
+
+    When many look bad at once, the fault is more likely in what they share
+    (the network, an overload) than in each, and fewer targets would only
+    carry more.
+
+    >>> eject(['a', 'b', 'c', 'd'], ['b'], 0.3)
+    ['a', 'c', 'd']
+    >>> eject(['a', 'b', 'c', 'd'], ['b', 'c'], 0.3)
+    ['a', 'b', 'c', 'd']
+    """
+    if not bad or len(bad) > ejection_limit(len(usable), share):
+        return list(usable)
+    return [item for item in usable if item not in bad]
+
+
+def eject_until(streak: int, now: float) -> float:
+    """Return the deadline of an ejection after ``streak`` earlier ones.
+
+    >>> [eject_until(streak, 0.0) for streak in (0, 1, 9)]
+    [2.0, 4.0, 30.0]
+    """
+    seconds = BASE_SECONDS * 2 ** min(streak, MAX_STREAK)
+    return now + min(seconds, MAX_SECONDS)
--- /dev/null
+++ b/cyclamenlift/routing/estimates.py
@@ -0,0 +1,179 @@
+"""What one entry believes of one target.
+
+Own calls in flight are known for certain. Everything else was true some
+time ago, so it is kept with a deadline after which it counts for nothing.
+"""
+
+from cyclamenlift.routing.messages import Outcome
+from cyclamenlift.wire.gen.protocol.ttypes import LoadFigures
+
+FRESH_FACTOR = 2.0
+FRESH_MIN = 0.005
+FRESH_MAX = 0.25
+LOAD_SECONDS = 5.0
+MEAN_WEIGHT = 0.1
+LATENCY_SECONDS = 60.0
+LATENCY_HALF_LIFE = 10.0
+LATENCY_WEIGHT = 0.15
+CLIP_FACTOR = 5.0
+ERROR_HALF_LIFE = 2.0
+ERROR_WEIGHT = {
+    Outcome.TARGET_ERROR: 0.35,
+    Outcome.TIMEOUT: 0.35,
+    Outcome.LOST: 0.8,
+}
+ERROR_FORGIVEN = 0.7
+REFUSED_SECONDS = 0.05
+PERMILLE = 1000.0
+MICROSECONDS = 1e6
+
+
+class Estimate:
+    """Load, latency and errors of one target; all times monotonic."""
+
+    __slots__ = (
+        'answered_at',
+        'error_at',
+        'error_level',
+        'gate_latency',
+        'in_flight',
+        'latency',
+        'latency_deadline',
+        'load_at',
+        'load_deadline',
+        'others',
+        'others_mean',
+        'refused_deadline',
+        'started_sum',
+    )
+
+    def __init__(self):
+        self.in_flight = 0
+        self.started_sum = 0.0
+        self.others = 0
+        self.others_mean = 0.0
+        self.gate_latency = 0.0
+        self.answered_at = 0.0
+        self.load_at = 0.0
+        self.load_deadline = 0.0
+        self.latency = 0.0
+        self.latency_deadline = 0.0
+        self.error_level = 0.0
+        self.error_at = 0.0
+        self.refused_deadline = 0.0
+
+    def call_started(self, now: float) -> None:
+        self.in_flight += 1
+        self.started_sum += now
+
+    def call_ended(self, seconds: float, now: float) -> None:
+        """Take one call out; an end without a start is ignored."""
+        if self.in_flight == 0:
+            return
+        self.in_flight -= 1
+        self.started_sum -= now - seconds
+        if self.in_flight == 0:
+            self.started_sum = 0.0
+
+    def load(self, typical: float, now: float) -> float:
+        """Return the calls at the target: own ones and those of others.
+
+        The own calls are a fact. What others had there a moment ago is a
+        hint that fades, within about two answers' time, to what they have
+        there on average; past its deadline it counts for nothing.
+        """
+        if now >= self.load_deadline:
+            return self.in_flight
+        fresh = min(FRESH_MAX, max(FRESH_MIN, FRESH_FACTOR * typical))
+        weight = max(0.0, 1.0 - (now - self.load_at) / fresh)
+        others = self.others_mean + weight * (self.others - self.others_mean)
+        return self.in_flight + others
+
+    def note_load(self, figures: LoadFigures, now: float) -> None:
+        """Take over what the gate counted, less the own calls."""
+        total = (figures.in_flight or 0) + (figures.queued or 0)
+        self.others = max(0, total - self.in_flight)
+        if now >= self.load_deadline:
+            self.others_mean = self.others
+        else:
+            change = self.others - self.others_mean
+            self.others_mean += MEAN_WEIGHT * change
+        self.load_at = now
+        self.load_deadline = now + LOAD_SECONDS
+        self.gate_latency = (figures.latency_us or 0) / MICROSECONDS
+        if figures.error_permille:
+            level = min(1.0, figures.error_permille / PERMILLE)
+            self.raise_errors(level, now)
+
+    def is_refusing(self, now: float) -> bool:
+        """Tell whether the gate refused for overload a moment ago."""
+        return now < self.refused_deadline
+
+    def note_refusal(self, now: float) -> None:
+        self.refused_deadline = now + REFUSED_SECONDS
+
+    def note_latency(self, seconds: float, typical: float, now: float):
+        """Average one call's time in.
+
+        A sample is clipped to a few times the typical one, so that a large
+        upload does not make its target look slow to the look-ups.
+        """
+        if typical > 0.0:
+            seconds = min(seconds, CLIP_FACTOR * typical)
+        self.answered_at = now
+        if now >= self.latency_deadline:
+            self.latency = seconds
+        else:
+            self.latency += LATENCY_WEIGHT * (seconds - self.latency)
+        self.latency_deadline = now + LATENCY_SECONDS
+
+    def expected_latency(self, typical: float, now: float) -> float:
+        """Return the time of an answer, as far as it can be told now.
+
+        The gate's figure comes from the calls of all entries, so it goes
+        before the own average. Either moves back to the typical time while
+        no own call is answered, so that a target that was slow is tried
+        again some time.
+        """
+        if now >= self.latency_deadline:
+            return typical
+        latency = self.latency
+        if self.gate_latency and now < self.load_deadline:
+            latency = self.gate_latency
+        age = now - self.answered_at
+        kept = 0.5 ** (age / LATENCY_HALF_LIFE)
+        return typical + kept * (latency - typical)
+
+    def latency_known(self, now: float) -> bool:
+        return now < self.latency_deadline
+
+    def mean_age(self, now: float) -> float:
+        """Return the mean age of the own calls in flight, in seconds."""
+        if self.in_flight == 0:
+            return 0.0
+        return now - self.started_sum / self.in_flight
+
+    def errors(self, now: float) -> float:
+        """Return the error level, 0 to 1, faded to this instant."""
+        if self.error_level == 0.0:
+            return 0.0
+        age = max(0.0, now - self.error_at)
+        return self.error_level * 0.5 ** (age / ERROR_HALF_LIFE)
+
+    def raise_errors(self, level: float, now: float) -> None:
+        """Let the level be at least ``level``."""
+        self.error_level = max(level, self.errors(now))
+        self.error_at = now
+
+    def note_error(self, outcome: Outcome, now: float) -> None:
+        level = self.errors(now)
+        weight = ERROR_WEIGHT[outcome]
+        self.error_level = level + weight * (1.0 - level)
+        self.error_at = now
+
+    def note_success(self, now: float) -> None:
+        if self.error_level:
+            self.error_level = self.errors(now) * ERROR_FORGIVEN
+            self.error_at = now
+            if self.error_level < 0.01:
+                self.error_level = 0.0
--- /dev/null
+++ b/cyclamenlift/routing/messages.py
@@ -0,0 +1,39 @@
+"""What goes into and out of the routing decisions."""
+
+import dataclasses
+import enum
+
+from cyclamenlift.core.streams import Address
+
+
+class Outcome(enum.Enum):
+    """How a call to one target ended, as its entry saw it."""
+
+    ANSWERED = 'answered'
+    TARGET_ERROR = 'target_error'
+    REFUSED_OVERLOAD = 'refused_overload'
+    REFUSED_DRAINING = 'refused_draining'
+    LOST = 'lost'
+    TIMEOUT = 'timeout'
+    CANCELLED = 'cancelled'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """The instance whose gate takes the call.
+
+    ``hot`` says that its slots look taken: a hedge must not go there.
+    """
+
+    instance: str
+    address: Address
+    hot: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeOrder:
+    """One load probe that may be sent now; its cost is already booked."""
+
+    service: str
+    instance: str
+    address: Address
--- /dev/null
+++ b/cyclamenlift/routing/policies.py
@@ -0,0 +1,136 @@
+"""How an entry picks one of the targets that may take a call.
+
+Each policy is given the group and the candidates left after exclusions,
+and returns one of them. ``hot_cold`` is the one that events use unless
+they say otherwise; the others are there to compare it with.
+"""
+
+from typing import Protocol
+
+from cyclamenlift.core.registry import Registry
+from cyclamenlift.routing.group import Candidate
+from cyclamenlift.routing.group import Group
+
+HOT_SHARE = 0.8
+SAMPLE_NEAR = 3
+SAMPLE_FAR = 2
+ERROR_COST = 20.0
+NEAR_EQUAL = 0.2
+REFUSING_LOAD = 1.5
+AGE_WEIGHT = 1.0
+BASE = 0.5
+LOAD_POWER = 2.0
+
+
+class Policy(Protocol):
+    """Picks among at least one candidate."""
+
+    def pick(
+        self, group: Group, usable: list[Candidate], now: float
+    ) -> Candidate:
+        """Return one of ``usable``, which is never empty."""
+
+
+POLICIES: Registry[type[Policy]] = Registry('policy')
+
+
+@POLICIES.register('random')
+class RandomPolicy:
+    """Any candidate, whatever its load."""
+
+    def pick(self, group, usable, now):
+        return group.rng.choice(usable)
+
+
+@POLICIES.register('round_robin')
+class RoundRobinPolicy:
+    """One after the other."""
+
+    def pick(self, group, usable, now):
+        group.turn += 1
+        return usable[group.turn % len(usable)]
+
+
+@POLICIES.register('least_calls')
+class LeastCallsPolicy:
+    """The fewest own calls in flight, of all candidates."""
+
+    def pick(self, group, usable, now):
+        rng = group.rng
+        return min(usable, key=lambda c: (c.estimate.in_flight, rng.random()))
+
+
+@POLICIES.register('power_of_two')
+class PowerOfTwoPolicy:
+    """Two random candidates, the one with fewer own calls in flight."""
+
+    def pick(self, group, usable, now):
+        sample = sample_of(group.rng, usable, 2)
+        return min(sample, key=lambda c: c.estimate.in_flight)
+
+
+@POLICIES.register('hot_cold')
+class HotColdPolicy:
+    """Hot or cold by calls against slots, then latency or calls.
+
+    Among cold candidates the one with the lowest expected latency, among
+    hot ones only that with the least load: a latency that was measured
+    before a target filled up says nothing of it now.
+    """
+
+    def pick(self, group, usable, now):
+        best = None
+        best_cost = 0.0
+        for candidate in near_first(group, usable):
+            cost = expected_cost(group, candidate, now)
+            cost *= 1.0 + NEAR_EQUAL * group.rng.random()
+            if best is None or cost < best_cost:
+                best = candidate
+                best_cost = cost
+        return best
+
+
+def sample_of(rng, items: list, count: int) -> list:
+    """Return up to ``count`` different items at random."""
+    if len(items) <= count:
+        return items
+    return rng.sample(items, count)
+
+
+def near_first(group: Group, usable: list[Candidate]) -> list[Candidate]:
+    """Draw more from the near data centre than from the others."""
+    near = group.near
+    far = group.far
+    if usable is not group.live:
+        near = [c for c in usable if group.is_near(c)]
+        far = [c for c in usable if not group.is_near(c)]
+    drawn = sample_of(group.rng, near, SAMPLE_NEAR)
+    spare = SAMPLE_NEAR - len(drawn)
+    return drawn + sample_of(group.rng, far, SAMPLE_FAR + spare)
+
+
+def relative_load(group: Group, candidate: Candidate, now: float) -> float:
+    """Return the estimated calls at a target against its slots."""
+    estimate = candidate.estimate
+    slots = candidate.slots * group.ramp(candidate, now)
+    load = estimate.load(group.typical_gate, now) / max(1.0, slots)
+    if estimate.is_refusing(now):
+        return max(load, REFUSING_LOAD)
+    return load
+
+
+def expected_cost(group: Group, candidate: Candidate, now: float) -> float:
+    """Return the time that an answer should take, with errors priced in.
+
+    Calls in flight that are older than the usual answer are the first sign
+    of a target that has just slowed down.
+    """
+    estimate = candidate.estimate
+    typical = group.typical_gate or 1.0
+    latency = estimate.expected_latency(typical, now)
+    if estimate.in_flight:
+        latency = max(latency, AGE_WEIGHT * estimate.mean_age(now))
+    load = relative_load(group, candidate, now)
+    cost = latency * (BASE + (load**LOAD_POWER))
+    cost += group.distance(candidate)
+    return cost * (1.0 + ERROR_COST * estimate.errors(now))
--- /dev/null
+++ b/cyclamenlift/routing/probes.py
@@ -0,0 +1,69 @@
+"""The budget of load probes, kept by entries and enforced by gates."""
+
+import collections
+import math
+
+PROBES_PER_CALL = 0.05
+MAX_EARNED = 2.0
+
+
+def share_of(budget: float, members: int) -> float:
+    """Return one member's part of a service's probes a second.
+
+    >>> share_of(20.0, 12)
+    1.6666666666666667
+    """
+    return budget / max(1, members)
+
+
+class ProbeWindow:
+    """Lets through at most ``rate`` probes in any one second.
+
+    A token bucket allows its burst on top of its rate; a window over the
+    last grants does not. Below one probe a second it keeps 1 / rate seconds
+    between two.
+    """
+
+    def __init__(self, rate: float):
+        self.grants: collections.deque[float] = collections.deque()
+        self.set_rate(rate)
+
+    def set_rate(self, rate: float) -> None:
+        """Change the rate; what was granted before still counts."""
+        self.rate = max(0.0, rate)
+        self.limit = max(1, math.floor(self.rate))
+        self.seconds = 1.0 if self.rate >= 1.0 else math.inf
+        if 0.0 < self.rate < 1.0:
+            self.seconds = 1.0 / self.rate
+
+    def take(self, now: float) -> bool:
+        """Book one probe; return False when the budget has none left."""
+        if self.rate <= 0.0:
+            return False
+        while self.grants and now - self.grants[0] >= self.seconds:
+            self.grants.popleft()
+        if len(self.grants) >= self.limit:
+            return False
+        self.grants.append(now)
+        return True
+
+
+class ProbeAllowance:
+    """What an entry may spend: a part of a probe for each call it sends.
+
+    The event's budget bounds probes a second; this bounds them by the work
+    done, so that a quiet service with few slots is not measured to death.
+    """
+
+    def __init__(self, rate: float):
+        self.window = ProbeWindow(rate)
+        self.earned = 0.0
+
+    def note_call(self) -> None:
+        self.earned = min(MAX_EARNED, self.earned + PROBES_PER_CALL)
+
+    def take(self, now: float) -> bool:
+        if self.earned < 1.0 or not self.window.take(now):
+            return False
+        self.earned -= 1.0
+        return True
--- /dev/null
+++ b/cyclamenlift/routing/state.py
@@ -0,0 +1,276 @@
+"""Which target takes a call: the decisions of one entry, without sockets.
+
+The owner reports what it learns (members, the start and end of calls, load
+figures) and asks for choices, probes and hedge delays. Time is passed in.
+"""
+
+import random
+
+from cyclamenlift.models.rules import EventRules
+from cyclamenlift.routing.ejection import BAD_LEVEL
+from cyclamenlift.routing.group import Candidate
+from cyclamenlift.routing.group import Group
+from cyclamenlift.routing.hedging import HedgeDelay
+from cyclamenlift.routing.messages import Choice
+from cyclamenlift.routing.messages import Outcome
+from cyclamenlift.routing.messages import ProbeOrder
+from cyclamenlift.routing.policies import HOT_SHARE
+from cyclamenlift.routing.policies import POLICIES
+from cyclamenlift.routing.policies import Policy
+from cyclamenlift.routing.policies import relative_load
+from cyclamenlift.routing.probes import ProbeAllowance
+from cyclamenlift.routing.probes import share_of
+from cyclamenlift.wire.gen.protocol.ttypes import LoadFigures
+from cyclamenlift.wire.gen.protocol.ttypes import MemberRecord
+from cyclamenlift.wire.gen.protocol.ttypes import MemberState
+from cyclamenlift.wire.gen.protocol.ttypes import TargetState
+
+GONE = (MemberState.DEAD, MemberState.LEFT)
+FIRST_RECORDS_SECONDS = 3.0
+ERRORS = (Outcome.TARGET_ERROR, Outcome.LOST, Outcome.TIMEOUT)
+
+
+class ServiceState:
+    """Everything an entry keeps for one service."""
+
+    def __init__(self, group: Group, policy: Policy, probe_rate: float):
+        self.group = group
+        self.policy = policy
+        self.delay = HedgeDelay()
+        self.probes = ProbeAllowance(probe_rate)
+
+
+class RoutingState:
+    """The routing decisions of one entry for all services of the event."""
+
+    def __init__(self, data_centre: str, rng: random.Random):
+        self.data_centre = data_centre
+        self.rng = rng
+        self.rules: EventRules | None = None
+        self.services: dict[str, ServiceState] = {}
+        self.records: dict[str, MemberRecord] = {}
+        self.first_record_at: float | None = None
+
+    # Changes from outside.
+
+    def set_rules(self, rules: EventRules) -> None:
+        """Take over the document in force; estimates are kept."""
+        self.rules = rules
+        kept = self.services
+        self.services = {}
+        for name, rule in rules.services.items():
+            old = kept.get(name)
+            group = Group(rule, self.data_centre, self.rng)
+            policy = POLICIES.get(rule.policy)()
+            state = ServiceState(group, policy, 0.0)
+            if old is not None:
+                group.candidates = old.group.candidates
+                group.typical_latency = old.group.typical_latency
+                state.delay = old.delay
+                state.probes = old.probes
+            self.services[name] = state
+        for record in self.records.values():
+            self.place(record, 0.0, False)
+        self.share_probes()
+
+    def note_member(self, record: MemberRecord, now: float) -> None:
+        """Take over a member's record, new or changed."""
+        if self.first_record_at is None:
+            self.first_record_at = now
+        if record.state in GONE:
+            self.records.pop(record.instance, None)
+        else:
+            self.records[record.instance] = record
+        young = now - self.first_record_at < FIRST_RECORDS_SECONDS
+        self.place(record, now, not young)
+        self.share_probes()
+
+    def place(self, record: MemberRecord, now: float, ramp: bool) -> None:
+        """Put a member into the group of its service, or take it out.
+
+        The records that an entry learns when it starts itself are of old
+        members: those do not ramp up.
+        """
+        for name, state in self.services.items():
+            allowed = record.service_name == name and record.state not in GONE
+            if allowed:
+                target = record.target_name or record.instance
+                allowed = state.group.rule.allows_target(
+                    target, record.data_centre
+                )
+            if allowed:
+                state.group.note_record(record, now, ramp)
+            elif record.instance in state.group.candidates:
+                state.group.remove(record.instance)
+
+    def share_probes(self) -> None:
+        """Share each service's probe budget among all entries."""
+        for state in self.services.values():
+            budget = state.group.rule.probes_per_second
+            rate = share_of(budget, len(self.records))
+            state.probes.window.set_rate(rate)
+
+    # Decisions.
+
+    def choose(
+        self, service: str, now: float, exclude: frozenset[str] = frozenset()
+    ) -> Choice | None:
+        """Return the target for a call, None when no target may take it."""
+        state = self.services.get(service)
+        if state is None:
+            return None
+        group = state.group
+        group.refresh(now)
+        usable = group.live
+        if exclude:
+            usable = [c for c in usable if c.instance not in exclude]
+            if not usable:
+                usable = self.last_resort(group, now, exclude)
+        if not usable:
+            return None
+        picked = state.policy.pick(group, usable, now)
+        picked = self.respect_ramp(state, usable, picked, now)
+        hot = relative_load(group, picked, now) >= HOT_SHARE
+        return Choice(picked.instance, picked.address, hot)
+
+    def last_resort(self, group: Group, now: float, exclude) -> list:
+        """Return ejected targets that are not excluded."""
+        return [
+            c
+            for c in group.candidates.values()
+            if c.instance not in exclude and c.is_usable(now)
+        ]
+
+    def respect_ramp(
+        self,
+        state: ServiceState,
+        usable: list[Candidate],
+        picked: Candidate,
+        now: float,
+    ) -> Candidate:
+        """Draw once more for a target that is still starting up."""
+        share = state.group.ramp(picked, now)
+        if share >= 1.0 or self.rng.random() < share:
+            return picked
+        others = [c for c in usable if c is not picked]
+        if not others:
+            return picked
+        return state.policy.pick(state.group, others, now)
+
+    def probes_due(self, service: str, now: float) -> list[ProbeOrder]:
+        """Return the probe to send now, if the budget has one.
+
+        The target whose figures are oldest is asked; one that was heard of
+        within the lifetime of its figures is not.
+        """
+        state = self.services.get(service)
+        if state is None or not state.group.live:
+            return []
+        probed = min(state.group.live, key=lambda c: c.estimate.load_at)
+        if now < probed.estimate.load_deadline:
+            return []
+        if not state.probes.take(now):
+            return []
+        probed.estimate.load_at = now
+        return [ProbeOrder(service, probed.instance, probed.address)]
+
+    def hedge_after(self, service: str, now: float) -> float | None:
+        """Return the seconds after which a hedge pays, None for never."""
+        state = self.services.get(service)
+        if state is None or not state.group.rule.hedge:
+            return None
+        return state.delay.seconds
+
+    # What calls and gates report.
+
+    def find(self, service: str, instance: str) -> Candidate | None:
+        state = self.services.get(service)
+        if state is None:
+            return None
+        return state.group.candidates.get(instance)
+
+    def call_started(self, service: str, instance: str, now: float) -> None:
+        """Count a call that was sent to a target."""
+        candidate = self.find(service, instance)
+        if candidate is None:
+            return
+        candidate.estimate.call_started(now)
+        self.services[service].probes.note_call()
+
+    def call_ended(
+        self,
+        service: str,
+        instance: str,
+        outcome: Outcome,
+        seconds: float,
+        now: float,
+    ) -> None:
+        """Take over how a call ended, ``seconds`` after its start."""
+        candidate = self.find(service, instance)
+        if candidate is None:
+            return
+        state = self.services[service]
+        estimate = candidate.estimate
+        estimate.call_ended(seconds, now)
+        if outcome is Outcome.ANSWERED:
+            self.note_answer(state, candidate, seconds, now)
+        elif outcome in ERRORS:
+            self.note_error(state, candidate, outcome, seconds, now)
+        elif outcome is Outcome.REFUSED_OVERLOAD:
+            estimate.note_refusal(now)
+        elif outcome is Outcome.REFUSED_DRAINING:
+            state.group.note_draining(candidate, now)
+        elif outcome is Outcome.CANCELLED:
+            self.note_slow(state.group, candidate, seconds, now)
+
+    def note_answer(
+        self,
+        state: ServiceState,
+        candidate: Candidate,
+        seconds: float,
+        now: float,
+    ) -> None:
+        group = state.group
+        estimate = candidate.estimate
+        estimate.note_latency(seconds, group.typical_latency, now)
+        estimate.note_success(now)
+        if candidate.bad_streak and estimate.error_level == 0.0:
+            candidate.bad_streak = 0
+        group.note_typical(seconds)
+        group.note_distance(candidate, seconds)
+        state.delay.note(seconds)
+
+    def note_error(
+        self,
+        state: ServiceState,
+        candidate: Candidate,
+        outcome: Outcome,
+        seconds: float,
+        now: float,
+    ) -> None:
+        """Raise the cost of a target; its quick errors are no latency."""
+        estimate = candidate.estimate
+        estimate.note_error(outcome, now)
+        if outcome is Outcome.TIMEOUT:
+            self.note_slow(state.group, candidate, seconds, now)
+        if estimate.error_level >= BAD_LEVEL:
+            state.group.note_bad(candidate, now)
+
+    def note_slow(
+        self, group: Group, candidate: Candidate, seconds: float, now: float
+    ) -> None:
+        """Use the time of a call without answer if it shows slowness."""
+        estimate = candidate.estimate
+        if estimate.latency_known(now) and seconds > estimate.latency:
+            estimate.note_latency(seconds, group.typical_latency, now)
+
+    def note_load(
+        self, service: str, instance: str, load: LoadFigures, now: float
+    ) -> None:
+        """Take over figures that rode on an answer or a probe's answer."""
+        candidate = self.find(service, instance)
+        if candidate is None:
+            return
+        candidate.estimate.note_load(load, now)
+        if load.state == TargetState.DRAINING:
+            self.services[service].group.note_draining(candidate, now)
--- /dev/null
+++ b/cyclamenlift/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""The two kinds of process, put together from the packages."""
--- /dev/null
+++ b/cyclamenlift/runtime/daemon.py
@@ -0,0 +1,288 @@
+"""The daemon beside a target: entry and gate in one process."""
+
+import random
+import signal
+
+from circuits.core.components import BaseComponent
+from circuits.core.handlers import handler
+import structlog
+
+from cyclamenlift.calls.tasks import Calls
+from cyclamenlift.conf.settings import DaemonSettings
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.logs import configure_logs
+from cyclamenlift.core.streams import Address
+from cyclamenlift.core.tasks import build_root
+from cyclamenlift.events.tasks import ConfigFollower
+from cyclamenlift.gate.health import HealthCheck
+from cyclamenlift.gate.tasks import Gate
+from cyclamenlift.gate.tasks import refuse_call
+from cyclamenlift.http.client import TargetClient
+from cyclamenlift.http.limits import ClientLimits
+from cyclamenlift.http.limits import HttpLimits
+from cyclamenlift.http.server import HttpServer
+from cyclamenlift.ledger.tasks import ClaimClient
+from cyclamenlift.membership.settings import MembershipSettings
+from cyclamenlift.membership.tasks import Membership
+from cyclamenlift.models.rules import EventRules
+from cyclamenlift.routing.state import RoutingState
+from cyclamenlift.runtime.local import local_pair
+from cyclamenlift.wire.gen.protocol.ttypes import BodyChunk
+from cyclamenlift.wire.gen.protocol.ttypes import CallStart
+from cyclamenlift.wire.gen.protocol.ttypes import Credit
+from cyclamenlift.wire.gen.protocol.ttypes import MemberRecord
+from cyclamenlift.wire.gen.protocol.ttypes import MemberState
+from cyclamenlift.wire.gen.protocol.ttypes import TargetState
+from cyclamenlift.wire.tasks import PeerNetwork
+
+LOG = structlog.get_logger('daemon')
+# Peers need this long to learn of a drain before the gate goes away.
+FAREWELL_SECONDS = 1.0
+IDLE_CHECK_SECONDS = 0.05
+STATUS_LOG_SECONDS = 60.0
+
+
+class DaemonNode(BaseComponent):
+    """All parts of one daemon, and the order in which they stop."""
+
+    channel = 'daemon'
+
+    def __init__(self, settings: DaemonSettings, rng: random.Random):
+        super().__init__(channel='daemon')
+        self.settings = settings
+        self.rng = rng
+        self.loop = build_root()
+        self.register(self.loop)
+        self.scheduler = self.loop.scheduler
+        self.stopping = False
+        self.stop_deadline = 0.0
+        self.network = self.make_network()
+        self.control = [Address.parse(text) for text in settings.control]
+        self.routing = RoutingState(settings.data_centre, rng)
+        self.claims = ClaimClient(self.loop, self.network, self.control, rng)
+        self.calls = self.make_calls()
+        self.gate = self.make_gate() if settings.target else None
+        self.join_gate_and_calls()
+        self.follower = ConfigFollower(
+            self.loop, self.network, self.control, rng
+        )
+        self.entry = self.make_entry()
+        self.entry_address = self.entry.listen(
+            Address.parse(settings.entry_listen)
+        )
+        self.peer_address = self.network.listen(
+            Address.parse(settings.peer_listen)
+        )
+        self.membership = self.make_membership()
+
+    # -- parts ------------------------------------------------------------
+
+    def make_network(self) -> PeerNetwork:
+        settings = self.settings
+        network = PeerNetwork(
+            self.loop.poller,
+            settings.instance,
+            settings.data_centre,
+            settings.cluster,
+        )
+        return network.register(self.loop)
+
+    def make_calls(self) -> Calls:
+        return Calls(
+            scheduler=self.scheduler,
+            routing=self.routing,
+            claims=self.claims,
+            link_to=self.link_to,
+            instance=self.settings.instance,
+            body_budget=self.settings.body_budget_bytes,
+            max_depth=self.settings.max_depth,
+        )
+
+    def make_gate(self) -> Gate:
+        settings = self.settings
+        limits = ClientLimits(
+            max_connections=settings.target_connections,
+            warm_connections=settings.warm_connections,
+        )
+        client = TargetClient(
+            self.loop.poller,
+            Address.parse(settings.target),
+            limits,
+            channel='target',
+        ).register(self.loop)
+        gate = Gate(self.scheduler, client, settings.service, settings.slots)
+        self.health = HealthCheck(gate, client, settings)
+        return gate
+
+    def make_entry(self) -> HttpServer:
+        settings = self.settings
+        limits = HttpLimits(
+            max_header_bytes=settings.max_header_bytes,
+            head_seconds=settings.head_seconds,
+            body_seconds=settings.body_seconds,
+            idle_seconds=settings.idle_seconds,
+        )
+        server = HttpServer(
+            self.loop.poller, limits, self.calls.take, channel='entry'
+        )
+        return server.register(self.loop)
+
+    def make_membership(self) -> Membership:
+        settings = self.settings
+        return Membership(
+            self.loop,
+            MembershipSettings(
+                instance=settings.instance,
+                data_centre=settings.data_centre,
+                cluster=settings.cluster,
+                listen=Address.parse(settings.gossip_listen),
+                seeds=tuple(Address.parse(seed) for seed in settings.seeds),
+                period=settings.gossip_seconds,
+                peer_address=str(self.peer_address),
+                service_name=settings.service,
+                slots=settings.slots,
+                target_name=settings.target_name or settings.instance,
+                target_state=TargetState.STARTING,
+            ),
+            self.rng,
+        )
+
+    def join_gate_and_calls(self) -> None:
+        """Wire messages to calls and gate, over sockets and inside."""
+        self.entry_end, gate_end = local_pair(self.network.numbers)
+        self.calls.subscribe(self.network)
+        self.calls.subscribe(self.entry_end)
+        self.entry_end.subscribe(BodyChunk, self.calls.on_body_chunk)
+        self.entry_end.subscribe(Credit, self.calls.on_credit)
+        if self.gate is None:
+            self.network.subscribe(CallStart, self.refuse_without_gate)
+        else:
+            self.gate.subscribe(self.network)
+            self.gate.subscribe(gate_end)
+            gate_end.subscribe(BodyChunk, self.gate.on_body_chunk)
+            gate_end.subscribe(Credit, self.gate.on_credit)
+            self.gate.state_hooks.append(self.on_target_state)
+        self.network.subscribe(BodyChunk, self.on_body_chunk)
+        self.network.subscribe(Credit, self.on_credit)
+
+    # -- messages that travel both ways ------------------------------------
+
+    def on_body_chunk(self, link, chunk: BodyChunk) -> None:
+        """An answer's body comes on our own link, a request's on theirs."""
+        if link.outgoing:
+            self.calls.on_body_chunk(link, chunk)
+        elif self.gate is not None:
+            self.gate.on_body_chunk(link, chunk)
+
+    def on_credit(self, link, credit: Credit) -> None:
+        if link.outgoing:
+            self.calls.on_credit(link, credit)
+        elif self.gate is not None:
+            self.gate.on_credit(link, credit)
+
+    def refuse_without_gate(self, link, start: CallStart) -> None:
+        refuse_call(link, start, ResultCode.NO_TARGET)
+
+    def link_to(self, choice):
+        """Return the link to a chosen gate; our own needs no socket."""
+        if choice.instance == self.settings.instance and self.gate:
+            return self.entry_end
+        return self.network.link_to(choice.address)
+
+    # -- start and changes --------------------------------------------------
+
+    def start_parts(self) -> None:
+        """Join the other daemons and follow the event document."""
+        self.follower.subscribe(self.on_rules)
+        self.membership.subscribe(self.on_member)
+        self.membership.subscribe_version(self.follower.note_version)
+        self.gossip_address = self.membership.start()
+        self.follower.start()
+        if self.gate is not None:
+            self.gate.client.warm()
+            self.health.start()
+        LOG.info(
+            'daemon_started',
+            entry=str(self.entry_address),
+            peer=str(self.peer_address),
+            gossip=str(self.gossip_address),
+        )
+
+    def on_rules(self, rules: EventRules) -> None:
+        self.calls.apply_rules(rules)
+        self.share_probe_budget()
+        self.membership.announce(config_version=rules.version)
+        LOG.info('document_in_force', version=rules.version)
+
+    def on_member(self, record: MemberRecord) -> None:
+        self.routing.note_member(record, self.scheduler.clock.now())
+        self.share_probe_budget()
+
+    def share_probe_budget(self) -> None:
+        """Give our gate its part of the event's probe budget."""
+        rules = self.follower.rules
+        if self.gate is None or rules is None:
+            return
+        alive = (MemberState.ALIVE, MemberState.SUSPECT)
+        gates = sum(
+            1
+            for record in self.membership.members()
+            if record.service_name == self.settings.service
+            and record.state in alive
+        )
+        self.gate.apply_rules(rules, max(1, gates))
+
+    def on_target_state(self, state: TargetState) -> None:
+        self.membership.announce(target_state=state)
+
+    # -- drain and stop -----------------------------------------------------
+
+    def drain(self) -> None:
+        """Take no new work for the local target; the entry goes on."""
+        if self.gate is not None:
+            self.gate.drain()
+
+    def begin_stop(self) -> None:
+        """Stop without cutting off a call: drain, wait, leave."""
+        if self.stopping:
+            return
+        self.stopping = True
+        now = self.scheduler.clock.now()
+        self.stop_deadline = now + self.settings.drain_seconds
+        LOG.info('stop_began', open_calls=len(self.calls.open_calls))
+        self.drain()
+        self.entry.begin_drain()
+        self.scheduler.after(FAREWELL_SECONDS, self.check_idle)
+
+    def check_idle(self) -> None:
+        now = self.scheduler.clock.now()
+        idle = self.entry.busy == 0 and self.calls.is_idle()
+        idle = idle and not self.claims.errands
+        idle = idle and (self.gate is None or self.gate.is_idle())
+        if not idle and now < self.stop_deadline:
+            self.scheduler.after(IDLE_CHECK_SECONDS, self.check_idle)
+            return
+        self.membership.leave()
+        self.scheduler.after(IDLE_CHECK_SECONDS, self.finish_stop)
+
+    def finish_stop(self) -> None:
+        LOG.info('stopped')
+        self.membership.stop()
+        self.network.close_all()
+        self.entry.close_all()
+        self.loop.stop()
+
+    @handler('signal', channel='*')
+    def _on_signal(self, event, number, _stack) -> None:
+        if number in (signal.SIGTERM, signal.SIGINT):
+            event.stop()
+            self.begin_stop()
+
+
+def run(settings: DaemonSettings) -> int:
+    """Run a daemon until it is told to stop; return the exit status."""
+    configure_logs(settings.log_format, settings.log_level, settings.instance)
+    node = DaemonNode(settings, random.Random())
+    node.start_parts()
+    node.loop.run()
+    return 0
--- a/cyclamenlift/wire/tasks.py
+++ b/cyclamenlift/wire/tasks.py
@@ -22,6 +22,7 @@
 
 WIRE_VERSION = 1
 HELLO_SECONDS = 3.0
+CONNECT_SECONDS = 1.0
 MAX_PENDING = 64 * 1024 * 1024
 LOG = structlog.get_logger('wire')
 
@@ -66,6 +67,11 @@
         """Bytes not yet taken by the kernel, for back-pressure."""
         return self.stream.pending
 
+    @property
+    def outgoing(self) -> bool:
+        """Tell whether this process opened the connection."""
+        return self.address is not None
+
     def close(self) -> None:
         self.network.drop(self, None)
 
@@ -108,6 +114,9 @@
         stream.context = link
         self.outgoing[address] = link
         link.send(self.make_hello())
+        self.root.scheduler.after(
+            CONNECT_SECONDS, lambda: self.check_connected(link)
+        )
         return link
 
     def send(self, address: Address, message) -> bool:
@@ -166,7 +175,13 @@
         if receiver is None:
             self.refuse(link, ResultCode.FRAME_UNEXPECTED, field)
             return
-        receiver(link, message)
+        try:
+            receiver(link, message)
+        except Exception:
+            # A frame that decodes may still carry values that its receiver
+            # can not take; that must cost this connection only.
+            LOG.exception('receiver_failed', field=field)
+            self.refuse(link, ResultCode.FRAME_UNEXPECTED, field)
 
     def greet(self, link: Link, message) -> None:
         """Take the first frame, which must be a fitting hello."""
@@ -191,6 +206,11 @@
         )
         self.drop(link, None)
 
+    def check_connected(self, link: Link) -> None:
+        """Give up on a peer that does not even accept: nothing was sent."""
+        if not link.was_up and not link.closed:
+            self.drop(link, TimeoutError('not connected in time'))
+
     def check_hello(self, link: Link) -> None:
         if link.hello is None and not link.closed:
             self.refuse(link, ResultCode.STRANGER, 'no hello in time')
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The whole product on loopback, with its promises counted."""
--- /dev/null
+++ b/tests/runtime/builders.py
@@ -0,0 +1,323 @@
+"""One entry and one or more gates under one loop, with scripted targets."""
+
+from collections.abc import Callable
+import dataclasses
+import random
+import socket
+import threading
+import time
+
+from cyclamenlift.calls.tasks import Calls
+from cyclamenlift.core.streams import Address
+from cyclamenlift.core.tasks import build_root
+from cyclamenlift.gate.tasks import Gate
+from cyclamenlift.http.client import TargetClient
+from cyclamenlift.http.limits import ClientLimits
+from cyclamenlift.http.limits import HttpLimits
+from cyclamenlift.http.server import HttpServer
+from cyclamenlift.models.document import EventDocument
+from cyclamenlift.models.rules import EventRules
+from cyclamenlift.models.rules import rules_from_document
+from cyclamenlift.routing.state import RoutingState
+from cyclamenlift.wire.gen.protocol.ttypes import BodyChunk
+from cyclamenlift.wire.gen.protocol.ttypes import ClaimAnswer
+from cyclamenlift.wire.gen.protocol.ttypes import ClaimVerdict
+from cyclamenlift.wire.gen.protocol.ttypes import Credit
+from cyclamenlift.wire.gen.protocol.ttypes import MemberRecord
+from cyclamenlift.wire.gen.protocol.ttypes import MemberState
+from cyclamenlift.wire.gen.protocol.ttypes import TargetState
+from cyclamenlift.wire.tasks import PeerNetwork
+
+Script = Callable[[socket.socket, bytes], None]
+WAIT_SECONDS = 20.0
+LOCAL = Address('127.0.0.1', 0)
+
+
+def rules(**fields) -> EventRules:
+    """Return rules with one service called ``prices``."""
+    service = {
+        'name': 'prices',
+        'hedge': False,
+        'operations': [{'method': 'PUT', 'path': '/safe', 'idempotent': True}],
+        **fields,
+    }
+    document = EventDocument.model_validate(
+        {
+            'event': 'e',
+            'starts_at': '2026-01-01T00:00:00Z',
+            'ends_at': '2036-01-01T00:00:00Z',
+            'services': [service],
+        }
+    )
+    return rules_from_document(document, 1)
+
+
+def answer(body: bytes = b'fine', status: int = 200, extra: bytes = b''):
+    """Return a script that answers with a right length."""
+    head = f'HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n'.encode()
+
+    def script(conn: socket.socket, _request: bytes) -> None:
+        conn.sendall(head + extra + b'\r\n' + body)
+
+    return script
+
+
+def raw(data: bytes, close: bool = True):
+    """Return a script that sends these bytes and may break off."""
+
+    def script(conn: socket.socket, _request: bytes) -> None:
+        if data:
+            conn.sendall(data)
+        if close:
+            conn.close()
+
+    return script
+
+
+def late(seconds: float, then: Script) -> Script:
+    """Return a script that waits before it goes on."""
+
+    def script(conn: socket.socket, request: bytes) -> None:
+        time.sleep(seconds)
+        then(conn, request)
+
+    return script
+
+
+class ScriptedTarget:
+    """A target in a thread; request n is handled by script n, or the last.
+
+    ``requests`` holds what arrived whole, in order.
+    """
+
+    def __init__(self, *scripts: Script):
+        self.scripts = scripts or (answer(),)
+        self.requests: list[bytes] = []
+        self.server = socket.create_server(tuple(LOCAL))
+        self.address = Address(*self.server.getsockname())
+        self.lock = threading.Lock()
+        self.run(self.accept)
+
+    def run(self, work, *arguments) -> None:
+        threading.Thread(target=work, args=arguments, daemon=True).start()
+
+    def accept(self) -> None:
+        while True:
+            try:
+                conn, _ = self.server.accept()
+            except OSError:
+                return
+            self.run(self.serve, conn)
+
+    def serve(self, conn: socket.socket) -> None:
+        try:
+            while True:
+                request = read_message(conn)
+                if not request:
+                    return
+                with self.lock:
+                    number = len(self.requests)
+                    self.requests.append(request)
+                last = len(self.scripts) - 1
+                self.scripts[min(number, last)](conn, request)
+        except OSError:
+            return
+
+    def close(self) -> None:
+        self.server.close()
+
+
+def read_message(conn: socket.socket) -> bytes:
+    """Return one request or answer, whole by its Content-Length."""
+    data = b''
+    while b'\r\n\r\n' not in data:
+        piece = conn.recv(65536)
+        if not piece:
+            return b''
+        data += piece
+    head, _, body = data.partition(b'\r\n\r\n')
+    length = 0
+    for line in head.lower().split(b'\r\n'):
+        if line.startswith(b'content-length:'):
+            length = int(line.partition(b':')[2])
+    while len(body) < length:
+        piece = conn.recv(65536)
+        if not piece:
+            return b''
+        body += piece
+    return head + b'\r\n\r\n' + body
+
+
+class FakeClaims:
+    """A ledger that grants every claim and remembers every message."""
+
+    def __init__(self, verdict=ClaimVerdict.GRANTED, record=None, code=0):
+        self.verdict = verdict
+        self.record = record
+        self.code = code
+        self.claims: list = []
+        self.ends: list = []
+
+    def claim(self, request, _deadline, done) -> None:
+        self.claims.append(request)
+        done(ClaimAnswer(1, self.verdict, self.code, '', 7, self.record))
+
+    def end(self, ending, _deadline, done) -> None:
+        self.ends.append(ending)
+        done(True)
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """What a caller got; status 0 means a broken connection."""
+
+    status: int
+    result: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class PathBed:
+    """Entry and gates over real sockets on one loop."""
+
+    def __init__(self, *targets, claims=None, slots=4, **fields):
+        self.loop = build_root()
+        self.loop._running = True
+        self.claims = claims or FakeClaims()
+        self.routing = RoutingState('bole', random.Random(1))
+        self.network = self.make_network('entry')
+        self.calls = Calls(
+            self.loop.scheduler,
+            self.routing,
+            self.claims,
+            lambda choice: self.network.link_to(choice.address),
+            'entry',
+            1_000_000,
+            8,
+        )
+        self.calls.subscribe(self.network)
+        self.network.subscribe(BodyChunk, self.calls.on_body_chunk)
+        self.network.subscribe(Credit, self.calls.on_credit)
+        self.server = HttpServer(
+            self.loop.poller, HttpLimits(), self.calls.take, channel='entry'
+        ).register(self.loop)
+        self.entry = self.server.listen(LOCAL)
+        self.rules = rules(**fields)
+        self.calls.apply_rules(self.rules)
+        self.gates = [self.add_gate(t, slots) for t in targets]
+        self.callers: list[socket.socket] = []
+
+    def make_network(self, name: str) -> PeerNetwork:
+        network = PeerNetwork(self.loop.poller, name, 'bole', 'c')
+        return network.register(self.loop)
+
+    def add_gate(self, target: Address, slots: int) -> Gate:
+        name = f'gate-{len(self.routing.records)}'
+        network = self.make_network(name)
+        limits = ClientLimits(warm_connections=0)
+        client = TargetClient(
+            self.loop.poller, target, limits, channel=f'target-{name}'
+        ).register(self.loop)
+        gate = Gate(self.loop.scheduler, client, 'prices', slots)
+        gate.subscribe(network)
+        network.subscribe(BodyChunk, gate.on_body_chunk)
+        network.subscribe(Credit, gate.on_credit)
+        gate.apply_rules(self.rules, 1)
+        gate.set_target_state(TargetState.READY)
+        gate.network = network
+        self.note(name, network.listen(LOCAL))
+        return gate
+
+    def note(self, name: str, address: Address, state=MemberState.ALIVE):
+        record = MemberRecord(
+            instance=name,
+            incarnation=1,
+            state=state,
+            data_centre='bole',
+            gossip_address='127.0.0.1:1',
+            peer_address=str(address),
+            service_name='prices',
+            slots=4,
+            target_state=TargetState.READY,
+            config_version=1,
+            target_name=name,
+        )
+        self.routing.note_member(record, self.loop.scheduler.clock.now())
+
+    # -- the caller -----------------------------------------------------------
+
+    def send(self, method='GET', path='/p', body=b'', **headers):
+        """Send one request on a connection of its own."""
+        lines = [f'{method} {path} HTTP/1.1', 'Host: prices']
+        for name, value in headers.items():
+            lines.append(f'{name.replace("_", "-")}: {value}')
+        if body:
+            lines.append(f'Content-Length: {len(body)}')
+        caller = socket.create_connection(tuple(self.entry))
+        caller.setblocking(False)
+        self.callers.append(caller)
+        data = '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
+        self.push(caller, data)
+        return caller
+
+    def push(self, caller: socket.socket, data: bytes) -> None:
+        while data:
+            try:
+                data = data[caller.send(data) :]
+            except BlockingIOError:
+                self.loop.tick(0.01)
+
+    def receive(self, caller: socket.socket) -> Answer:
+        """Run the loop until the answer is whole or broken off."""
+        data = b''
+        deadline = time.monotonic() + WAIT_SECONDS
+        while time.monotonic() < deadline:
+            self.loop.tick(0.01)
+            try:
+                piece = caller.recv(1 << 20)
+            except BlockingIOError:
+                continue
+            except ConnectionError:
+                break
+            if not piece:
+                break
+            data += piece
+            found = parse_answer(data)
+            if found is not None:
+                return found
+        return Answer(0, 0, {}, data)
+
+    def ask(self, *arguments, **fields) -> Answer:
+        return self.receive(self.send(*arguments, **fields))
+
+    def run_until(self, condition) -> None:
+        """Run the loop until ``condition`` holds."""
+        deadline = time.monotonic() + WAIT_SECONDS
+        while not condition():
+            assert time.monotonic() < deadline, 'the condition never held'
+            self.loop.tick(0.01)
+
+    def close(self) -> None:
+        for caller in self.callers:
+            caller.close()
+        for gate in self.gates:
+            gate.client.close_all()
+            gate.network.close_all()
+        self.network.close_all()
+        self.server.close_all()
+
+
+def parse_answer(data: bytes) -> Answer | None:
+    """Return a whole answer, None while bytes are missing."""
+    head, found, body = data.partition(b'\r\n\r\n')
+    if not found:
+        return None
+    lines = head.decode('latin-1').split('\r\n')
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(':')
+        headers[name.lower()] = value.strip()
+    if len(body) < int(headers.get('content-length', '0')):
+        return None
+    result = int(headers.get('cyclamenlift-result', '0'))
+    return Answer(int(lines[0].split()[1]), result, headers, body)
--- /dev/null
+++ b/tests/runtime/test_path.py
@@ -0,0 +1,292 @@
+"""The call path over real sockets: faults of targets and of gates."""
+
+import json
+import threading
+
+import pytest
+
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.streams import Address
+from cyclamenlift.wire.gen.protocol.ttypes import ClaimEnding
+from cyclamenlift.wire.gen.protocol.ttypes import ClaimVerdict
+from cyclamenlift.wire.gen.protocol.ttypes import Header
+from cyclamenlift.wire.gen.protocol.ttypes import RecordedAnswer
+from tests.runtime.builders import answer
+from tests.runtime.builders import FakeClaims
+from tests.runtime.builders import late
+from tests.runtime.builders import PathBed
+from tests.runtime.builders import raw
+from tests.runtime.builders import ScriptedTarget
+
+BROKEN = raw(b'HTTP/1.1 200 X\r\nContent-Length: 10\r\n\r\nabc')
+DEAD = Address('127.0.0.1', 1)
+
+
+@pytest.fixture
+def bed():
+    beds = []
+
+    def make(*targets, **fields):
+        addresses = [getattr(t, 'address', t) for t in targets]
+        beds.append(PathBed(*addresses, **fields))
+        return beds[-1]
+
+    yield make
+    for each in beds:
+        each.close()
+
+
+def test_answer_is_whole_and_carries_its_result(bed):
+    target = ScriptedTarget(answer(b'x' * 5000, extra=b'X-A: b\r\n'))
+    found = bed(target).ask()
+    assert (found.status, found.result) == (200, ResultCode.ANSWERED)
+    assert found.body == b'x' * 5000
+    assert found.headers['x-a'] == 'b'
+    assert b'cyclamenlift-timeout-ms' in target.requests[0]
+
+
+@pytest.mark.parametrize(
+    ('script', 'code'),
+    [
+        (raw(b''), ResultCode.TARGET_BROKE_OFF),
+        (BROKEN, ResultCode.TARGET_BROKE_OFF),
+        (raw(b'HTTP/1.1 200 X\r\nContent-'), ResultCode.TARGET_BROKE_OFF),
+        (raw(b'garbage\r\n\r\n'), ResultCode.TARGET_BROKE_OFF),
+        (late(1.0, answer()), ResultCode.DEADLINE_UNKNOWN),
+    ],
+    ids=['closed', 'body cut', 'head cut', 'garbage', 'late'],
+)
+def test_broken_booking_is_unknown_and_runs_once(bed, script, code):
+    target = ScriptedTarget(script)
+    path = bed(target, deadline_ms=400)
+    found = path.ask('POST', '/book', b'{}', Idempotency_Key='k')
+    assert found.result == code
+    assert json.loads(found.body)['run'] == 'unknown'
+    assert len(target.requests) == 1
+    assert [e.ending for e in path.claims.ends] == [ClaimEnding.UNKNOWN]
+
+
+@pytest.mark.parametrize('script', [raw(b''), BROKEN, answer(status=500)])
+def test_broken_look_up_is_tried_at_the_other_target(bed, script):
+    bad, good = ScriptedTarget(script), ScriptedTarget(answer(b'good'))
+    path = bed(bad, good)
+    found = [path.ask() for _ in range(6)]
+    assert {f.body for f in found} == {b'good'}
+
+
+def test_unreachable_target_is_not_run_and_its_key_is_released(bed):
+    path = bed(DEAD)
+    found = path.ask('POST', '/book', b'{}', Idempotency_Key='k')
+    assert found.result == ResultCode.TARGET_UNREACHABLE
+    assert found.headers['retry-after'] == '1'
+    assert [e.ending for e in path.claims.ends] == [ClaimEnding.RELEASED]
+
+
+def test_booking_moves_from_an_unreachable_target_to_a_good_one(bed):
+    good = ScriptedTarget()
+    path = bed(DEAD, good)
+    for number in range(4):
+        found = path.ask('POST', '/book', b'{}', Idempotency_Key=f'k{number}')
+        assert found.status == 200
+    assert len(good.requests) == 4
+
+
+def test_peer_that_never_comes_up_is_not_run(bed):
+    path = bed()
+    path.note('gone', DEAD)
+    found = path.ask('POST', '/book', b'{}', Idempotency_Key='k')
+    assert found.result == ResultCode.TARGET_UNREACHABLE
+
+
+def test_gate_lost_after_the_frame_is_unknown(bed):
+    target = ScriptedTarget(late(1.0, answer()))
+    path = bed(target)
+    caller = path.send('POST', '/book', b'{}', Idempotency_Key='k')
+    path.run_until(lambda: target.requests)
+    path.gates[0].network.close_all()
+    found = path.receive(caller)
+    assert found.result == ResultCode.PEER_LOST
+
+
+def test_error_of_a_target_is_never_told_as_not_run(bed):
+    """After a 500, a refusal elsewhere must not turn it into "not run"."""
+    path = bed(ScriptedTarget(answer(b'boom', 500)), DEAD)
+    for _ in range(4):
+        found = path.ask()
+        assert (found.status, found.result) == (500, ResultCode.ANSWERED)
+
+
+def test_overload_from_deeper_in_the_chain_is_passed_up_once(bed):
+    script = answer(b'busy', 503, b'Cyclamenlift-Overloaded: here\r\n')
+    targets = [ScriptedTarget(script), ScriptedTarget(script)]
+    path = bed(*targets)
+    found = path.ask()
+    assert found.status == 503
+    assert found.headers['cyclamenlift-overloaded'] == 'here'
+    assert sum(len(t.requests) for t in targets) == 1
+
+
+def test_queued_call_is_refused_by_a_drain_and_runs_elsewhere(bed):
+    hold = threading.Event()
+
+    def held(conn, request):
+        hold.wait(10)
+        answer(b'held')(conn, request)
+
+    slow, other = ScriptedTarget(held), ScriptedTarget(answer(b'other'))
+    path = bed(slow, slots=1)
+    running = path.send()
+    path.run_until(lambda: slow.requests)
+    queued = path.send()
+    path.run_until(lambda: path.gates[0].state.queue)
+    path.gates.append(path.add_gate(other.address, 1))
+    path.gates[0].drain()
+    assert path.receive(queued).body == b'other'
+    hold.set()
+    assert path.receive(running).body == b'held'
+    assert len(slow.requests) == 1
+
+
+def test_full_gate_says_when_to_come_back(bed):
+    target = ScriptedTarget(late(0.5, answer()))
+    path = bed(target, slots=1, queue_limit=0)
+    path.send()
+    path.run_until(lambda: target.requests)
+    found = path.ask()
+    assert found.result == ResultCode.OVERLOADED
+    assert found.headers['cyclamenlift-overloaded'] == 'here'
+    assert int(found.headers['cyclamenlift-retry-after-ms']) > 0
+
+
+@pytest.mark.parametrize('size', [70_000, 900_000])
+def test_upload_reaches_the_target_whole(bed, size):
+    target = ScriptedTarget()
+    body = bytes(range(256)) * (size // 256)
+    found = bed(target).ask('PUT', '/safe', body)
+    assert found.status == 200
+    assert target.requests[0].endswith(b'\r\n\r\n' + body)
+
+
+def test_upload_moves_when_its_first_target_refuses(bed):
+    good = ScriptedTarget()
+    path = bed(DEAD, good)
+    body = b'u' * 300_000
+    for number in range(3):
+        key = f'k{number}'
+        found = path.ask('POST', '/up', body, Idempotency_Key=key)
+        assert found.status == 200
+    assert all(r.endswith(body) for r in good.requests)
+    assert path.calls.body_budget.used == 0
+
+
+def test_upload_beyond_the_budget_is_refused_before_it_is_read(bed):
+    path = bed(ScriptedTarget())
+    caller = path.send(
+        'POST', '/up', Idempotency_Key='k', Content_Length=2_000_000
+    )
+    found = path.receive(caller)
+    assert found.result == ResultCode.BODY_BUDGET_FULL
+    assert not path.claims.claims
+
+
+def test_large_answer_streams_whole(bed):
+    body = b'0123456789abcdef' * 100_000
+    path = bed(ScriptedTarget(answer(body)), whole_answer_bytes=1000)
+    assert path.ask().body == body
+
+
+def test_large_answer_that_breaks_closes_the_connection(bed):
+    head = b'HTTP/1.1 200 X\r\nContent-Length: 900000\r\n\r\n'
+    target = ScriptedTarget(raw(head + b'x' * 500_000))
+    path = bed(target, whole_answer_bytes=1000)
+    found = path.ask()
+    assert found.status == 0
+    assert len(found.body) < 900_000
+
+
+@pytest.mark.parametrize(
+    ('verdict', 'code', 'result'),
+    [
+        (ClaimVerdict.IN_PROGRESS, 0, ResultCode.CLAIM_IN_PROGRESS),
+        (ClaimVerdict.UNKNOWN, 0, ResultCode.CLAIM_UNKNOWN),
+        (ClaimVerdict.NO_MAJORITY, 0, ResultCode.NO_MAJORITY),
+        (
+            ClaimVerdict.REFUSED,
+            int(ResultCode.KEY_EXPIRED),
+            ResultCode.KEY_EXPIRED,
+        ),
+    ],
+)
+def test_claim_that_is_not_granted_runs_nothing(bed, verdict, code, result):
+    target = ScriptedTarget()
+    path = bed(target, claims=FakeClaims(verdict, code=code))
+    found = path.ask('POST', '/book', b'{}', Idempotency_Key='k')
+    assert found.result == result
+    assert not target.requests
+
+
+def test_recorded_answer_is_given_without_running(bed):
+    record = RecordedAnswer(201, [Header('x-a', 'b')], b'done', True)
+    target = ScriptedTarget()
+    path = bed(target, claims=FakeClaims(ClaimVerdict.RECORDED, record))
+    found = path.ask('POST', '/book', b'{}', Idempotency_Key='k')
+    assert (found.status, found.body) == (201, b'done')
+    assert found.result == ResultCode.ANSWERED_FROM_RECORD
+    assert not target.requests
+
+
+def test_answer_of_a_booking_is_recorded(bed):
+    path = bed(ScriptedTarget(answer(b'booked', 201)))
+    path.ask('POST', '/book', b'{}', Idempotency_Key='k')
+    (end,) = path.claims.ends
+    assert (end.ending, end.answer.status) == (ClaimEnding.ANSWERED, 201)
+    assert end.answer.body == b'booked'
+
+
+@pytest.mark.parametrize(
+    ('method', 'headers', 'code'),
+    [
+        ('POST', {}, ResultCode.KEY_REQUIRED),
+        ('GET', {'Host': 'other'}, ResultCode.BAD_FRAMING),
+        ('GET', {'Cyclamenlift_Timeout_Ms': 'x'}, ResultCode.BAD_TIMEOUT),
+        ('GET', {'Cyclamenlift_Timeout_Ms': '0'}, ResultCode.BAD_TIMEOUT),
+        ('GET', {'Cyclamenlift_Depth': '-3'}, ResultCode.BAD_REQUEST),
+        ('GET', {'Cyclamenlift_Depth': '7'}, ResultCode.TOO_DEEP),
+        ('POST', {'Idempotency_Key': 'k' * 300}, ResultCode.KEY_REQUIRED),
+    ],
+)
+def test_wrong_requests_get_their_code(bed, method, headers, code):
+    target = ScriptedTarget()
+    found = bed(target).ask(method, **headers)
+    assert found.result == code
+    assert not target.requests
+
+
+def test_hedge_wins_over_a_straggler_and_the_loser_is_cancelled(bed):
+    slow = ScriptedTarget(late(3.0, answer(b'slow')))
+    fast = ScriptedTarget(answer(b'fast'))
+    path = bed(slow, fast, hedge=True, policy='round_robin')
+    path.routing.hedge_after = lambda service, now: 0.02
+    found = [path.ask().body for _ in range(2)]
+    assert found == [b'fast', b'fast']
+    path.run_until(lambda: all(g.is_idle() for g in path.gates))
+
+
+def test_caller_that_leaves_frees_the_slot(bed):
+    target = ScriptedTarget(late(3.0, answer()))
+    path = bed(target)
+    caller = path.send()
+    path.run_until(lambda: target.requests)
+    caller.close()
+    path.run_until(lambda: path.gates[0].is_idle())
+    assert not path.calls.open_calls
+
+
+def test_booking_runs_on_when_its_caller_leaves(bed):
+    target = ScriptedTarget(late(0.2, answer(b'booked')))
+    path = bed(target)
+    caller = path.send('POST', '/book', b'{}', Idempotency_Key='k')
+    path.run_until(lambda: target.requests)
+    caller.close()
+    path.run_until(lambda: path.claims.ends)
+    assert path.claims.ends[0].answer.body == b'booked'
--- /dev/null
+++ b/tests/wire/test_codec.py
@@ -0,0 +1,61 @@
+"""Frames to bytes and back, and bytes that are no frames."""
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from cyclamenlift.wire.codec import encode_frame
+from cyclamenlift.wire.codec import encode_struct
+from cyclamenlift.wire.codec import FrameError
+from cyclamenlift.wire.codec import FrameReader
+from cyclamenlift.wire.codec import LENGTH
+from cyclamenlift.wire.gen.protocol.ttypes import Cancel
+from cyclamenlift.wire.gen.protocol.ttypes import Credit
+from cyclamenlift.wire.gen.protocol.ttypes import Frame
+
+MESSAGES = [Cancel(7), Credit(7, 100), Cancel(2**40)]
+
+
+@settings(derandomize=True, max_examples=60)
+@given(st.lists(st.integers(1, 60), max_size=8))
+def test_any_split_of_the_stream_gives_the_same_messages(cuts):
+    data = b''.join(encode_frame(m) for m in MESSAGES)
+    reader = FrameReader()
+    found = []
+    start = 0
+    for cut in sorted(set(cuts)) + [len(data)]:
+        found += reader.feed(data[start:cut])
+        start = max(start, cut)
+    assert [message for _name, message in found] == MESSAGES
+
+
+@pytest.mark.parametrize(
+    'data',
+    [
+        LENGTH.pack(2**31),
+        LENGTH.pack(5) + b'hello',
+        LENGTH.pack(1) + b'\0',
+        LENGTH.pack(8) + b'\x0c\0\1\x0f\0\1\x0c\xff',
+    ],
+    ids=['over the limit', 'no thrift', 'empty union', 'cut struct'],
+)
+def test_bytes_that_are_no_frame_are_refused(data):
+    with pytest.raises(FrameError):
+        FrameReader().feed(data)
+
+
+def test_two_messages_in_one_frame_are_refused():
+    frame = Frame(cancel=Cancel(1), credit=Credit(1, 1))
+    body = encode_struct(frame)
+    with pytest.raises(FrameError):
+        FrameReader().feed(LENGTH.pack(len(body)) + body)
+
+
+@settings(derandomize=True, max_examples=300)
+@given(st.binary(max_size=64))
+def test_random_bytes_never_raise_anything_else(data):
+    try:
+        FrameReader().feed(LENGTH.pack(len(data)) + data)
+    except FrameError:
+        pass
