--- a/cyclamenlift/conf/settings.py
+++ b/cyclamenlift/conf/settings.py
@@ -154,6 +154,9 @@
         (),
         description='name=host:port of every control instance, this one too',
     )
+    bootstrap: bool = pydantic.Field(
+        False, description='found a new cluster; every instance takes part'
+    )
     election_ms: int = pydantic.Field(
         500, ge=50, le=60_000, description='least time without a leader'
     )
--- /dev/null
+++ b/cyclamenlift/events/commands.py
@@ -0,0 +1,140 @@
+"""What operators may change. Console and command line share this path."""
+
+from collections.abc import Callable
+
+from returns.result import Failure
+from returns.result import Result
+
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.problems import Problem
+from cyclamenlift.events.border import Publication
+from cyclamenlift.events.border import StorageReplacement
+from cyclamenlift.events.context import ControlContext
+from cyclamenlift.events.reports import FieldProblem
+from cyclamenlift.events.reports import PublishReport
+from cyclamenlift.events.reports import StorageReport
+from cyclamenlift.events.state import MAX_CANONICAL_BYTES
+from cyclamenlift.events.state import PublishOutcome
+from cyclamenlift.models.document import document_from_text
+from cyclamenlift.models.document import document_to_bytes
+from cyclamenlift.wire.codec import encode_struct
+from cyclamenlift.wire.gen.protocol.ttypes import Command
+from cyclamenlift.wire.gen.protocol.ttypes import PublishCommand
+
+
+def publish(
+    context: ControlContext,
+    publication: Publication,
+    done: Callable[[PublishReport], None],
+) -> None:
+    """Publish a document; ``done`` gets the report, once.
+
+    The document is validated before it is proposed. A proposal that failed
+    may still take effect unless the failure is NOT_LEADER, so its report is
+    CHANGE_UNKNOWN: the operator sends the same change id again.
+    """
+    parsed = document_from_text(publication.document)
+    if isinstance(parsed, Failure):
+        done(invalid_report(context, parsed.failure()))
+        return
+    document = document_to_bytes(parsed.unwrap())
+    if len(document) > MAX_CANONICAL_BYTES:
+        problem = Problem(ResultCode.DOCUMENT_INVALID, 'the document is large')
+        done(invalid_report(context, [problem]))
+        return
+    if not context.leads():
+        done(not_leader_report(context))
+        return
+    command = PublishCommand(
+        change_id=publication.change_id,
+        base_version=publication.base_version,
+        document=document,
+        operator_name=publication.operator_name,
+    )
+
+    def finish(result: Result[bytes, Problem]) -> None:
+        done(publish_report(context, result))
+
+    context.replica.propose(encode_struct(Command(publish=command)), finish)
+
+
+def publish_report(
+    context: ControlContext, result: Result[bytes, Problem]
+) -> PublishReport:
+    """Return what the log answered to a change."""
+    if isinstance(result, Failure):
+        if result.failure().code == ResultCode.NOT_LEADER:
+            return not_leader_report(context)
+        return PublishReport(
+            ResultCode.CHANGE_UNKNOWN,
+            context.instance,
+            current_version=context.store.version,
+            detail=result.failure().detail,
+            leader=context.leader_hint(),
+        )
+    outcome = PublishOutcome.from_json(result.unwrap())
+    return PublishReport(
+        ResultCode(outcome.code),
+        context.instance,
+        outcome.version,
+        outcome.current_version,
+        outcome.detail,
+    )
+
+
+def invalid_report(
+    context: ControlContext, problems: list[Problem]
+) -> PublishReport:
+    """Return every error of a document; nothing was changed."""
+    fields = tuple(FieldProblem(p.where, p.detail) for p in problems)
+    return PublishReport(
+        ResultCode.DOCUMENT_INVALID,
+        context.instance,
+        current_version=context.store.version,
+        detail=f'{len(fields)} errors' if len(fields) > 1 else '1 error',
+        problems=fields,
+    )
+
+
+def not_leader_report(context: ControlContext) -> PublishReport:
+    return PublishReport(
+        ResultCode.NOT_LEADER,
+        context.instance,
+        current_version=context.store.version,
+        leader=context.leader_hint(),
+    )
+
+
+def replace_storage(
+    context: ControlContext,
+    order: StorageReplacement,
+    done: Callable[[StorageReport], None],
+) -> None:
+    """Let a new storage count in place of the one that was lost."""
+    if not context.leads():
+        report = StorageReport(
+            ResultCode.NOT_LEADER,
+            context.instance,
+            leader=context.leader_hint(),
+        )
+        done(report)
+        return
+
+    def finish(result: Result[bytes, Problem]) -> None:
+        done(storage_report(context, result))
+
+    context.replica.replace_storage(order.instance, order.storage_id, finish)
+
+
+def storage_report(
+    context: ControlContext, result: Result[bytes, Problem]
+) -> StorageReport:
+    if isinstance(result, Failure):
+        problem = result.failure()
+        return StorageReport(
+            problem.code,
+            context.instance,
+            problem.detail,
+            context.leader_hint(),
+        )
+    return StorageReport(ResultCode.STORAGE_REPLACED, context.instance)
--- /dev/null
+++ b/cyclamenlift/events/queries.py
@@ -0,0 +1,96 @@
+"""What operators may ask of a control instance."""
+
+from collections.abc import Callable
+
+from returns.result import Success
+
+import cyclamenlift
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.events.context import ControlContext
+from cyclamenlift.events.reports import ControlReport
+from cyclamenlift.events.reports import DocumentReport
+from cyclamenlift.events.reports import HistoryReport
+
+HISTORY_LIMIT = 200
+
+
+def show(
+    context: ControlContext,
+    version: int,
+    done: Callable[[DocumentReport], None],
+) -> None:
+    """Report one version of the document, 0 for the one in force."""
+
+    def finish(confirmed: bool) -> None:
+        done(document_report(context, version, confirmed))
+
+    confirm(context, finish)
+
+
+def history(
+    context: ControlContext,
+    limit: int,
+    done: Callable[[HistoryReport], None],
+) -> None:
+    """Report who made the newest versions."""
+
+    def finish(confirmed: bool) -> None:
+        records = context.store.history(min(max(1, limit), HISTORY_LIMIT))
+        report = HistoryReport(
+            ResultCode.ANSWERED,
+            context.instance,
+            context.store.version,
+            confirmed,
+            tuple(records),
+            context.leader_hint(),
+        )
+        done(report)
+
+    confirm(context, finish)
+
+
+def status(context: ControlContext) -> ControlReport:
+    """Report the state of this instance as it sees itself."""
+    return ControlReport(
+        code=ResultCode.ANSWERED,
+        kind='control',
+        instance=context.instance,
+        data_centre=context.data_centre,
+        software=cyclamenlift.__version__,
+        version=context.store.version,
+        claims=len(context.ledger),
+        ledger_time_ms=context.ledger.time_ms,
+        replica=context.replica.status(),
+    )
+
+
+def confirm(context: ControlContext, done: Callable[[bool], None]) -> None:
+    """Ask a majority whether this instance leads; ``done`` gets it.
+
+    An instance that does not lead, or is cut off, still answers what it
+    has, but never as confirmed.
+    """
+    if not context.leads():
+        done(False)
+        return
+    context.replica.read_barrier(
+        lambda result: done(isinstance(result, Success))
+    )
+
+
+def document_report(
+    context: ControlContext, version: int, confirmed: bool
+) -> DocumentReport:
+    """Return the report of one version, or that it is not kept."""
+    store = context.store
+    data = store.document(version)
+    code = ResultCode.ANSWERED if data else ResultCode.NOT_FOUND
+    return DocumentReport(
+        code,
+        context.instance,
+        version or store.version,
+        store.version,
+        confirmed,
+        data.decode() if data else '',
+        context.leader_hint(),
+    )
--- /dev/null
+++ b/cyclamenlift/events/server.py
@@ -0,0 +1,104 @@
+"""Documents for daemons: the server on a control instance."""
+
+import collections
+import random
+
+from returns.result import Success
+
+from cyclamenlift.events.state import EventStore
+from cyclamenlift.wire.gen.protocol.ttypes import DocumentAnswer
+from cyclamenlift.wire.gen.protocol.ttypes import DocumentRequest
+from cyclamenlift.wire.tasks import Link
+from cyclamenlift.wire.tasks import PeerNetwork
+
+LINKS_KEPT = 1024
+LINKS_TOLD = 8
+
+
+def answer_from(
+    version: int, document: bytes, request: DocumentRequest, committed: bool
+) -> DocumentAnswer:
+    """Return the answer; the document only to one who lacks it."""
+    lacks = version > (request.known_version or 0)
+    return DocumentAnswer(
+        request_id=request.request_id or 0,
+        version=version,
+        document=document if lacks else b'',
+        committed=committed,
+    )
+
+
+class DocumentServer:
+    """Answers what is in force, and tells a few of a new version at once.
+
+    ``committed`` is set only after a majority confirmed, following the
+    request, that this instance leads. A follower, or a leader that is cut
+    off, answers what it has without that mark. A new version goes to a few
+    daemons unasked; the rest learn of it from each other.
+    """
+
+    def __init__(
+        self,
+        network: PeerNetwork,
+        replica,
+        store: EventStore,
+        instance: str,
+        rng: random.Random,
+    ):
+        self.replica = replica
+        self.store = store
+        self.instance = instance
+        self.rng = rng
+        self.links: collections.OrderedDict[int, Link] = (
+            collections.OrderedDict()
+        )
+        self.waiting: list[tuple[Link, DocumentRequest]] = []
+        self.reading = False
+        network.subscribe(DocumentRequest, self.on_request)
+        network.subscribe_lost(self.on_link_lost)
+
+    def on_request(self, link: Link, request: DocumentRequest) -> None:
+        self.links[link.number] = link
+        while len(self.links) > LINKS_KEPT:
+            self.links.popitem(last=False)
+        if self.replica.leader != self.instance:
+            link.send(self.answer(request, False))
+            return
+        self.waiting.append((link, request))
+        if not self.reading:
+            self.read_for_waiting()
+
+    def read_for_waiting(self) -> None:
+        """Confirm leadership once for all who wait now.
+
+        Those who ask while the read is under way wait for the next one: a
+        read proves nothing about what was committed after it began.
+        """
+        batch, self.waiting = self.waiting, []
+        self.reading = True
+
+        def finish(result) -> None:
+            self.reading = False
+            committed = isinstance(result, Success)
+            for link, request in batch:
+                link.send(self.answer(request, committed))
+            if self.waiting:
+                self.read_for_waiting()
+
+        self.replica.read_barrier(finish)
+
+    def answer(
+        self, request: DocumentRequest, committed: bool
+    ) -> DocumentAnswer:
+        document = self.store.document() or b''
+        return answer_from(self.store.version, document, request, committed)
+
+    def tell(self, version: int) -> None:
+        """Send a new version to a few of those who asked lately."""
+        links = list(self.links.values())
+        chosen = self.rng.sample(links, min(LINKS_TOLD, len(links)))
+        for link in chosen:
+            link.send(self.answer(DocumentRequest(0, 0), False))
+
+    def on_link_lost(self, link: Link) -> None:
+        self.links.pop(link.number, None)
--- /dev/null
+++ b/cyclamenlift/events/state.py
@@ -0,0 +1,247 @@
+"""The replicated store of event documents: a pure state machine.
+
+Every control instance applies the same log and so holds the same store.
+A change names the version it was made from; of two changes with one base
+the first in the log wins. A change id that comes again gets the answer it
+got first, so that an operator who lost an answer may resend.
+"""
+
+import collections
+import dataclasses
+import hashlib
+from typing import ClassVar
+
+import pydantic
+
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.models.document import document_from_bytes
+from cyclamenlift.models.document import EventDocument
+from cyclamenlift.models.rules import EventRules
+from cyclamenlift.models.rules import rules_from_document
+
+CHANGE_IDS_KEPT = 4096
+VERSIONS_KEPT = 4096
+DOCUMENTS_KEPT = 64
+MAX_CANONICAL_BYTES = 2 * 1024 * 1024
+MAX_ID_LENGTH = 128
+BYTES_AS_BASE64 = pydantic.ConfigDict(
+    ser_json_bytes='base64', val_json_bytes='base64'
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PublishOutcome:
+    """What became of a change.
+
+    ``version`` is the version the change made, 0 when it was refused.
+    ``current_version`` is the version in force when it was applied.
+    """
+
+    code: int
+    version: int
+    current_version: int
+    detail: str = ''
+
+    def to_json(self) -> bytes:
+        """Return the form in which the log answers."""
+        return PUBLISH_OUTCOME.dump_json(self)
+
+    @classmethod
+    def from_json(cls, data: bytes) -> 'PublishOutcome':
+        """Read it back; raise ValueError on foreign bytes."""
+        return PUBLISH_OUTCOME.validate_json(data)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VersionRecord:
+    """Who made a version, from which base and when (leader's clock)."""
+
+    version: int
+    base_version: int
+    change_id: str
+    operator_name: str
+    stamp_unix_ms: int
+    digest: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeRecord:
+    """The first answer to a change id, and for which document it was."""
+
+    change_id: str
+    digest: str
+    outcome: PublishOutcome
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeptDocument:
+    """One full document in its canonical bytes."""
+
+    __pydantic_config__: ClassVar = BYTES_AS_BASE64
+    version: int
+    document: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EventSnapshot:
+    """Everything that a restarted instance needs of the store."""
+
+    version: int
+    versions: list[VersionRecord]
+    changes: list[ChangeRecord]
+    documents: list[KeptDocument]
+
+
+PUBLISH_OUTCOME = pydantic.TypeAdapter(PublishOutcome)
+SNAPSHOT = pydantic.TypeAdapter(EventSnapshot)
+
+
+def digest_of(document: bytes) -> str:
+    """Return a digest that tells two documents apart."""
+    return hashlib.sha256(document).hexdigest()
+
+
+def parse_document(data: bytes) -> EventDocument | str:
+    """Return the document, or why the bytes are none.
+
+    The reason is cut short, since it is kept with the change id.
+    """
+    if len(data) > MAX_CANONICAL_BYTES:
+        return f'over {MAX_CANONICAL_BYTES} bytes'
+    try:
+        return document_from_bytes(data)
+    except ValueError as error:
+        return str(error).replace('\n', ' ')[:500]
+
+
+class EventStore:
+    """Holds the document in force, its history and the change ids.
+
+    Full documents are kept for the last ``DOCUMENTS_KEPT`` versions, the
+    records of versions and the answers to change ids for the last 4,096.
+    The bounds are constants, not settings: instances with different
+    bounds would give different answers.
+    """
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.versions: collections.deque[VersionRecord] = collections.deque(
+            maxlen=VERSIONS_KEPT
+        )
+        self.changes: dict[str, ChangeRecord] = {}
+        self.documents: dict[int, bytes] = {}
+        self.rules: EventRules | None = None
+
+    # -- commands ---------------------------------------------------------
+
+    def publish(
+        self,
+        change_id: str,
+        base_version: int,
+        document: bytes,
+        operator_name: str,
+        stamp_unix_ms: int,
+    ) -> PublishOutcome:
+        """Apply one change from the log and return its answer."""
+        digest = digest_of(document)
+        known = self.changes.get(change_id)
+        if known is not None:
+            if known.digest == digest:
+                return known.outcome
+            return self.refuse(
+                ResultCode.CHANGE_ID_REUSED, 'another document came first'
+            )
+        outcome = self.decide(change_id, base_version, document)
+        if outcome.code == ResultCode.CHANGE_ACCEPTED:
+            record = VersionRecord(
+                outcome.version,
+                base_version,
+                change_id,
+                operator_name,
+                stamp_unix_ms,
+                digest,
+            )
+            self.take(record, document)
+        self.remember(ChangeRecord(change_id, digest, outcome))
+        return outcome
+
+    def decide(
+        self, change_id: str, base_version: int, document: bytes
+    ) -> PublishOutcome:
+        """Return the first answer to a change; nothing is changed yet."""
+        if not 0 < len(change_id) <= MAX_ID_LENGTH:
+            return self.refuse(
+                ResultCode.DOCUMENT_INVALID,
+                f'a change id has 1 to {MAX_ID_LENGTH} characters',
+            )
+        parsed = parse_document(document)
+        if isinstance(parsed, str):
+            return self.refuse(ResultCode.DOCUMENT_INVALID, parsed)
+        if base_version != self.version:
+            return self.refuse(
+                ResultCode.VERSION_CONFLICT,
+                f'based on {base_version}, current is {self.version}',
+            )
+        version = self.version + 1
+        return PublishOutcome(ResultCode.CHANGE_ACCEPTED, version, version)
+
+    def refuse(self, code: ResultCode, detail: str) -> PublishOutcome:
+        return PublishOutcome(int(code), 0, self.version, detail)
+
+    def take(self, record: VersionRecord, document: bytes) -> None:
+        """Put an accepted document in force."""
+        self.version = record.version
+        self.versions.append(record)
+        self.documents[record.version] = document
+        self.documents.pop(record.version - DOCUMENTS_KEPT, None)
+        self.rules = rules_from_document(
+            document_from_bytes(document), record.version
+        )
+
+    def remember(self, record: ChangeRecord) -> None:
+        """Keep the answer to a change id, dropping the oldest."""
+        self.changes[record.change_id] = record
+        while len(self.changes) > CHANGE_IDS_KEPT:
+            del self.changes[next(iter(self.changes))]
+
+    # -- queries ----------------------------------------------------------
+
+    def document(self, version: int = 0) -> bytes | None:
+        """Return the bytes of ``version`` (0: in force), None if gone."""
+        return self.documents.get(version or self.version)
+
+    def history(self, limit: int = 50) -> list[VersionRecord]:
+        """Return the newest records first."""
+        newest = list(self.versions)[::-1]
+        return newest[:limit]
+
+    def ends_unix_ms(self) -> int:
+        """Return when the event in force ends, 0 without a document."""
+        return self.rules.ends_unix_ms if self.rules else 0
+
+    # -- snapshots --------------------------------------------------------
+
+    def snapshot(self) -> bytes:
+        """Return the whole state as JSON."""
+        kept = [KeptDocument(v, d) for v, d in sorted(self.documents.items())]
+        state = EventSnapshot(
+            self.version,
+            list(self.versions),
+            list(self.changes.values()),
+            kept,
+        )
+        return SNAPSHOT.dump_json(state)
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state; raise ValueError when ``data`` is no one."""
+        state = SNAPSHOT.validate_json(data)
+        self.version = state.version
+        self.versions = collections.deque(state.versions, maxlen=VERSIONS_KEPT)
+        self.changes = {c.change_id: c for c in state.changes}
+        self.documents = {k.version: k.document for k in state.documents}
+        current = self.documents.get(self.version)
+        self.rules = None
+        if current is not None:
+            self.rules = rules_from_document(
+                document_from_bytes(current), self.version
+            )
--- /dev/null
+++ b/cyclamenlift/events/tasks.py
@@ -0,0 +1,200 @@
+"""The daemon's follower of the configuration."""
+
+from collections.abc import Callable
+import itertools
+import random
+
+from circuits.core.components import BaseComponent
+from returns.result import Failure
+from returns.result import Result
+import structlog
+
+from cyclamenlift.core.problems import Problem
+from cyclamenlift.core.streams import Address
+from cyclamenlift.core.tasks import Root
+from cyclamenlift.events.adoption import Adoption
+from cyclamenlift.events.adoption import Offer
+from cyclamenlift.events.server import answer_from
+from cyclamenlift.models.rules import EventRules
+from cyclamenlift.wire.gen.protocol.ttypes import DocumentAnswer
+from cyclamenlift.wire.gen.protocol.ttypes import DocumentRequest
+from cyclamenlift.wire.tasks import Link
+from cyclamenlift.wire.tasks import PeerNetwork
+
+POLL_SECONDS = 5.0
+CONFIRM_SECONDS = 0.5
+FALL_BACK_SECONDS = 3.0
+PULL_SECONDS = 1.0
+JITTER = 0.5
+LOG = structlog.get_logger('events')
+
+
+class ConfigFollower(BaseComponent):
+    """Keeps the newest event document in force on this daemon.
+
+    New versions come from three sides: gossip names one (``note_version``)
+    and it is pulled from that peer; a control instance tells a few daemons
+    unasked; and a slow poll of one control instance at a time finds what
+    both missed. Until a majority read has confirmed the version, all
+    control instances are asked, twice a second.
+    """
+
+    channel = 'configuration'
+
+    def __init__(
+        self,
+        root: Root,
+        network: PeerNetwork,
+        control: list[Address],
+        rng: random.Random,
+    ):
+        super().__init__(channel='configuration')
+        self.loop = root
+        self.network = network
+        self.control = list(control)
+        self.rng = rng
+        self.adoption = Adoption()
+        self.numbers = itertools.count(1)
+        self.hooks: list[Callable[[EventRules], None]] = []
+        self.pulling_version = 0
+        self.pull_deadline = 0.0
+        self.fall_back_at = 0.0
+        self.started = False
+        network.subscribe(DocumentAnswer, self.on_answer)
+        network.subscribe(DocumentRequest, self.on_request)
+        self.register(root)
+
+    # -- queries ----------------------------------------------------------
+
+    @property
+    def rules(self) -> EventRules | None:
+        """The rules in force, None while there is no document."""
+        return self.adoption.rules
+
+    @property
+    def confirmed(self) -> bool:
+        """Whether a majority read has confirmed what is in force."""
+        return self.adoption.confirmed
+
+    @property
+    def version(self) -> int:
+        """The version in force, 0 for none."""
+        return self.adoption.version
+
+    @property
+    def document(self) -> bytes:
+        """The canonical bytes in force, empty for none."""
+        return self.adoption.document
+
+    # -- commands ---------------------------------------------------------
+
+    def subscribe(self, hook: Callable[[EventRules], None]) -> None:
+        """Run ``hook`` with the rules whenever others come into force."""
+        self.hooks.append(hook)
+
+    def start(self) -> None:
+        """Ask the control instances, now and from now on."""
+        if self.started:
+            return
+        self.started = True
+        self.fall_back_at = self.now() + FALL_BACK_SECONDS
+        self.poll()
+
+    def stop(self) -> None:
+        """Ask no more; what is in force stays so."""
+        self.started = False
+
+    def note_version(self, version: int, peer_address: str) -> None:
+        """Learn from gossip which version a peer has in force."""
+        if version <= self.version:
+            return
+        if not self.adoption.running:
+            self.adoption.hear(Offer(peer_address, version))
+            return
+        self.pull(version, peer_address)
+
+    # -- asking -----------------------------------------------------------
+
+    def now(self) -> float:
+        return self.loop.scheduler.clock.now()
+
+    def poll(self) -> None:
+        """Ask all until confirmed, then one at a time; plan the next."""
+        if not self.started:
+            return
+        period = POLL_SECONDS if self.confirmed else CONFIRM_SECONDS
+        spread = self.rng.uniform(1 - JITTER, 1 + JITTER)
+        self.loop.scheduler.after(period * spread, self.poll)
+        if not self.control:
+            self.try_fall_back()
+            return
+        if self.confirmed:
+            self.ask(self.rng.choice(self.control))
+            return
+        for address in self.control:
+            self.ask(address)
+        self.try_fall_back()
+
+    def ask(self, address: Address) -> None:
+        request = DocumentRequest(next(self.numbers), self.version)
+        self.network.send(address, request)
+
+    def pull(self, version: int, peer_address: str) -> None:
+        """Fetch a version from a peer, one pull at a time."""
+        now = self.now()
+        if version <= self.pulling_version and now < self.pull_deadline:
+            return
+        try:
+            address = Address.parse(peer_address)
+        except ValueError:
+            return
+        self.pulling_version = version
+        self.pull_deadline = now + PULL_SECONDS
+        self.ask(address)
+
+    def try_fall_back(self) -> None:
+        """Without a majority for long: take the highest that peers have."""
+        if self.adoption.running or self.now() < self.fall_back_at:
+            return
+        best = self.adoption.best_heard()
+        if best is None:
+            return
+        if not best.document:
+            self.pull(best.version, best.source)
+            return
+        self.conclude(self.adoption.fall_back())
+
+    # -- messages ---------------------------------------------------------
+
+    def on_answer(self, link: Link, answer: DocumentAnswer) -> None:
+        """Take an answer of a control instance or of a peer."""
+        from_control = link.address in self.control
+        offer = Offer(
+            source=str(link.address or link.stream.remote),
+            version=answer.version or 0,
+            document=answer.document or b'',
+            majority=from_control and bool(answer.committed),
+        )
+        self.conclude(self.adoption.consider(offer))
+
+    def on_request(self, link: Link, request: DocumentRequest) -> None:
+        """Give a peer what is in force here."""
+        link.send(
+            answer_from(self.version, self.document, request, self.confirmed)
+        )
+
+    def conclude(self, result: Result[bool, Problem]) -> None:
+        """Log what was refused, pass on what came into force."""
+        if isinstance(result, Failure):
+            problem = result.failure()
+            LOG.warning('document_refused', problem=problem.line())
+            return
+        if not result.unwrap():
+            return
+        LOG.info(
+            'document_in_force',
+            version=self.version,
+            confirmed=self.confirmed,
+        )
+        for hook in self.hooks:
+            hook(self.rules)
--- a/cyclamenlift/http/connection.py
+++ b/cyclamenlift/http/connection.py
@@ -89,12 +89,11 @@
             return self.step_to_next()
         if exchange.done:
             return self.step_over(exchange)
-        exchange.deliver_body()
-        if self.active is not exchange:
-            return True
         if self.parser.problem is not None and not exchange.request.complete:
             self.break_body(exchange, self.parser.problem)
-        return False
+            return False
+        exchange.deliver_body()
+        return self.active is not exchange
 
     def step_to_next(self) -> bool:
         """Take the next request, unless too much output is waiting."""
@@ -287,6 +286,7 @@
 
     def drained(self) -> None:
         """Run when the kernel has taken all output."""
+        self.pending_seen = 0
         if self.lingering:
             self.end_output()
             return
--- /dev/null
+++ b/cyclamenlift/ledger/messages.py
@@ -0,0 +1,131 @@
+"""Between the thrift messages of the wire and the ledger's data classes."""
+
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.ledger.state import AnswerRecord
+from cyclamenlift.ledger.state import Attempt
+from cyclamenlift.ledger.state import ClaimKey
+from cyclamenlift.ledger.state import ClaimOutcome
+from cyclamenlift.ledger.state import Ending
+from cyclamenlift.ledger.state import Ledger
+from cyclamenlift.wire.gen.protocol.ttypes import ClaimAnswer
+from cyclamenlift.wire.gen.protocol.ttypes import ClaimEnd
+from cyclamenlift.wire.gen.protocol.ttypes import ClaimEndAnswer
+from cyclamenlift.wire.gen.protocol.ttypes import ClaimRequest
+from cyclamenlift.wire.gen.protocol.ttypes import ClaimVerdict
+from cyclamenlift.wire.gen.protocol.ttypes import Header
+from cyclamenlift.wire.gen.protocol.ttypes import RecordedAnswer
+
+NO_MAJORITY_RETRY_MS = 1_000
+LEDGER_FULL_RETRY_MS = 5_000
+
+
+def apply_claim(
+    ledger: Ledger, request: ClaimRequest, event_ends_ms: int
+) -> ClaimAnswer:
+    """Run one claim of the log against the ledger."""
+    outcome = ledger.claim(attempt_of(request), event_ends_ms)
+    return answer_of(outcome, request.request_id or 0)
+
+
+def apply_claim_end(ledger: Ledger, ending: ClaimEnd) -> ClaimEndAnswer:
+    """Run the end of one attempt against the ledger.
+
+    Raises ValueError when the message names no ending.
+    """
+    committed = ledger.end(
+        ClaimKey(ending.service_name or '', ending.key or ''),
+        ending.attempt_id or '',
+        Ending(ending.ending),
+        record_of(ending.answer),
+    )
+    return ClaimEndAnswer(ending.request_id or 0, committed, '')
+
+
+def attempt_of(request: ClaimRequest) -> Attempt:
+    """Return the attempt; a field that is missing becomes an empty one."""
+    return Attempt(
+        service_name=request.service_name or '',
+        key=request.key or '',
+        attempt_id=request.attempt_id or '',
+        key_expires_ms=request.key_expires_unix_ms or 0,
+        fingerprint=request.fingerprint or b'',
+        time_left_ms=request.time_left_ms or 0,
+    )
+
+
+def answer_of(outcome: ClaimOutcome, request_id: int) -> ClaimAnswer:
+    """Return the wire form of the ledger's decision."""
+    return ClaimAnswer(
+        request_id=request_id,
+        verdict=ClaimVerdict(outcome.verdict),
+        code=int(outcome.code),
+        leader='',
+        retry_after_ms=outcome.retry_after_ms,
+        answer=wire_record_of(outcome.answer),
+    )
+
+
+def record_of(answer: RecordedAnswer | None) -> AnswerRecord | None:
+    if answer is None:
+        return None
+    headers = [(h.name or '', h.value or '') for h in answer.headers or ()]
+    return AnswerRecord(
+        answer.status or 0,
+        headers,
+        answer.body or b'',
+        bool(answer.body_kept),
+    )
+
+
+def wire_record_of(record: AnswerRecord | None) -> RecordedAnswer | None:
+    if record is None:
+        return None
+    headers = [Header(name, value) for name, value in record.headers]
+    return RecordedAnswer(
+        record.status, headers, record.body, record.body_kept
+    )
+
+
+def limit_record(ending: ClaimEnd, limit: int) -> None:
+    """Leave out a body over ``limit`` bytes, before it enters the log.
+
+    The limit is a setting, and settings may differ between instances; the
+    ledger itself must not depend on one.
+    """
+    answer = ending.answer
+    if answer is not None and len(answer.body or b'') > limit:
+        answer.body = b''
+        answer.body_kept = False
+
+
+def no_majority(request_id: int, leader: str = '') -> ClaimAnswer:
+    """Return the answer when no majority could be asked."""
+    return ClaimAnswer(
+        request_id=request_id,
+        verdict=ClaimVerdict.NO_MAJORITY,
+        code=int(ResultCode.NO_MAJORITY),
+        leader=leader,
+        retry_after_ms=NO_MAJORITY_RETRY_MS,
+    )
+
+
+def not_leader(request_id: int, leader: str) -> ClaimAnswer:
+    """Return the answer of an instance that does not lead."""
+    return ClaimAnswer(
+        request_id=request_id,
+        verdict=ClaimVerdict.NOT_LEADER,
+        code=int(ResultCode.NOT_LEADER),
+        leader=leader,
+        retry_after_ms=0,
+    )
+
+
+def ledger_full(request_id: int) -> ClaimAnswer:
+    """Return the refusal when too many keys are held."""
+    return ClaimAnswer(
+        request_id=request_id,
+        verdict=ClaimVerdict.REFUSED,
+        code=int(ResultCode.LEDGER_FULL),
+        leader='',
+        retry_after_ms=LEDGER_FULL_RETRY_MS,
+    )
--- /dev/null
+++ b/cyclamenlift/ledger/state.py
@@ -0,0 +1,393 @@
+"""The ledger of claims: at most one run for each key, a pure state machine.
+
+Every control instance applies the same log, so every decision here depends
+on the log alone: no settings, no local clock. Ledger time is the largest
+stamp applied so far; it never falls, whichever leader wrote the stamps.
+
+A claim is forgotten only after its key's deadline by ledger time, and a key
+whose deadline has passed is never granted, so forgetting can not bring a
+second run.
+"""
+
+import collections
+import dataclasses
+import enum
+import heapq
+from typing import ClassVar
+from typing import NamedTuple
+
+import pydantic
+
+from cyclamenlift.core.codes import ResultCode
+
+DAY_MS = 24 * 3600 * 1000
+HORIZON_MS = DAY_MS
+RETAINED_MS = DAY_MS
+RETAINED_KEPT = 100_000
+RELEASED_MS = 60_000
+RELEASED_KEPT = 100_000
+HEAP_SLACK = 1_000
+RETRY_MS = 500
+MAX_KEY_LENGTH = 512
+MAX_NAME_LENGTH = 256
+MAX_FINGERPRINT = 64
+BYTES_AS_BASE64 = pydantic.ConfigDict(
+    ser_json_bytes='base64', val_json_bytes='base64'
+)
+
+
+class ClaimState(enum.IntEnum):
+    """What is known of the one attempt that holds a key."""
+
+    OPEN = 0
+    ANSWERED = 1
+    UNKNOWN = 2
+
+
+class Verdict(enum.IntEnum):
+    """The answer to an attempt; the numbers are those of the wire file."""
+
+    GRANTED = 0
+    IN_PROGRESS = 1
+    RECORDED = 2
+    UNKNOWN = 3
+    REFUSED = 4
+
+
+class Ending(enum.IntEnum):
+    """How an attempt ended; the numbers are those of the wire file."""
+
+    RELEASED = 0
+    ANSWERED = 1
+    UNKNOWN = 2
+
+
+class ClaimKey(NamedTuple):
+    """Identity of an operation: the service's name and the caller's key.
+
+    The deadline of the key is no part of it: an attempt that sends another
+    deadline for a key that is held must not run a second time.
+    """
+
+    service_name: str
+    key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerRecord:
+    """The recorded answer; ``body_kept`` False means: body was too large."""
+
+    __pydantic_config__: ClassVar = BYTES_AS_BASE64
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+    body_kept: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Claim:
+    """One held key. Instants are in ledger time, milliseconds."""
+
+    __pydantic_config__: ClassVar = BYTES_AS_BASE64
+    service_name: str
+    key: str
+    attempt_id: str
+    fingerprint: bytes
+    expires_ms: int
+    attempt_deadline_ms: int
+    state: ClaimState = ClaimState.OPEN
+    answer: AnswerRecord | None = None
+    retained: bool = False
+
+    def identity(self) -> ClaimKey:
+        return ClaimKey(self.service_name, self.key)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReleasedAttempt:
+    """An attempt that proved it ran nothing, kept for a minute.
+
+    Its claim may still travel; without this it would take the key again
+    with nobody left to end it.
+    """
+
+    service_name: str
+    key: str
+    attempt_id: str
+    forget_ms: int
+
+    def identity(self) -> tuple[str, str, str]:
+        return (self.service_name, self.key, self.attempt_id)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempt:
+    """One request for a claim. ``key_expires_ms`` 0: to the event's end."""
+
+    service_name: str
+    key: str
+    attempt_id: str
+    key_expires_ms: int
+    fingerprint: bytes
+    time_left_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimOutcome:
+    """The answer to an attempt."""
+
+    verdict: Verdict
+    code: int = 0
+    retry_after_ms: int = 0
+    answer: AnswerRecord | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LedgerSnapshot:
+    """Everything that a restarted instance needs of the ledger."""
+
+    time_ms: int
+    claims: list[Claim]
+    released: list[ReleasedAttempt]
+
+
+SNAPSHOT = pydantic.TypeAdapter(LedgerSnapshot)
+
+
+class Ledger:
+    """Grants each key to one attempt and remembers how it ended."""
+
+    def __init__(self) -> None:
+        self.time_ms = 0
+        self.claims: dict[ClaimKey, Claim] = {}
+        self.expiry: list[tuple[int, ClaimKey]] = []
+        self.retained: collections.deque[ClaimKey] = collections.deque()
+        self.released: dict[tuple[str, str, str], ReleasedAttempt] = {}
+
+    # -- commands ---------------------------------------------------------
+
+    def advance(self, stamp_unix_ms: int) -> None:
+        """Move ledger time forward and forget what is due."""
+        if stamp_unix_ms > self.time_ms:
+            self.time_ms = stamp_unix_ms
+            self.forget_due()
+
+    def claim(self, attempt: Attempt, event_ends_ms: int) -> ClaimOutcome:
+        """Decide on one attempt; the event's end is 0 without a document."""
+        if not self.well_formed(attempt):
+            return refused(ResultCode.BAD_REQUEST)
+        held = self.claims.get(ClaimKey(attempt.service_name, attempt.key))
+        if held is not None:
+            return self.claim_held(held, attempt, event_ends_ms)
+        if self.is_released(attempt):
+            return refused(ResultCode.CANCELLED_NOT_RUN)
+        if not event_ends_ms:
+            return refused(ResultCode.NO_CONFIGURATION)
+        expires_ms = attempt.key_expires_ms or event_ends_ms
+        if not self.in_horizon(expires_ms, event_ends_ms):
+            return refused(ResultCode.KEY_EXPIRED)
+        self.grant(attempt, expires_ms)
+        return ClaimOutcome(Verdict.GRANTED)
+
+    def end(
+        self,
+        identity: ClaimKey,
+        attempt_id: str,
+        ending: Ending,
+        answer: AnswerRecord | None = None,
+    ) -> bool:
+        """End an attempt; True when this ending is now in effect.
+
+        Only the attempt that holds the key may end it, and an attempt that
+        has ended never turns into a released one.
+        """
+        held = self.claims.get(identity)
+        holds = held is not None and held.attempt_id == attempt_id
+        if ending is Ending.RELEASED:
+            return self.release(identity, attempt_id, held if holds else None)
+        if not holds:
+            return False
+        if ending is Ending.ANSWERED:
+            return self.record(held, answer)
+        if held.state is ClaimState.OPEN:
+            held.state = ClaimState.UNKNOWN
+        return True
+
+    def grant(self, attempt: Attempt, expires_ms: int) -> None:
+        """Give a free key to ``attempt``."""
+        claim = Claim(
+            attempt.service_name,
+            attempt.key,
+            attempt.attempt_id,
+            attempt.fingerprint,
+            expires_ms,
+            self.time_ms + max(0, attempt.time_left_ms),
+        )
+        identity = claim.identity()
+        self.claims[identity] = claim
+        heapq.heappush(self.expiry, (expires_ms, identity))
+        if len(self.expiry) > 2 * len(self.claims) + HEAP_SLACK:
+            self.rebuild_expiry()
+
+    def claim_held(
+        self, held: Claim, attempt: Attempt, event_ends_ms: int
+    ) -> ClaimOutcome:
+        """Answer an attempt for a key that is held; never a second run."""
+        if held.fingerprint != attempt.fingerprint:
+            return refused(ResultCode.KEY_REUSED)
+        self.extend(held, attempt.key_expires_ms, event_ends_ms)
+        if held.state is ClaimState.ANSWERED:
+            return recorded(held.answer)
+        if held.state is ClaimState.UNKNOWN:
+            return ClaimOutcome(Verdict.UNKNOWN, ResultCode.CLAIM_UNKNOWN)
+        if held.attempt_id == attempt.attempt_id:
+            return ClaimOutcome(Verdict.GRANTED)
+        if held.attempt_deadline_ms <= self.time_ms:
+            return ClaimOutcome(Verdict.UNKNOWN, ResultCode.CLAIM_UNKNOWN)
+        return ClaimOutcome(
+            Verdict.IN_PROGRESS, ResultCode.CLAIM_IN_PROGRESS, RETRY_MS
+        )
+
+    def extend(self, held: Claim, expires_ms: int, event_ends_ms: int) -> None:
+        """Keep a key until the latest deadline that it was sent with."""
+        later = expires_ms or event_ends_ms
+        if held.retained or later <= held.expires_ms:
+            return
+        if self.in_horizon(later, event_ends_ms):
+            held.expires_ms = later
+            heapq.heappush(self.expiry, (later, held.identity()))
+
+    def release(
+        self, identity: ClaimKey, attempt_id: str, held: Claim | None
+    ) -> bool:
+        """Free the key that ``held`` holds for the attempt, if any."""
+        if held is not None and held.state is not ClaimState.OPEN:
+            return False
+        if held is not None:
+            self.drop(held)
+        attempt = ReleasedAttempt(
+            *identity, attempt_id, self.time_ms + RELEASED_MS
+        )
+        self.released.setdefault(attempt.identity(), attempt)
+        while len(self.released) > RELEASED_KEPT:
+            del self.released[next(iter(self.released))]
+        return True
+
+    def record(self, held: Claim, answer: AnswerRecord | None) -> bool:
+        """Keep the first answer of the attempt that holds the key."""
+        if held.state is not ClaimState.ANSWERED:
+            held.state = ClaimState.ANSWERED
+            held.answer = answer
+        return True
+
+    # -- forgetting -------------------------------------------------------
+
+    def forget_due(self) -> None:
+        """Forget by ledger time: claims, then attempts that were released.
+
+        Past its deadline a claim is retained for another day, as far as
+        there is room: a key without a deadline of its own that is sent
+        again under the next event is then still known.
+        """
+        while self.expiry and self.expiry[0][0] <= self.time_ms:
+            expires_ms, identity = heapq.heappop(self.expiry)
+            claim = self.claims.get(identity)
+            if claim is None or claim.retained:
+                continue
+            if claim.expires_ms == expires_ms:
+                claim.retained = True
+                self.retained.append(identity)
+        while self.retained and self.oldest_retained_is_due():
+            del self.claims[self.retained.popleft()]
+        while self.released:
+            oldest = next(iter(self.released.values()))
+            if oldest.forget_ms > self.time_ms:
+                break
+            del self.released[oldest.identity()]
+
+    def oldest_retained_is_due(self) -> bool:
+        if len(self.retained) > RETAINED_KEPT:
+            return True
+        oldest = self.claims[self.retained[0]]
+        return oldest.expires_ms + RETAINED_MS <= self.time_ms
+
+    def drop(self, claim: Claim) -> None:
+        """Take one claim out; its entry in the heap is skipped later."""
+        identity = claim.identity()
+        del self.claims[identity]
+        if claim.retained:
+            self.retained.remove(identity)
+
+    def rebuild_expiry(self) -> None:
+        """Rid the heap of entries whose claims were released."""
+        self.expiry = [
+            (claim.expires_ms, identity)
+            for identity, claim in self.claims.items()
+            if not claim.retained
+        ]
+        heapq.heapify(self.expiry)
+
+    # -- queries ----------------------------------------------------------
+
+    def well_formed(self, attempt: Attempt) -> bool:
+        """Tell whether the attempt names what it is for, within limits."""
+        return (
+            0 < len(attempt.service_name) <= MAX_NAME_LENGTH
+            and 0 < len(attempt.key) <= MAX_KEY_LENGTH
+            and len(attempt.fingerprint) <= MAX_FINGERPRINT
+            and 0 < len(attempt.attempt_id) <= MAX_KEY_LENGTH
+            and attempt.key_expires_ms >= 0
+        )
+
+    def in_horizon(self, expires_ms: int, event_ends_ms: int) -> bool:
+        """Tell whether a key with this deadline may be granted now."""
+        latest_ms = event_ends_ms + HORIZON_MS
+        return self.time_ms < expires_ms <= latest_ms
+
+    def is_released(self, attempt: Attempt) -> bool:
+        identity = (attempt.service_name, attempt.key, attempt.attempt_id)
+        return identity in self.released
+
+    def holds(self, service_name: str, key: str) -> bool:
+        """Tell whether the key is held now."""
+        return ClaimKey(service_name, key) in self.claims
+
+    def __len__(self) -> int:
+        """Return the number of keys held."""
+        return len(self.claims)
+
+    # -- snapshots --------------------------------------------------------
+
+    def snapshot(self) -> bytes:
+        """Return the whole state as JSON."""
+        state = LedgerSnapshot(
+            self.time_ms,
+            list(self.claims.values()),
+            list(self.released.values()),
+        )
+        return SNAPSHOT.dump_json(state)
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state; raise ValueError when ``data`` is no one."""
+        state = SNAPSHOT.validate_json(data)
+        self.time_ms = state.time_ms
+        self.claims = {c.identity(): c for c in state.claims}
+        self.released = {r.identity(): r for r in state.released}
+        retained = [c for c in state.claims if c.retained]
+        retained.sort(key=lambda c: (c.expires_ms, c.identity()))
+        self.retained = collections.deque(c.identity() for c in retained)
+        self.rebuild_expiry()
+
+
+def refused(code: ResultCode) -> ClaimOutcome:
+    """Return a refusal: this attempt was not run and holds nothing."""
+    return ClaimOutcome(Verdict.REFUSED, int(code))
+
+
+def recorded(answer: AnswerRecord | None) -> ClaimOutcome:
+    """Return the recorded answer, or that its body was too large to keep."""
+    if answer is None or not answer.body_kept:
+        code = ResultCode.RECORD_TOO_LARGE
+    else:
+        code = ResultCode.ANSWERED_FROM_RECORD
+    return ClaimOutcome(Verdict.RECORDED, int(code), answer=answer)
--- /dev/null
+++ b/cyclamenlift/membership/packets.py
@@ -0,0 +1,162 @@
+"""Building gossip packets within the packet limit and the byte budget."""
+
+from collections.abc import Iterable
+import dataclasses
+
+from cyclamenlift.core.streams import Address
+from cyclamenlift.membership.budget import ByteBudget
+from cyclamenlift.membership.dissemination import DisseminationQueue
+from cyclamenlift.membership.dissemination import TableSlice
+from cyclamenlift.membership.records import is_address
+from cyclamenlift.membership.records import is_number
+from cyclamenlift.membership.records import is_text
+from cyclamenlift.membership.records import MAX_INCARNATION
+from cyclamenlift.membership.records import MAX_VERSION
+from cyclamenlift.membership.settings import MembershipSettings
+from cyclamenlift.membership.table import BUCKETS
+from cyclamenlift.membership.table import MemberTable
+from cyclamenlift.membership.table import SHORT_DIGITS
+from cyclamenlift.wire.codec import encode_packet
+from cyclamenlift.wire.gen.protocol.ttypes import GossipKind
+from cyclamenlift.wire.gen.protocol.ttypes import GossipPacket
+from cyclamenlift.wire.gen.protocol.ttypes import MemberRecord
+
+MAX_PACKET_BYTES = 1_400
+FIXED_BYTES = 80
+PIGGYBACK_BYTES = 500
+MAX_RECORDS = 64
+MAX_SUBJECT = BUCKETS * SHORT_DIGITS
+KINDS = tuple(GossipKind)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outgoing:
+    """One packet to send, with its encoded form."""
+
+    address: Address
+    packet: GossipPacket
+    data: bytes
+
+
+def is_sound_packet(packet: GossipPacket) -> bool:
+    """Tell whether the fields outside the records can be used."""
+    return (
+        packet.kind in KINDS
+        and isinstance(packet.sequence, int)
+        and is_text(packet.sender, 1)
+        and is_number(packet.sender_incarnation, MAX_INCARNATION)
+        and isinstance(packet.subject, str)
+        and len(packet.subject) <= MAX_SUBJECT
+        and is_text(packet.subject_address)
+        and isinstance(packet.records, list)
+        and len(packet.records) <= MAX_RECORDS
+        and is_number(packet.config_version, MAX_VERSION)
+        and isinstance(packet.members_digest, int)
+        and is_address(packet.sender_address)
+    )
+
+
+class Packer:
+    """Fills packets: what must go first, then changes, then a slice."""
+
+    def __init__(
+        self,
+        settings: MembershipSettings,
+        address: str,
+        table: MemberTable,
+        queue: DisseminationQueue,
+        budget: ByteBudget,
+    ) -> None:
+        self.settings = settings
+        self.address = address
+        self.table = table
+        self.queue = queue
+        self.budget = budget
+        self.slice = TableSlice()
+
+    def bare(self, kind: GossipKind, sequence: int) -> GossipPacket:
+        """Return a packet with this instance's own fields filled in."""
+        own = self.table.get(self.settings.instance)
+        return GossipPacket(
+            kind=kind,
+            sequence=sequence,
+            cluster=self.settings.cluster,
+            sender=own.instance,
+            sender_incarnation=own.incarnation,
+            subject='',
+            subject_address='',
+            records=[],
+            config_version=own.config_version,
+            members_digest=self.table.digest,
+            sender_address=self.address,
+        )
+
+    def overhead(self, packet: GossipPacket) -> int:
+        """Return an upper bound of the bytes without any record."""
+        texts = (
+            packet.cluster,
+            packet.sender,
+            packet.subject,
+            packet.subject_address,
+            packet.sender_address,
+        )
+        return FIXED_BYTES + sum(len(text.encode()) for text in texts)
+
+    def add(
+        self, packet: GossipPacket, records: Iterable[MemberRecord], limit: int
+    ) -> int:
+        """Append records while they fit in ``limit``; return what is left."""
+        for record in records:
+            entry = self.table.entries[record.instance]
+            if entry.size <= limit:
+                packet.records.append(entry.record)
+                limit -= entry.size
+        return limit
+
+    def finish(
+        self,
+        address: str,
+        packet: GossipPacket,
+        must: Iterable[MemberRecord],
+        now: float,
+        piggyback: bool = True,
+    ) -> Outgoing:
+        """Fill a packet, count its bytes and return it for sending.
+
+        Records in ``must`` go in whatever the budget says; they are few.
+        """
+        room = MAX_PACKET_BYTES - self.overhead(packet)
+        room = self.add(packet, must, room)
+        room = min(room, PIGGYBACK_BYTES, self.budget.room(now))
+        if piggyback and room > 0:
+            self.fill(packet, room)
+        return self.close(address, packet)
+
+    def fill(self, packet: GossipPacket, room: int) -> None:
+        for record in self.queue.take(self.table, room):
+            packet.records.append(record)
+            room -= self.table.entries[record.instance].size
+        packet.records.extend(self.slice.take(self.table, room))
+
+    def close(self, address: str, packet: GossipPacket) -> Outgoing:
+        data = encode_packet(packet)
+        self.budget.spend(len(data))
+        return Outgoing(Address.parse(address), packet, data)
+
+    def answer(
+        self,
+        address: str,
+        sequence: int,
+        must: Iterable[MemberRecord],
+        buckets: list[int],
+        now: float,
+    ) -> Outgoing:
+        """Return a SYNC with the records of ``buckets``, as many as fit."""
+        packet = self.bare(GossipKind.SYNC, sequence)
+        room = MAX_PACKET_BYTES - self.overhead(packet)
+        room = self.add(packet, must, room)
+        room = min(room, self.budget.room(now))
+        for number in buckets:
+            entries = self.table.buckets[number].values()
+            room = self.add(packet, (e.record for e in entries), room)
+        return self.close(address, packet)
--- /dev/null
+++ b/cyclamenlift/membership/probing.py
@@ -0,0 +1,106 @@
+"""Which member is probed in which period, and what came of it."""
+
+import dataclasses
+import enum
+import random
+
+RELAY_PERIODS = 3.0
+
+
+class Stage(enum.Enum):
+    """How far an unanswered probe has got."""
+
+    DIRECT = 'direct'
+    INDIRECT = 'indirect'
+
+
+@dataclasses.dataclass(slots=True)
+class Probe:
+    """One probe on its way; ``fresh`` if the member was not suspected."""
+
+    instance: str
+    incarnation: int
+    sequence: int
+    stage: Stage
+    fresh: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Relay:
+    """A probe made for another member, which gets the answer."""
+
+    address: str
+    sequence: int
+    subject: str
+    deadline: float
+
+
+class ProbeRound:
+    """Round-robin over a shuffled list: each member is probed in turn.
+
+    The time until a dead member is first probed is bounded by the number
+    of members, while the cost stays at one probe a period.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.names: list[str] = []
+
+    def next(self, live: set[str] | dict) -> str | None:
+        """Return the next name that is still in ``live``."""
+        for _ in range(2):
+            while self.names:
+                name = self.names.pop()
+                if name in live:
+                    return name
+            self.names = list(live)
+            self.rng.shuffle(self.names)
+        return None
+
+
+class Prober:
+    """Keeps the probes and relays that wait for an answer."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.round = ProbeRound(rng)
+        self.sequence = rng.getrandbits(32)
+        self.waiting: dict[int, Probe] = {}
+        self.relays: dict[int, Relay] = {}
+
+    def next_sequence(self) -> int:
+        self.sequence += 1
+        return self.sequence
+
+    def begin(self, instance: str, incarnation: int, fresh: bool) -> Probe:
+        """Note a probe that is now sent."""
+        number = self.next_sequence()
+        probe = Probe(instance, incarnation, number, Stage.DIRECT, fresh)
+        self.waiting[number] = probe
+        return probe
+
+    def answered(self, sequence: int) -> Probe | None:
+        """Return the probe that an answer ends, None if it is late."""
+        return self.waiting.pop(sequence, None)
+
+    def unanswered(self) -> list[Probe]:
+        """Return the probes of earlier periods that still wait."""
+        return list(self.waiting.values())
+
+    def give_up(self, probe: Probe) -> None:
+        del self.waiting[probe.sequence]
+
+    def relay(
+        self, address: str, sequence: int, subject: str, deadline: float
+    ) -> int:
+        """Note a probe for another member; return its own sequence."""
+        number = self.next_sequence()
+        self.relays[number] = Relay(address, sequence, subject, deadline)
+        return number
+
+    def relayed(self, sequence: int) -> Relay | None:
+        return self.relays.pop(sequence, None)
+
+    def drop_late_relays(self, now: float) -> None:
+        late = [n for n, r in self.relays.items() if r.deadline <= now]
+        for number in late:
+            del self.relays[number]
--- /dev/null
+++ b/cyclamenlift/membership/receiving.py
@@ -0,0 +1,170 @@
+"""What a member does with each kind of packet."""
+
+from collections.abc import Callable
+
+from cyclamenlift.core.registry import Registry
+from cyclamenlift.membership.packets import Outgoing
+from cyclamenlift.membership.probing import RELAY_PERIODS
+from cyclamenlift.wire.gen.protocol.ttypes import GossipKind
+from cyclamenlift.wire.gen.protocol.ttypes import GossipPacket
+from cyclamenlift.wire.gen.protocol.ttypes import MemberRecord
+from cyclamenlift.wire.gen.protocol.ttypes import MemberState
+
+FORWARD_FANOUT = 4
+FIRST_PULLS = 4
+
+Handler = Callable[['PacketReceiver', GossipPacket, float], list[Outgoing]]
+HANDLERS: Registry[Handler] = Registry('kind of packet')
+
+
+class PacketReceiver:
+    """Takes the records of a packet, then does what its kind asks for."""
+
+    def __init__(self, state) -> None:
+        self.state = state
+        self.mismatches = 0
+
+    def receive(self, packet: GossipPacket, now: float) -> list[Outgoing]:
+        """Handle one sound packet of this cluster."""
+        urgent, news = self.take_records(packet, now)
+        self.note_sender(packet)
+        self.compare(packet)
+        handle = HANDLERS.get(GossipKind(packet.kind).name)
+        result = handle(self, packet, now)
+        if packet.kind == GossipKind.SYNC and packet.sequence and news:
+            result.extend(self.pull_more(packet, now))
+        if urgent and self.state.budget.room(now):
+            result.extend(self.state.push(urgent, FORWARD_FANOUT, now))
+        return result
+
+    def take_records(
+        self, packet: GossipPacket, now: float
+    ) -> tuple[list[MemberRecord], bool]:
+        """Return the records to forward at once and whether any was new."""
+        urgent = []
+        news = False
+        for record in packet.records:
+            known = self.state.table.get(record.instance)
+            if not self.state.take(record, now):
+                continue
+            news = True
+            current = self.state.table.get(record.instance)
+            if is_urgent(current, known):
+                urgent.append(current)
+        return urgent, news
+
+    def note_sender(self, packet: GossipPacket) -> None:
+        sender = self.state.table.get(packet.sender)
+        if sender is not None:
+            self.state.note_version(
+                packet.config_version, sender.peer_address
+            )
+
+    def compare(self, packet: GossipPacket) -> None:
+        """Count packets in a row whose sender knows other members."""
+        if packet.members_digest == self.state.table.digest:
+            self.mismatches = 0
+        else:
+            self.mismatches += 1
+
+    def correction(self, packet: GossipPacket) -> list[MemberRecord]:
+        """Return the record of the sender if it must learn of it.
+
+        A member refutes at once what it hears here: its suspicion, its
+        death, or the record of its earlier life.
+        """
+        known = self.state.table.get(packet.sender)
+        if known is None or known.incarnation < packet.sender_incarnation:
+            return []
+        if known.incarnation > packet.sender_incarnation:
+            return [known]
+        return [known] if known.state != MemberState.ALIVE else []
+
+    def pull_more(self, packet: GossipPacket, now: float) -> list[Outgoing]:
+        """Go on with the transfer while it brings news."""
+        state = self.state
+        if packet.members_digest == state.table.digest:
+            return []
+        if not state.budget.room(now):
+            return []
+        count = 1 if state.joined else FIRST_PULLS
+        state.joined = True
+        chosen = state.sample(count)
+        return [state.pull(r.gossip_address, now) for r in chosen]
+
+
+def is_urgent(record: MemberRecord, known: MemberRecord | None) -> bool:
+    """Tell whether a change must reach all within a second or two.
+
+    These are the changes after which a target may get no new work.
+    """
+    if known is None or record is known:
+        return False
+    if record.state == MemberState.LEFT:
+        return known.state != MemberState.LEFT
+    return record.target_state != known.target_state
+
+
+@HANDLERS.register('PING')
+def on_ping(receiver, packet, now):
+    """Answer at once."""
+    state = receiver.state
+    answer = state.packer.bare(GossipKind.ACK, packet.sequence)
+    answer.subject = state.settings.instance
+    must = receiver.correction(packet)
+    return [state.packer.finish(packet.sender_address, answer, must, now)]
+
+
+@HANDLERS.register('ACK')
+def on_ack(receiver, packet, now):
+    """End the probe, or hand the answer to the member that asked."""
+    state = receiver.state
+    state.joined = True
+    probe = state.prober.answered(packet.sequence)
+    if probe is not None and probe.fresh:
+        state.verdicts.health.note(True)
+    relay = state.prober.relayed(packet.sequence)
+    if relay is None:
+        return []
+    answer = state.packer.bare(GossipKind.ACK, relay.sequence)
+    answer.subject = relay.subject
+    return [state.packer.finish(relay.address, answer, [], now)]
+
+
+@HANDLERS.register('PING_REQUEST')
+def on_ping_request(receiver, packet, now):
+    """Probe a member for another one; only members are probed."""
+    state = receiver.state
+    subject = state.table.get(packet.subject)
+    if subject is None or packet.subject == state.settings.instance:
+        return []
+    deadline = now + RELAY_PERIODS * state.settings.period
+    sequence = state.prober.relay(
+        packet.sender_address, packet.sequence, packet.subject, deadline
+    )
+    ping = state.packer.bare(GossipKind.PING, sequence)
+    ping.subject = packet.subject
+    return [state.packer.finish(subject.gossip_address, ping, [], now)]
+
+
+@HANDLERS.register('JOIN')
+def on_join(receiver, packet, now):
+    """Answer with the records in which the tables differ."""
+    state = receiver.state
+    buckets = state.table.differing(packet.subject)
+    must = receiver.correction(packet)
+    if not buckets and not must:
+        return []
+    if not must and not state.budget.room(now):
+        return []
+    state.rng.shuffle(buckets)
+    answer = state.packer.answer(
+        packet.sender_address, packet.sequence, must, buckets, now
+    )
+    return [answer]
+
+
+@HANDLERS.register('SYNC')
+def on_sync(receiver, packet, now):
+    """Its records were taken already; an answer to a join ends it."""
+    return []
--- /dev/null
+++ b/cyclamenlift/membership/settings.py
@@ -0,0 +1,24 @@
+"""What a member is told about itself and the others."""
+
+import dataclasses
+
+from cyclamenlift.core.streams import Address
+from cyclamenlift.wire.gen.protocol.ttypes import TargetState
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MembershipSettings:
+    """Identity, addresses and what this instance announces at first."""
+
+    instance: str
+    data_centre: str
+    cluster: str
+    listen: Address
+    seeds: tuple[Address, ...] = ()
+    period: float = 1.0
+    peer_address: str = ''
+    service_name: str = ''
+    slots: int = 0
+    target_name: str = ''
+    target_state: TargetState = TargetState.READY
+    config_version: int = 0
--- /dev/null
+++ b/cyclamenlift/membership/state.py
@@ -0,0 +1,282 @@
+"""Decisions of the membership protocol: packets in, packets out.
+
+Time is passed in and nothing is sent here. The protocol is SWIM with
+suspicion: one probe a period, help from others before a suspicion, time to
+refute before a death. Changes ride on every packet; digests notice what was
+lost on the way.
+"""
+
+import dataclasses
+import random
+
+from cyclamenlift.membership.budget import BYTES_PER_PERIOD
+from cyclamenlift.membership.budget import ByteBudget
+from cyclamenlift.membership.contacts import Contacts
+from cyclamenlift.membership.dissemination import DisseminationQueue
+from cyclamenlift.membership.packets import is_sound_packet
+from cyclamenlift.membership.packets import Outgoing
+from cyclamenlift.membership.packets import Packer
+from cyclamenlift.membership.probing import Prober
+from cyclamenlift.membership.receiving import PacketReceiver
+from cyclamenlift.membership.records import is_sound
+from cyclamenlift.membership.records import revise
+from cyclamenlift.membership.records import same_announcement
+from cyclamenlift.membership.rounds import PeriodRound
+from cyclamenlift.membership.settings import MembershipSettings
+from cyclamenlift.membership.verdicts import Verdicts
+from cyclamenlift.wire.gen.protocol.ttypes import GossipKind
+from cyclamenlift.wire.gen.protocol.ttypes import GossipPacket
+from cyclamenlift.wire.gen.protocol.ttypes import MemberRecord
+from cyclamenlift.wire.gen.protocol.ttypes import MemberState
+from cyclamenlift.wire.gen.protocol.ttypes import TargetState
+
+ANNOUNCE_FANOUT = 8
+FORWARD_FANOUT = 4
+PULL_SEEDS = 3
+
+
+@dataclasses.dataclass(slots=True)
+class Counters:
+    """What metrics and status show of the protocol."""
+
+    packets_in: int = 0
+    packets_out: int = 0
+    bytes_in: int = 0
+    bytes_out: int = 0
+    strangers: int = 0
+    malformed: int = 0
+    bad_records: int = 0
+    refutations: int = 0
+    suspicions: int = 0
+    deaths: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VersionSeen:
+    """A configuration newer than ours and the peer that has it."""
+
+    version: int
+    peer_address: str
+
+
+class MembershipState:
+    """One member's view and its part in the protocol."""
+
+    def __init__(
+        self,
+        settings: MembershipSettings,
+        address: str,
+        now: float,
+        unix_ms: int,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.rng = rng
+        self.verdicts = Verdicts(settings.period)
+        self.table = self.verdicts.table
+        self.queue = DisseminationQueue()
+        rate = BYTES_PER_PERIOD / settings.period
+        self.budget = ByteBudget(now, rate)
+        self.packer = Packer(
+            settings, address, self.table, self.queue, self.budget
+        )
+        self.prober = Prober(rng)
+        seeds = tuple(str(seed) for seed in settings.seeds)
+        self.contacts = Contacts(seeds, rng)
+        self.counters = Counters()
+        self.changes: list[MemberRecord] = []
+        self.versions: list[VersionSeen] = []
+        self.left = False
+        self.joined = not seeds
+        self.receiver = PacketReceiver(self)
+        self.rounds = PeriodRound(self, now)
+        self.store(self.first_record(address, unix_ms), now)
+
+    def first_record(self, address: str, unix_ms: int) -> MemberRecord:
+        """Return what this instance announces first.
+
+        The wall clock puts the incarnation above that of an earlier life in
+        the ordinary case. When the clock went back, the others answer with
+        the older record and ``refute`` rises above it.
+        """
+        settings = self.settings
+        return MemberRecord(
+            instance=settings.instance,
+            incarnation=max(1, unix_ms),
+            state=MemberState.ALIVE,
+            data_centre=settings.data_centre,
+            gossip_address=address,
+            peer_address=settings.peer_address,
+            service_name=settings.service_name,
+            slots=settings.slots,
+            target_state=settings.target_state,
+            config_version=settings.config_version,
+            target_name=settings.target_name,
+        )
+
+    # -- queries ----------------------------------------------------------
+
+    @property
+    def own(self) -> MemberRecord:
+        """The record of this instance."""
+        return self.table.entries[self.settings.instance].record
+
+    def members(self) -> list[MemberRecord]:
+        """Return the members that may be used, this instance included."""
+        return self.table.live()
+
+    def others(self) -> list[MemberRecord]:
+        """Return the live members but this one."""
+        own = self.settings.instance
+        return [r for r in self.table.live() if r.instance != own]
+
+    def sample(self, count: int, without: str = '') -> list[MemberRecord]:
+        """Return up to ``count`` random other members."""
+        others = [r for r in self.others() if r.instance != without]
+        return self.rng.sample(others, min(count, len(others)))
+
+    # -- records ----------------------------------------------------------
+
+    def store(self, record: MemberRecord, now: float) -> None:
+        """Take a record that supersedes the known one, and pass it on."""
+        self.verdicts.store(record, now)
+        self.queue.add(record.instance)
+        self.changes.append(record)
+        if record.state == MemberState.DEAD:
+            self.counters.deaths += 1
+            self.contacts.add(record.instance, record.gossip_address)
+        else:
+            self.contacts.discard(record.instance)
+
+    def take(self, record: MemberRecord, now: float) -> bool:
+        """Consider a record of the network; tell whether it was news."""
+        if not is_sound(record):
+            self.counters.bad_records += 1
+            return False
+        if record.instance == self.settings.instance:
+            return self.refute(record, now)
+        self.note_version(record.config_version, record.peer_address)
+        accepted = self.verdicts.consider(record, now)
+        if accepted is None:
+            return False
+        self.store(accepted, now)
+        return True
+
+    def refute(self, record: MemberRecord, now: float) -> bool:
+        """Rise above a record about this instance that is not its own."""
+        own = self.own
+        if self.left or record.incarnation < own.incarnation:
+            return False
+        harmless = record.state == MemberState.ALIVE and same_announcement(
+            record, own
+        )
+        if harmless and record.incarnation == own.incarnation:
+            return False
+        self.counters.refutations += 1
+        self.store(revise(own, incarnation=record.incarnation + 1), now)
+        return True
+
+    def suspect(self, instance: str, incarnation: int, now: float) -> None:
+        """Suspect a member that did not answer, unless it has moved on."""
+        known = self.table.get(instance)
+        if known is None or known.incarnation != incarnation:
+            return
+        if known.state == MemberState.ALIVE:
+            self.counters.suspicions += 1
+            self.store(revise(known, state=MemberState.SUSPECT), now)
+
+    def note_version(self, version: int, peer_address: str) -> None:
+        """Report a configuration that is newer than the announced one."""
+        if version > self.own.config_version and peer_address:
+            self.versions.append(VersionSeen(version, peer_address))
+
+    # -- commands ---------------------------------------------------------
+
+    def join(self, now: float) -> list[Outgoing]:
+        """Ask some seeds for their tables."""
+        own = self.packer.address
+        seeds = [seed for seed in self.contacts.seeds if seed != own]
+        chosen = self.rng.sample(seeds, min(PULL_SEEDS, len(seeds)))
+        return [self.pull(address, now) for address in chosen]
+
+    def pull(self, address: str, now: float) -> Outgoing:
+        """Ask one member for the records that differ."""
+        packet = self.packer.bare(
+            GossipKind.JOIN, self.prober.next_sequence()
+        )
+        if len(self.table) > 1:
+            packet.subject = self.table.short_digests()
+        return self.packer.finish(address, packet, [self.own], now, False)
+
+    def push(
+        self, records: list[MemberRecord], fanout: int, now: float
+    ) -> list[Outgoing]:
+        """Send records to some random members at once."""
+        result = []
+        for member in self.sample(fanout):
+            packet = self.packer.bare(GossipKind.SYNC, 0)
+            sent = self.packer.finish(
+                member.gossip_address, packet, records, now
+            )
+            result.append(sent)
+        return result
+
+    def announce(
+        self,
+        target_state: TargetState | None,
+        config_version: int | None,
+        now: float,
+    ) -> list[Outgoing]:
+        """Tell the others of a change of this instance."""
+        own = self.own
+        if self.left:
+            return []
+        newer = config_version is not None and (
+            config_version > own.config_version
+        )
+        if newer:
+            own = revise(own, config_version=config_version)
+            self.table.put(own)
+        moved = target_state is not None and target_state != own.target_state
+        if moved:
+            own = revise(
+                own,
+                target_state=target_state,
+                incarnation=own.incarnation + 1,
+            )
+            self.store(own, now)
+        if not newer and not moved:
+            return []
+        return self.push([own], ANNOUNCE_FANOUT, now)
+
+    def leave(self, now: float) -> list[Outgoing]:
+        """Say good-bye; packets are ignored from here on."""
+        if self.left:
+            return []
+        own = self.own
+        gone = revise(
+            own, state=MemberState.LEFT, incarnation=own.incarnation + 1
+        )
+        self.store(gone, now)
+        self.left = True
+        return self.push([gone], ANNOUNCE_FANOUT, now)
+
+    # -- inputs -----------------------------------------------------------
+
+    def on_packet(self, packet: GossipPacket, now: float) -> list[Outgoing]:
+        """Take one packet of the network; return what to send for it."""
+        if packet.cluster != self.settings.cluster:
+            self.counters.strangers += 1
+            return []
+        if not is_sound_packet(packet):
+            self.counters.malformed += 1
+            return []
+        if self.left or packet.sender == self.settings.instance:
+            return []
+        return self.receiver.receive(packet, now)
+
+    def on_period(self, now: float) -> list[Outgoing]:
+        """Do the work of one period."""
+        if self.left:
+            return []
+        return self.rounds.run(now)
--- /dev/null
+++ b/cyclamenlift/membership/table.py
@@ -0,0 +1,119 @@
+"""The table of member records with its digests.
+
+The names are spread over a fixed number of buckets. Each bucket keeps the
+exclusive or of its live records' fingerprints, so two members find out
+where they differ from a few hundred bytes.
+"""
+
+import dataclasses
+
+import xxhash
+
+from cyclamenlift.membership.records import encoded_size
+from cyclamenlift.membership.records import fingerprint
+from cyclamenlift.membership.records import is_live
+from cyclamenlift.wire.gen.protocol.ttypes import MemberRecord
+from cyclamenlift.wire.gen.protocol.ttypes import MemberState
+
+BUCKETS = 64
+SHORT_MASK = 0xFFFF
+SHORT_DIGITS = 4
+
+
+def bucket_of(instance: str) -> int:
+    """Return the bucket of an instance's name, the same everywhere."""
+    return xxhash.xxh32_intdigest(instance.encode()) % BUCKETS
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    """One instance: its record and what is derived from it."""
+
+    record: MemberRecord
+    size: int
+    mark: int
+    expires_at: float | None = None
+
+
+class MemberTable:
+    """Records by instance name, this instance included."""
+
+    def __init__(self) -> None:
+        self.entries: dict[str, Entry] = {}
+        self.buckets: list[dict[str, Entry]] = [{} for _ in range(BUCKETS)]
+        self.marks = [0] * BUCKETS
+        self.digest = 0
+        self.counts = dict.fromkeys(MemberState, 0)
+
+    def __len__(self) -> int:
+        return len(self.entries)
+
+    def get(self, instance: str) -> MemberRecord | None:
+        """Return what is known of an instance."""
+        entry = self.entries.get(instance)
+        return entry.record if entry else None
+
+    def put(
+        self, record: MemberRecord, expires_at: float | None = None
+    ) -> None:
+        """Store a record; ``expires_at`` is when a tombstone may go."""
+        self.remove(record.instance)
+        mark = fingerprint(record) if is_live(record) else 0
+        entry = Entry(record, encoded_size(record), mark, expires_at)
+        number = bucket_of(record.instance)
+        self.entries[record.instance] = entry
+        self.buckets[number][record.instance] = entry
+        self.counts[record.state] += 1
+        self.mix(number, mark)
+
+    def remove(self, instance: str) -> None:
+        entry = self.entries.pop(instance, None)
+        if entry is None:
+            return
+        number = bucket_of(instance)
+        del self.buckets[number][instance]
+        self.counts[entry.record.state] -= 1
+        self.mix(number, entry.mark)
+
+    def mix(self, number: int, mark: int) -> None:
+        self.marks[number] ^= mark
+        self.digest ^= mark
+
+    def live(self) -> list[MemberRecord]:
+        """Return the records that count as members."""
+        return [e.record for e in self.entries.values() if is_live(e.record)]
+
+    def live_count(self) -> int:
+        return (
+            self.counts[MemberState.ALIVE] + self.counts[MemberState.SUSPECT]
+        )
+
+    def expired(self, now: float) -> list[str]:
+        """Return the names whose tombstones are past their time."""
+        return [
+            name
+            for name, entry in self.entries.items()
+            if entry.expires_at is not None and entry.expires_at <= now
+        ]
+
+    def short_digests(self) -> str:
+        """Return the low bits of each bucket's digest as text."""
+        return ''.join(f'{mark & SHORT_MASK:04x}' for mark in self.marks)
+
+    def differing(self, digests: str) -> list[int]:
+        """Return the buckets in which another member's digests differ.
+
+        An empty text stands for a member that knows nothing yet; a text of
+        the wrong length says nothing.
+        """
+        if not digests:
+            return [n for n in range(BUCKETS) if self.buckets[n]]
+        if len(digests) != BUCKETS * SHORT_DIGITS:
+            return []
+        own = self.short_digests()
+        return [
+            number
+            for number in range(BUCKETS)
+            if digests[number * SHORT_DIGITS : (number + 1) * SHORT_DIGITS]
+            != own[number * SHORT_DIGITS : (number + 1) * SHORT_DIGITS]
+        ]
--- /dev/null
+++ b/cyclamenlift/membership/tasks.py
@@ -0,0 +1,203 @@
+"""The component that owns the gossip socket."""
+
+from collections.abc import Callable
+import random
+import socket
+
+from circuits.core.components import BaseComponent
+from circuits.core.handlers import handler
+import structlog
+
+from cyclamenlift.core.streams import Address
+from cyclamenlift.core.tasks import Root
+from cyclamenlift.membership.packets import MAX_PACKET_BYTES
+from cyclamenlift.membership.packets import Outgoing
+from cyclamenlift.membership.settings import MembershipSettings
+from cyclamenlift.membership.state import Counters
+from cyclamenlift.membership.state import MembershipState
+from cyclamenlift.wire.codec import decode_packet
+from cyclamenlift.wire.codec import FrameError
+from cyclamenlift.wire.gen.protocol.ttypes import GossipPacket
+from cyclamenlift.wire.gen.protocol.ttypes import MemberRecord
+from cyclamenlift.wire.gen.protocol.ttypes import TargetState
+
+DATAGRAMS_PER_READ = 64
+JITTER = 0.1
+LOG = structlog.get_logger('membership')
+
+RecordHook = Callable[[MemberRecord], None]
+VersionHook = Callable[[int, str], None]
+
+
+class Membership(BaseComponent):
+    """Announces this instance and knows the others."""
+
+    channel = 'membership'
+
+    def __init__(
+        self, root: Root, settings: MembershipSettings, rng: random.Random
+    ) -> None:
+        super().__init__(channel=f'membership-{settings.instance}')
+        self.loop = root
+        self.settings = settings
+        self.rng = rng
+        self.sock: socket.socket | None = None
+        self.state: MembershipState | None = None
+        self.timer = None
+        self.record_hooks: list[RecordHook] = []
+        self.version_hooks: list[VersionHook] = []
+
+    # -- queries ----------------------------------------------------------
+
+    def members(self) -> list[MemberRecord]:
+        """Return the records that are ALIVE or SUSPECT, with our own."""
+        return self.state.members() if self.state else []
+
+    def records(self) -> list[MemberRecord]:
+        """Return all records, also of members that are gone lately."""
+        if self.state is None:
+            return []
+        return [entry.record for entry in self.state.table.entries.values()]
+
+    @property
+    def counters(self) -> Counters:
+        """Counters for metrics; all zero before the start."""
+        return self.state.counters if self.state else Counters()
+
+    # -- commands ---------------------------------------------------------
+
+    def subscribe(self, hook: RecordHook) -> None:
+        """Call ``hook`` for each record that is new or changed."""
+        self.record_hooks.append(hook)
+
+    def subscribe_version(self, hook: VersionHook) -> None:
+        """Call ``hook(version, peer_address)`` when a peer has a newer one.
+
+        It is called again with each packet that shows it, until a version
+        as high is announced here.
+        """
+        self.version_hooks.append(hook)
+
+    def start(self) -> Address:
+        """Bind the socket, join through the seeds; return the address.
+
+        Raises OSError when the address is taken.
+        """
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            sock.bind(tuple(self.settings.listen))
+        except OSError:
+            sock.close()
+            raise
+        sock.setblocking(False)
+        self.sock = sock
+        address = Address(*sock.getsockname())
+        clock = self.loop.scheduler.clock
+        self.state = MembershipState(
+            self.settings,
+            str(address),
+            clock.now(),
+            clock.unix_ms(),
+            self.rng,
+        )
+        self.register(self.loop)
+        self.loop.poller.addReader(self, sock)
+        self.finish(self.state.join(clock.now()))
+        self.plan_period()
+        return address
+
+    def stop(self) -> None:
+        """Close the socket without a word, as a crash would."""
+        if self.sock is None:
+            return
+        self.timer.cancel()
+        self.loop.poller.discard(self.sock)
+        self.sock.close()
+        self.sock = None
+        self.unregister()
+
+    def announce(
+        self,
+        target_state: TargetState | None = None,
+        config_version: int | None = None,
+    ) -> None:
+        """Tell the others of our target's state or of our configuration."""
+        if self.state is not None:
+            now = self.loop.scheduler.clock.now()
+            self.finish(self.state.announce(target_state, config_version, now))
+
+    def leave(self) -> None:
+        """Tell the others that this instance goes; ``stop`` comes next."""
+        if self.state is not None:
+            self.finish(self.state.leave(self.loop.scheduler.clock.now()))
+
+    # -- loop -------------------------------------------------------------
+
+    def plan_period(self) -> None:
+        """Plan the next period with jitter, so that members don't align."""
+        stray = self.rng.uniform(1 - JITTER, 1 + JITTER)
+        self.timer = self.loop.scheduler.after(
+            self.settings.period * stray, self.run_period
+        )
+
+    def run_period(self) -> None:
+        self.plan_period()
+        self.finish(self.state.on_period(self.loop.scheduler.clock.now()))
+
+    @handler('_read')
+    def _on_poll_read(self, sock) -> None:
+        if sock is not self.sock:
+            return
+        for _ in range(DATAGRAMS_PER_READ):
+            try:
+                data = sock.recv(MAX_PACKET_BYTES + 1)
+            except OSError:
+                # Nothing left, or an earlier packet met a closed port.
+                return
+            self.take(data)
+            if self.sock is None:
+                return
+
+    @handler('_error', '_disconnect')
+    def _on_poll_error(self, sock, *_args) -> None:
+        """Take the error off the socket; the next packet tells more."""
+        if sock is self.sock:
+            sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+
+    def take(self, data: bytes) -> None:
+        """Handle one datagram."""
+        counters = self.state.counters
+        counters.packets_in += 1
+        counters.bytes_in += len(data)
+        try:
+            packet = decode_packet(GossipPacket, data)
+        except FrameError:
+            counters.malformed += 1
+            return
+        now = self.loop.scheduler.clock.now()
+        self.finish(self.state.on_packet(packet, now))
+
+    def finish(self, outgoing: list[Outgoing]) -> None:
+        """Send what the state decided and tell the subscribers."""
+        for item in outgoing:
+            self.send(item)
+        changes, self.state.changes = self.state.changes, []
+        versions, self.state.versions = self.state.versions, []
+        for record in changes:
+            for hook in self.record_hooks:
+                hook(record)
+        for seen in set(versions):
+            for hook in self.version_hooks:
+                hook(seen.version, seen.peer_address)
+
+    def send(self, item: Outgoing) -> None:
+        """Send one packet; a lost one is the protocol's ordinary case."""
+        if self.sock is None:
+            return
+        counters = self.state.counters
+        counters.packets_out += 1
+        counters.bytes_out += len(item.data)
+        try:
+            self.sock.sendto(item.data, tuple(item.address))
+        except OSError as error:
+            LOG.debug('gossip_not_sent', error=str(error))
--- /dev/null
+++ b/cyclamenlift/replication/__init__.py
@@ -0,0 +1,17 @@
+"""The replicated log: what a majority of control instances has synced."""
+
+from cyclamenlift.replication.machine import StateMachine
+from cyclamenlift.replication.queries import InstanceStatus
+from cyclamenlift.replication.queries import ReplicaStatus
+from cyclamenlift.replication.queries import Role
+from cyclamenlift.replication.settings import ReplicaSettings
+from cyclamenlift.replication.tasks import Replica
+
+__all__ = [
+    'InstanceStatus',
+    'Replica',
+    'ReplicaSettings',
+    'ReplicaStatus',
+    'Role',
+    'StateMachine',
+]
--- /dev/null
+++ b/cyclamenlift/replication/commits.py
@@ -0,0 +1,89 @@
+"""When an entry is committed, and what follows from it."""
+
+from cyclamenlift.replication.effects import Apply
+from cyclamenlift.replication.effects import PersistSnapshot
+from cyclamenlift.replication.effects import TakeSnapshot
+from cyclamenlift.replication.snapshots import Snapshot
+from cyclamenlift.replication.state import ReplicaState
+
+KEPT_SHARE = 4
+
+
+def may_commit(state: ReplicaState, index: int) -> bool:
+    """Tell whether counting copies of this entry proves anything.
+
+    Only an entry of the leader's own term is committed by its copies; an
+    older one may be on a majority and still be replaced.
+    """
+    return state.log.term_at(index) == state.term
+
+
+def holders(state: ReplicaState, index: int) -> dict[str, str]:
+    """Return the instances, with storage, that have synced ``index``."""
+    found = {
+        name: progress.storage_id
+        for name, progress in state.leadership.progress.items()
+        if progress.match_index >= index
+    }
+    if state.log.durable_index >= index:
+        found[state.instance] = state.storage_id
+    return found
+
+
+def advance_commit(state: ReplicaState) -> None:
+    """Commit the newest entry that a quorum has synced (leader only)."""
+    indexes = {p.match_index for p in state.leadership.progress.values()}
+    indexes.add(state.log.durable_index)
+    for index in sorted(indexes, reverse=True):
+        if index <= state.commit_index:
+            return
+        if may_commit(state, index) and state.has_quorum(
+            holders(state, index)
+        ):
+            commit_to(state, index)
+            return
+
+
+def commit_to(state: ReplicaState, index: int) -> None:
+    """Let the machine run what is now committed."""
+    entries = state.log.between(state.commit_index, index)
+    state.commit_index = index
+    state.outbox.add(Apply(tuple(entries)))
+    grown = index - state.snapshot_index
+    if grown >= state.limits.snapshot_entries and not state.snapshot_writes:
+        state.outbox.add(TakeSnapshot(index))
+
+
+def snapshot_taken(state: ReplicaState, index: int, data: bytes) -> None:
+    """Write the machine's state at ``index``.
+
+    Call it while the effect ``TakeSnapshot`` is handled: nothing later
+    may have been applied.
+    """
+    if state.snapshot_writes or index <= state.log.base_index:
+        return
+    snapshot = Snapshot(
+        index=index,
+        term=state.log.term_at(index),
+        stamp_unix_ms=state.last_stamp,
+        configuration=state.voters.at(index),
+        data=data,
+    )
+    ticket = state.outbox.next_ticket()
+    state.snapshot_writes[ticket] = snapshot
+    state.outbox.add(PersistSnapshot(ticket, snapshot, keep_log=True))
+
+
+def snapshots_synced(state: ReplicaState, ticket: int) -> None:
+    """Shorten the log in memory once a snapshot is synced.
+
+    A part of it stays, so that an instance that is a little behind needs
+    no whole snapshot.
+    """
+    for written in [t for t in state.snapshot_writes if t <= ticket]:
+        snapshot = state.snapshot_writes.pop(written)
+        if snapshot.index <= state.snapshot_index:
+            continue
+        state.snapshot = snapshot
+        kept = state.limits.snapshot_entries // KEPT_SHARE
+        state.log.compact(snapshot.index - kept)
--- /dev/null
+++ b/cyclamenlift/replication/elections.py
@@ -0,0 +1,171 @@
+"""Elections: a pre-vote that changes nothing, then votes that are synced."""
+
+from cyclamenlift.replication.leading import start_leading
+from cyclamenlift.replication.queries import Role
+from cyclamenlift.replication.receivers import RECEIVERS
+from cyclamenlift.replication.state import Campaign
+from cyclamenlift.replication.state import ReplicaState
+from cyclamenlift.wire.gen.protocol.ttypes import VoteAnswer
+from cyclamenlift.wire.gen.protocol.ttypes import VoteRequest
+
+
+def tick_election(state: ReplicaState, now: float) -> None:
+    """Ask for votes once no leader was heard until the deadline."""
+    if now < state.election_deadline:
+        return
+    state.postpone_election(now)
+    if state.may_vote:
+        start_pre_vote(state, now)
+
+
+def start_pre_vote(state: ReplicaState, now: float) -> None:
+    """Ask whether an election could be won, without a new term.
+
+    An instance that was cut off would otherwise return with a high term
+    and depose a working leader.
+    """
+    state.role = Role.CANDIDATE
+    state.leader = ''
+    state.campaign = Campaign(state.term + 1, pre_vote=True)
+    state.campaign.votes[state.instance] = state.storage_id
+    request = make_request(state, state.campaign)
+    for peer in state.peers:
+        state.outbox.send(peer, request)
+    check_campaign(state, now)
+
+
+def start_vote(state: ReplicaState, now: float) -> None:
+    """Stand for election in a new term.
+
+    The requests name the end of our log, so they wait until that log and
+    our own vote are synced: after a crash the claim must still be true.
+    """
+    state.term += 1
+    state.voted_for = state.instance
+    ticket = state.persist_term()
+    campaign = Campaign(state.term, pre_vote=False, own_ticket=ticket)
+    state.campaign = campaign
+    state.postpone_election(now)
+    request = make_request(state, campaign)
+    for peer in state.peers:
+        state.outbox.send_synced(peer, request)
+
+
+def make_request(state: ReplicaState, campaign: Campaign) -> VoteRequest:
+    return VoteRequest(
+        term=campaign.term,
+        candidate=state.instance,
+        storage_id=state.storage_id,
+        last_index=state.log.last_index,
+        last_term=state.log.last_term,
+        pre_vote=campaign.pre_vote,
+    )
+
+
+def vote_synced(state: ReplicaState, ticket: int, now: float) -> None:
+    """Count our own vote, once it is synced."""
+    campaign = state.campaign
+    if campaign is None or campaign.pre_vote:
+        return
+    if campaign.own_ticket <= ticket:
+        campaign.votes[state.instance] = state.storage_id
+        check_campaign(state, now)
+
+
+def check_campaign(state: ReplicaState, now: float) -> None:
+    campaign = state.campaign
+    if not state.has_quorum(campaign.votes):
+        return
+    if campaign.pre_vote:
+        start_vote(state, now)
+    else:
+        start_leading(state, campaign.votes, now)
+
+
+def is_current(state: ReplicaState, request: VoteRequest) -> bool:
+    """Tell whether the candidate's log holds at least what ours does."""
+    theirs = (request.last_term, request.last_index)
+    return theirs >= (state.log.last_term, state.log.last_index)
+
+
+def hears_leader(state: ReplicaState, now: float) -> bool:
+    if state.role is Role.LEADER:
+        return True
+    return now - state.leader_heard_at < state.limits.election
+
+
+@RECEIVERS.register('VoteRequest')
+def receive_request(
+    state: ReplicaState, sender: str, request: VoteRequest, now: float
+) -> None:
+    if request.pre_vote:
+        answer_pre_vote(state, sender, request, now)
+    else:
+        answer_vote(state, sender, request, now)
+
+
+def answer_pre_vote(
+    state: ReplicaState, sender: str, request: VoteRequest, now: float
+) -> None:
+    granted = (
+        request.term > state.term
+        and state.may_vote
+        and is_current(state, request)
+        and not hears_leader(state, now)
+    )
+    term = request.term if granted else state.term
+    state.outbox.send(sender, make_answer(state, term, granted, True))
+
+
+def answer_vote(
+    state: ReplicaState, sender: str, request: VoteRequest, now: float
+) -> None:
+    """Vote at most once in a term, for a log that lacks nothing of ours."""
+    if request.term > state.term:
+        state.follow(request.term, '', now)
+    granted = (
+        request.term == state.term
+        and state.may_vote
+        and state.voted_for in ('', sender)
+        and is_current(state, request)
+    )
+    if granted:
+        state.postpone_election(now)
+    if granted and not state.voted_for:
+        state.voted_for = sender
+        state.persist_term()
+    send_vote(state, sender, make_answer(state, state.term, granted, False))
+
+
+def send_vote(state: ReplicaState, to: str, answer: VoteAnswer) -> None:
+    """Answer only after the vote is synced: a crash must not undo it."""
+    state.outbox.send_synced(to, answer)
+
+
+def make_answer(
+    state: ReplicaState, term: int, granted: bool, pre_vote: bool
+) -> VoteAnswer:
+    return VoteAnswer(
+        term=term,
+        voter=state.instance,
+        storage_id=state.storage_id,
+        granted=granted,
+        pre_vote=pre_vote,
+    )
+
+
+@RECEIVERS.register('VoteAnswer')
+def receive_answer(
+    state: ReplicaState, sender: str, answer: VoteAnswer, now: float
+) -> None:
+    """Count a vote for the storage that gave it."""
+    if answer.term > state.term and not answer.granted:
+        state.follow(answer.term, '', now)
+        return
+    campaign = state.campaign
+    if campaign is None or not answer.granted:
+        return
+    if (answer.term, answer.pre_vote) != (campaign.term, campaign.pre_vote):
+        return
+    campaign.votes[sender] = answer.storage_id
+    check_campaign(state, now)
--- /dev/null
+++ b/cyclamenlift/replication/following.py
@@ -0,0 +1,113 @@
+"""What a follower does with a leader's entries."""
+
+from cyclamenlift.replication.commits import commit_to
+from cyclamenlift.replication.queries import Role
+from cyclamenlift.replication.receivers import InvariantError
+from cyclamenlift.replication.receivers import RECEIVERS
+from cyclamenlift.replication.state import ReplicaState
+from cyclamenlift.wire.gen.protocol.ttypes import AppendAnswer
+from cyclamenlift.wire.gen.protocol.ttypes import AppendRequest
+from cyclamenlift.wire.gen.protocol.ttypes import LogEntry
+
+
+def hear_leader(
+    state: ReplicaState, term: int, leader: str, now: float
+) -> None:
+    """Follow the sender, the one leader of its term."""
+    if term == state.term and state.role is Role.LEADER:
+        raise InvariantError(f'{leader} leads term {term} as well')
+    state.follow(term, leader, now)
+    state.leader_heard_at = now
+    state.postpone_election(now)
+
+
+@RECEIVERS.register('AppendRequest')
+def receive_request(
+    state: ReplicaState, sender: str, request: AppendRequest, now: float
+) -> None:
+    if request.term < state.term:
+        state.outbox.send(sender, make_answer(state, request, False, 0))
+        return
+    hear_leader(state, request.term, sender, now)
+    if not fits(state, request):
+        hint = find_hint(state, request)
+        answer = make_answer(state, request, False, 0, hint)
+        state.outbox.send_synced(sender, answer)
+        return
+    add_entries(state, request.entries)
+    last = request.previous_index + len(request.entries)
+    send_ack(state, sender, request, last)
+    committed = min(request.commit_index, last)
+    if committed > state.commit_index:
+        commit_to(state, committed)
+
+
+def fits(state: ReplicaState, request: AppendRequest) -> bool:
+    """Tell whether our log agrees up to where the entries begin."""
+    if request.previous_index <= state.commit_index:
+        return True
+    ours = state.log.term_at(request.previous_index)
+    return ours == request.previous_term
+
+
+def find_hint(state: ReplicaState, request: AppendRequest) -> int:
+    """Return the last index that may agree, a whole term at a time."""
+    last = state.log.last_index
+    if last < request.previous_index:
+        return last
+    first = state.log.first_of_term(request.previous_index)
+    return max(first - 1, state.commit_index)
+
+
+def add_entries(state: ReplicaState, entries: list[LogEntry]) -> None:
+    """Append what is new; cut what another leader left behind."""
+    for position, entry in enumerate(entries):
+        if entry.index <= state.commit_index:
+            continue
+        if state.log.term_at(entry.index) == entry.term:
+            continue
+        if entry.index <= state.log.last_index:
+            truncate_from(state, entry.index)
+        state.append(entries[position:])
+        return
+
+
+def truncate_from(state: ReplicaState, index: int) -> None:
+    if index <= state.commit_index:
+        raise InvariantError(f'entry {index} is committed')
+    state.log.truncate_from(index)
+    state.voters.truncate_from(index)
+
+
+def send_ack(
+    state: ReplicaState, sender: str, request: AppendRequest, last: int
+) -> None:
+    """Acknowledge ``last`` once it is synced.
+
+    A bare heartbeat is answered at once with what is synced already, so
+    that a slow disk does not look like a lost instance.
+    """
+    if request.entries or not state.term_is_durable:
+        answer = make_answer(state, request, True, last)
+        state.outbox.send_synced(sender, answer)
+        return
+    synced = min(last, state.log.durable_index)
+    state.outbox.send(sender, make_answer(state, request, True, synced))
+
+
+def make_answer(
+    state: ReplicaState,
+    request: AppendRequest,
+    accepted: bool,
+    match_index: int,
+    hint_index: int = 0,
+) -> AppendAnswer:
+    return AppendAnswer(
+        term=state.term,
+        follower=state.instance,
+        storage_id=state.storage_id,
+        accepted=accepted,
+        match_index=match_index,
+        round_id=request.round_id,
+        hint_index=hint_index,
+    )
--- /dev/null
+++ b/cyclamenlift/replication/leading.py
@@ -0,0 +1,149 @@
+"""What a leader does: send entries, count answers, check its majority."""
+
+from cyclamenlift.replication.commits import advance_commit
+from cyclamenlift.replication.log import KIND_CONFIGURATION
+from cyclamenlift.replication.log import KIND_NO_OP
+from cyclamenlift.replication.progress import Leadership
+from cyclamenlift.replication.progress import Progress
+from cyclamenlift.replication.queries import Role
+from cyclamenlift.replication.reads import confirm_reads
+from cyclamenlift.replication.reads import start_waiting_reads
+from cyclamenlift.replication.receivers import RECEIVERS
+from cyclamenlift.replication.sending import send_append
+from cyclamenlift.replication.sending import start_round
+from cyclamenlift.replication.state import ReplicaState
+from cyclamenlift.replication.voters import Configuration
+from cyclamenlift.wire.gen.protocol.ttypes import AppendAnswer
+from cyclamenlift.wire.gen.protocol.ttypes import LogEntry
+from cyclamenlift.wire.gen.protocol.ttypes import SnapshotAnswer
+
+
+def start_leading(
+    state: ReplicaState, votes: dict[str, str], now: float
+) -> None:
+    """Lead this term, beginning with an entry of its own."""
+    state.role = Role.LEADER
+    state.leader = state.instance
+    state.campaign = None
+    next_index = state.log.last_index + 1
+    state.leadership = Leadership(
+        start_index=next_index,
+        heartbeat_at=now,
+        progress={
+            peer: Progress(
+                storage_id=votes.get(peer, ''),
+                next_index=next_index,
+                contact_at=now,
+            )
+            for peer in state.peers
+        },
+    )
+    state.append([first_entry(state, votes)])
+    start_round(state, now)
+
+
+def first_entry(state: ReplicaState, votes: dict[str, str]) -> LogEntry:
+    """Return a no-op, or the configuration that founds the cluster."""
+    if state.voters.latest is not None:
+        return make_entry(state, 1, KIND_NO_OP, b'', state.last_stamp)
+    configuration = Configuration(0, dict(votes))
+    return make_entry(
+        state,
+        1,
+        KIND_CONFIGURATION,
+        configuration.encode(),
+        state.last_stamp,
+    )
+
+
+def make_entry(
+    state: ReplicaState, offset: int, kind: int, command: bytes, stamp: int
+) -> LogEntry:
+    """Return the entry that lies ``offset`` after the end of the log."""
+    return LogEntry(
+        index=state.log.last_index + offset,
+        term=state.term,
+        kind=kind,
+        command=command,
+        stamp_unix_ms=max(stamp, state.last_stamp),
+    )
+
+
+def tick_leader(state: ReplicaState, now: float) -> None:
+    """Step down without a majority, or send the heartbeat that is due."""
+    if not has_contact(state, now):
+        state.follow(state.term, '', now)
+        return
+    if now >= state.leadership.heartbeat_at:
+        start_round(state, now)
+        confirm_reads(state)
+
+
+def has_contact(state: ReplicaState, now: float) -> bool:
+    """Tell whether a quorum answered within an election timeout."""
+    oldest = now - state.limits.election
+    present = {
+        name: progress.storage_id
+        for name, progress in state.leadership.progress.items()
+        if progress.contact_at >= oldest
+    }
+    present[state.instance] = state.storage_id
+    return state.has_quorum(present)
+
+
+@RECEIVERS.register('AppendAnswer')
+def receive_append_answer(
+    state: ReplicaState, sender: str, answer: AppendAnswer, now: float
+) -> None:
+    if not hear_answer(state, sender, answer, now):
+        return
+    progress = state.leadership.progress[sender]
+    if answer.accepted:
+        progress.accepted(answer.match_index)
+        advance_commit(state)
+    else:
+        progress.rejected(answer.hint_index)
+    continue_leading(state, sender, now)
+
+
+@RECEIVERS.register('SnapshotAnswer')
+def receive_snapshot_answer(
+    state: ReplicaState, sender: str, answer: SnapshotAnswer, now: float
+) -> None:
+    if not hear_answer(state, sender, answer, now):
+        return
+    progress = state.leadership.progress[sender]
+    if answer.installed:
+        progress.accepted(answer.last_index)
+    elif progress.sends(answer.last_index):
+        progress.transfer.offset = answer.next_offset
+        progress.retry_at = None
+        progress.probing = False
+    continue_leading(state, sender, now)
+
+
+def hear_answer(
+    state: ReplicaState,
+    sender: str,
+    answer: AppendAnswer | SnapshotAnswer,
+    now: float,
+) -> bool:
+    """Note who answered which round; False if it is not for this term."""
+    if answer.term > state.term:
+        state.follow(answer.term, '', now)
+    if state.leadership is None or answer.term != state.term:
+        return False
+    progress = state.leadership.progress[sender]
+    progress.heard_from(answer.storage_id, state.log.last_index + 1)
+    state.leadership.note_answer(progress, answer.round_id)
+    return True
+
+
+def continue_leading(state: ReplicaState, peer: str, now: float) -> None:
+    """Release reads, then send the next entries or chunk."""
+    confirm_reads(state)
+    progress = state.leadership.progress[peer]
+    behind = progress.next_index <= state.log.last_index
+    if behind and progress.retry_at is None:
+        send_append(state, peer, now)
+    start_waiting_reads(state, now)
--- /dev/null
+++ b/cyclamenlift/replication/queries.py
@@ -0,0 +1,124 @@
+"""What a replica tells about itself and, as leader, about the others."""
+
+import dataclasses
+import enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from cyclamenlift.replication.state import ReplicaState
+
+
+class Role(enum.StrEnum):
+    """What a replica does in its term."""
+
+    FOLLOWER = 'follower'
+    CANDIDATE = 'candidate'
+    LEADER = 'leader'
+    STOPPED = 'stopped'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstanceStatus:
+    """One control instance as the answering replica sees it.
+
+    ``counts`` says that its storage id stands in the committed voter set.
+    ``caught_up`` says that it holds every committed entry. A repair is
+    complete when both hold: then the next disk may be lost.
+    ``match_index`` is -1 where it is unknown (the answering replica does
+    not lead), ``storage_id`` is empty where it never answered.
+    """
+
+    instance: str
+    storage_id: str
+    voter_storage_id: str
+    match_index: int
+    counts: bool
+    caught_up: bool
+
+    @property
+    def repair_complete(self) -> bool:
+        return self.counts and self.caught_up
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplicaStatus:
+    """State of one replica; ``instances`` is sorted by name."""
+
+    instance: str
+    role: Role
+    leader: str
+    term: int
+    last_index: int
+    commit_index: int
+    applied_index: int
+    snapshot_index: int
+    storage_id: str
+    established: bool
+    instances: tuple[InstanceStatus, ...]
+
+
+def make_status(
+    instance: str,
+    peers: tuple[str, ...],
+    state: 'ReplicaState | None',
+    applied_index: int,
+) -> ReplicaStatus:
+    """Return the status of a replica; ``state`` None says it is stopped."""
+    if state is None:
+        return stopped_status(instance)
+    voters = state.voters.at(state.commit_index)
+    names = sorted((instance, *peers))
+    return ReplicaStatus(
+        instance=instance,
+        role=state.role,
+        leader=state.leader,
+        term=state.term,
+        last_index=state.log.last_index,
+        commit_index=state.commit_index,
+        applied_index=applied_index,
+        snapshot_index=state.snapshot_index,
+        storage_id=state.storage_id,
+        established=voters is not None,
+        instances=tuple(
+            instance_status(state, name, voters.storage_ids if voters else {})
+            for name in names
+        ),
+    )
+
+
+def stopped_status(instance: str) -> ReplicaStatus:
+    return ReplicaStatus(
+        instance=instance,
+        role=Role.STOPPED,
+        leader='',
+        term=0,
+        last_index=0,
+        commit_index=0,
+        applied_index=0,
+        snapshot_index=0,
+        storage_id='',
+        established=False,
+        instances=(),
+    )
+
+
+def instance_status(
+    state: 'ReplicaState', name: str, voters: dict[str, str]
+) -> InstanceStatus:
+    storage_id, match_index = '', -1
+    if name == state.instance:
+        storage_id = state.storage_id
+        match_index = state.log.durable_index
+    elif state.leadership is not None:
+        progress = state.leadership.progress[name]
+        storage_id = progress.storage_id
+        match_index = progress.match_index
+    voter_storage_id = voters.get(name, '')
+    return InstanceStatus(
+        instance=name,
+        storage_id=storage_id,
+        voter_storage_id=voter_storage_id,
+        match_index=match_index,
+        counts=bool(storage_id) and storage_id == voter_storage_id,
+        caught_up=0 < state.commit_index <= match_index,
+    )
--- /dev/null
+++ b/cyclamenlift/replication/sending.py
@@ -0,0 +1,88 @@
+"""What a leader sends: rounds, entries and chunks of a snapshot."""
+
+from cyclamenlift.replication.progress import Transfer
+from cyclamenlift.replication.state import ReplicaState
+from cyclamenlift.wire.gen.protocol.ttypes import AppendRequest
+from cyclamenlift.wire.gen.protocol.ttypes import LogEntry
+from cyclamenlift.wire.gen.protocol.ttypes import SnapshotChunk
+
+
+def start_round(state: ReplicaState, now: float) -> None:
+    """Send every instance a request that carries a new round."""
+    leadership = state.leadership
+    leadership.heartbeat_at = now + state.limits.heartbeat
+    leadership.open_round(now, state.limits.election)
+    for peer in state.peers:
+        send_append(state, peer, now)
+
+
+def replicate(state: ReplicaState, now: float) -> None:
+    """Send new entries to those that have nothing in flight."""
+    for peer, progress in state.leadership.progress.items():
+        if progress.retry_at is None:
+            send_append(state, peer, now)
+
+
+def send_append(state: ReplicaState, peer: str, now: float) -> None:
+    """Send what the instance lacks, or a bare heartbeat.
+
+    With entries in flight, or when the last ones were not answered in
+    time, only a heartbeat goes out: its answer tells how to go on.
+    """
+    progress = state.leadership.progress[peer]
+    if progress.retry_at is not None and now >= progress.retry_at:
+        progress.probe()
+    if progress.next_index <= state.log.base_index:
+        send_chunk(state, peer, now)
+        return
+    entries = []
+    if progress.retry_at is None and not progress.probing:
+        entries = state.log.after(
+            progress.next_index - 1,
+            state.limits.batch_entries,
+            state.limits.batch_bytes,
+        )
+    send_entries(state, peer, progress.next_index - 1, entries)
+    if entries:
+        progress.next_index += len(entries)
+        progress.retry_at = now + state.limits.election / 2
+
+
+def send_entries(
+    state: ReplicaState, peer: str, previous: int, entries: list[LogEntry]
+) -> None:
+    request = AppendRequest(
+        term=state.term,
+        leader=state.instance,
+        previous_index=previous,
+        previous_term=state.log.term_at(previous),
+        entries=entries,
+        commit_index=state.commit_index,
+        round_id=state.leadership.round_id,
+    )
+    state.outbox.send(peer, request)
+
+
+def send_chunk(state: ReplicaState, peer: str, now: float) -> None:
+    """Send the next chunk, or a heartbeat while one is in flight."""
+    progress = state.leadership.progress[peer]
+    if progress.retry_at is not None or progress.probing:
+        send_entries(state, peer, state.log.base_index, [])
+        return
+    if progress.transfer is None:
+        snapshot = state.snapshot
+        progress.transfer = Transfer(snapshot, snapshot.encode())
+    sending = progress.transfer
+    end = sending.offset + state.limits.chunk_bytes
+    chunk = SnapshotChunk(
+        term=state.term,
+        leader=state.instance,
+        last_index=sending.snapshot.index,
+        last_term=sending.snapshot.term,
+        offset=sending.offset,
+        data=sending.payload[sending.offset : end],
+        last=end >= len(sending.payload),
+        round_id=state.leadership.round_id,
+    )
+    progress.retry_at = now + state.limits.election / 2
+    state.outbox.send(peer, chunk)
--- /dev/null
+++ b/cyclamenlift/replication/state.py
@@ -0,0 +1,200 @@
+"""The state that all decisions of one replica share.
+
+Pure: time comes in as ``now`` (monotonic seconds), randomness as a
+``random.Random``; what is to be done goes out as effects. The decisions
+stand in ``elections``, ``following``, ``leading``, ``reads``, ``transfer``
+and ``commits``; ``inputs`` is the way in.
+"""
+
+import dataclasses
+import random
+
+from cyclamenlift.replication.effects import LeadershipLost
+from cyclamenlift.replication.effects import Outbox
+from cyclamenlift.replication.effects import PersistEntries
+from cyclamenlift.replication.effects import PersistTerm
+from cyclamenlift.replication.log import KIND_CONFIGURATION
+from cyclamenlift.replication.log import Log
+from cyclamenlift.replication.progress import Leadership
+from cyclamenlift.replication.queries import Role
+from cyclamenlift.replication.snapshots import Snapshot
+from cyclamenlift.replication.voters import Configuration
+from cyclamenlift.replication.voters import Voters
+from cyclamenlift.wire.gen.protocol.ttypes import LogEntry
+
+MAX_BATCH_ENTRIES = 1024
+MAX_BATCH_BYTES = 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Times in seconds, sizes in entries and bytes."""
+
+    election: float
+    heartbeat: float
+    snapshot_entries: int
+    batch_entries: int = MAX_BATCH_ENTRIES
+    batch_bytes: int = MAX_BATCH_BYTES
+    chunk_bytes: int = 256 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Recovered:
+    """What a data folder holds when it is opened."""
+
+    storage_id: str
+    term: int = 0
+    voted_for: str = ''
+    snapshot: Snapshot | None = None
+    entries: tuple[LogEntry, ...] = ()
+
+
+@dataclasses.dataclass(slots=True)
+class Campaign:
+    """Votes collected so far: instance to the storage id that voted."""
+
+    term: int
+    pre_vote: bool
+    votes: dict[str, str] = dataclasses.field(default_factory=dict)
+    own_ticket: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class IncomingSnapshot:
+    """A snapshot that arrives in chunks."""
+
+    term: int
+    last_index: int
+    chunks: list[bytes] = dataclasses.field(default_factory=list)
+    offset: int = 0
+    complete: bool = False
+
+
+class ReplicaState:
+    """Term, vote, log and role of one replica."""
+
+    def __init__(
+        self,
+        instance: str,
+        peers: tuple[str, ...],
+        bootstrap: bool,
+        limits: Limits,
+        recovered: Recovered,
+        rng: random.Random,
+        now: float,
+    ):
+        self.instance = instance
+        self.peers = peers
+        self.bootstrap = bootstrap
+        self.limits = limits
+        self.rng = rng
+        self.storage_id = recovered.storage_id
+        self.term = recovered.term
+        self.voted_for = recovered.voted_for
+        self.term_ticket = 0
+        self.role = Role.FOLLOWER
+        self.leader = ''
+        self.outbox = Outbox()
+        self.voters = Voters((instance, *peers))
+        self.snapshot = recovered.snapshot
+        self.snapshot_writes: dict[int, Snapshot] = {}
+        self.campaign: Campaign | None = None
+        self.leadership: Leadership | None = None
+        self.incoming: IncomingSnapshot | None = None
+        self.leader_heard_at = float('-inf')
+        self.election_deadline = 0.0
+        self.load(recovered)
+        self.postpone_election(now)
+
+    def load(self, recovered: Recovered) -> None:
+        snapshot = recovered.snapshot
+        index = snapshot.index if snapshot else 0
+        term = snapshot.term if snapshot else 0
+        self.commit_index = index
+        self.last_stamp = snapshot.stamp_unix_ms if snapshot else 0
+        self.log = Log(index, term, recovered.entries)
+        self.voters.reset(snapshot.configuration if snapshot else None)
+        for entry in recovered.entries:
+            self.note_entry(entry)
+
+    def note_entry(self, entry: LogEntry) -> None:
+        """Keep what the log says beside commands: voters and time."""
+        self.last_stamp = max(self.last_stamp, entry.stamp_unix_ms)
+        if entry.kind == KIND_CONFIGURATION:
+            configuration = Configuration.decode(entry.index, entry.command)
+            self.voters.note_appended(configuration)
+
+    # -- queries ----------------------------------------------------------
+
+    @property
+    def snapshot_index(self) -> int:
+        return self.snapshot.index if self.snapshot else 0
+
+    @property
+    def may_vote(self) -> bool:
+        """Tell whether this storage may vote and stand for election.
+
+        It must be named by the configuration in its own log: so a disk
+        that came back empty waits until it was replaced and has caught up
+        to that entry. An empty log votes only with ``bootstrap``.
+        """
+        if self.voters.latest is None:
+            return self.bootstrap
+        return self.voters.names_storage(self.instance, self.storage_id)
+
+    @property
+    def term_is_durable(self) -> bool:
+        return self.outbox.synced_ticket >= self.term_ticket
+
+    def has_quorum(self, present: dict[str, str]) -> bool:
+        return self.voters.has_quorum(present, self.commit_index)
+
+    def summary(self) -> dict[str, object]:
+        """Return what a log line tells about this replica."""
+        return {
+            'storage_id': self.storage_id,
+            'term': self.term,
+            'last_index': self.log.last_index,
+            'snapshot_index': self.snapshot_index,
+            'may_vote': self.may_vote,
+        }
+
+    # -- commands ---------------------------------------------------------
+
+    def postpone_election(self, now: float) -> None:
+        """Draw the next deadline, so that two rarely stand at once."""
+        wait = self.limits.election * (1.0 + self.rng.random())
+        self.election_deadline = now + wait
+
+    def persist_term(self) -> int:
+        """Write term and vote; return the ticket."""
+        ticket = self.outbox.next_ticket()
+        self.term_ticket = ticket
+        self.outbox.add(PersistTerm(ticket, self.term, self.voted_for))
+        return ticket
+
+    def append(self, entries: list[LogEntry]) -> None:
+        """Add entries to the log in memory and write them."""
+        ticket = self.outbox.next_ticket()
+        self.log.append(entries, ticket)
+        for entry in entries:
+            self.note_entry(entry)
+        self.outbox.add(PersistEntries(ticket, tuple(entries)))
+
+    def follow(self, term: int, leader: str, now: float) -> None:
+        """Become a follower, in a newer term or in this one."""
+        if term > self.term:
+            self.term = term
+            self.voted_for = ''
+            self.leader = ''
+            self.persist_term()
+        if self.role is Role.LEADER:
+            self.outbox.add(LeadershipLost())
+            self.leader = ''
+        if self.role is not Role.FOLLOWER:
+            self.postpone_election(now)
+        self.role = Role.FOLLOWER
+        self.campaign = None
+        self.leadership = None
+        if leader:
+            self.leader = leader
--- /dev/null
+++ b/cyclamenlift/replication/sync.py
@@ -0,0 +1,133 @@
+"""The task that writes and syncs, on a thread of its own.
+
+A sync takes milliseconds, which the event loop can not spare. Batches go
+in by a queue; everything queued during one sync shares the next. What is
+done comes back by a second queue, and a byte on a socket wakes the loop.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import queue
+import socket
+import threading
+
+from circuits.core.components import BaseComponent
+from circuits.core.handlers import handler
+
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.problems import Problem
+from cyclamenlift.replication.effects import Persist
+from cyclamenlift.replication.storage import Storage
+
+WAKE = b'.'
+READ_SIZE = 4096
+JOIN_SECONDS = 10.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SyncDone:
+    """All writes up to ``ticket`` are durable."""
+
+    ticket: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SyncFailed:
+    """The disk refused a write: nothing later was written."""
+
+    problem: Problem
+
+
+class SyncTask(BaseComponent):
+    """Owns the storage while it runs; ``take`` gets each outcome."""
+
+    channel = 'sync'
+
+    def __init__(
+        self,
+        poller,
+        storage: Storage,
+        take: Callable[[SyncDone | SyncFailed], None],
+    ):
+        super().__init__(channel='sync')
+        self.poller = poller
+        self.storage = storage
+        self.take = take
+        self.writes: queue.SimpleQueue = queue.SimpleQueue()
+        self.outcomes: queue.SimpleQueue = queue.SimpleQueue()
+        self.wake_in, self.wake_out = socket.socketpair()
+        self.wake_in.setblocking(False)
+        self.wake_out.setblocking(False)
+        self.thread = threading.Thread(
+            target=self.run_writes, name='sync', daemon=True
+        )
+
+    def start(self) -> None:
+        self.poller.addReader(self, self.wake_in)
+        self.thread.start()
+
+    def write(self, writes: list[Persist]) -> None:
+        """Queue writes; their outcome comes to ``take``."""
+        self.writes.put(writes)
+
+    def stop(self) -> None:
+        """Finish what is queued and close the folder."""
+        self.writes.put(None)
+        self.thread.join(JOIN_SECONDS)
+        self.poller.discard(self.wake_in)
+        self.wake_in.close()
+        self.wake_out.close()
+
+    # -- on the loop ------------------------------------------------------
+
+    @handler('_read')
+    def _on_poll_read(self, sock) -> None:
+        if sock is not self.wake_in:
+            return
+        try:
+            sock.recv(READ_SIZE)
+        except (BlockingIOError, InterruptedError):
+            return
+        while not self.outcomes.empty():
+            self.take(self.outcomes.get_nowait())
+
+    # -- on the thread ----------------------------------------------------
+
+    def run_writes(self) -> None:
+        while True:
+            batch, stopping = self.next_batch()
+            if batch and not self.write_batch(batch):
+                break
+            if stopping:
+                break
+        self.storage.close()
+
+    def next_batch(self) -> tuple[list[Persist], bool]:
+        """Wait for writes, then take all that are queued."""
+        batch: list[Persist] = []
+        queued = self.writes.get()
+        while queued is not None:
+            batch.extend(queued)
+            if self.writes.empty():
+                return batch, False
+            queued = self.writes.get()
+        return batch, True
+
+    def write_batch(self, batch: list[Persist]) -> bool:
+        try:
+            self.storage.write(batch)
+        except OSError as error:
+            folder = str(self.storage.folder)
+            problem = Problem(ResultCode.STORAGE_FAILED, str(error), folder)
+            self.report(SyncFailed(problem))
+            return False
+        self.report(SyncDone(batch[-1].ticket))
+        return True
+
+    def report(self, outcome: SyncDone | SyncFailed) -> None:
+        self.outcomes.put(outcome)
+        try:
+            self.wake_out.send(WAKE)
+        except OSError:
+            # Full: the loop has a wake-up waiting. Closed: it has stopped.
+            return
--- /dev/null
+++ b/cyclamenlift/replication/tasks.py
@@ -0,0 +1,359 @@
+"""The replica: a component that owns one copy of the replicated log."""
+
+from collections.abc import Callable
+import random
+
+from circuits.core.components import BaseComponent
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+import structlog
+
+from cyclamenlift.core.clock import MILLISECONDS
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.problems import Problem
+from cyclamenlift.core.registry import Registry
+from cyclamenlift.replication.commands import append_commands
+from cyclamenlift.replication.commands import replace_storage
+from cyclamenlift.replication.commits import snapshot_taken
+from cyclamenlift.replication.effects import Apply
+from cyclamenlift.replication.effects import ReadReady
+from cyclamenlift.replication.effects import RestoreMachine
+from cyclamenlift.replication.effects import Send
+from cyclamenlift.replication.effects import TakeSnapshot
+from cyclamenlift.replication.inputs import receive
+from cyclamenlift.replication.inputs import synced
+from cyclamenlift.replication.inputs import tick
+from cyclamenlift.replication.log import KIND_COMMAND
+from cyclamenlift.replication.machine import StateMachine
+from cyclamenlift.replication.queries import make_status
+from cyclamenlift.replication.queries import ReplicaStatus
+from cyclamenlift.replication.queries import Role
+from cyclamenlift.replication.reads import ask_read
+from cyclamenlift.replication.receivers import InvariantError
+from cyclamenlift.replication.settings import ReplicaSettings
+from cyclamenlift.replication.state import Limits
+from cyclamenlift.replication.state import ReplicaState
+from cyclamenlift.replication.storage import open_storage
+from cyclamenlift.replication.sync import SyncDone
+from cyclamenlift.replication.sync import SyncFailed
+from cyclamenlift.replication.sync import SyncTask
+from cyclamenlift.replication.waiting import Proposal
+from cyclamenlift.replication.waiting import ProposalDone
+from cyclamenlift.replication.waiting import ReadDone
+from cyclamenlift.replication.waiting import Waiting
+from cyclamenlift.wire.gen.protocol.ttypes import AppendAnswer
+from cyclamenlift.wire.gen.protocol.ttypes import AppendRequest
+from cyclamenlift.wire.gen.protocol.ttypes import SnapshotAnswer
+from cyclamenlift.wire.gen.protocol.ttypes import SnapshotChunk
+from cyclamenlift.wire.gen.protocol.ttypes import VoteAnswer
+from cyclamenlift.wire.gen.protocol.ttypes import VoteRequest
+from cyclamenlift.wire.tasks import Link
+from cyclamenlift.wire.tasks import PeerNetwork
+
+LOG = structlog.get_logger('replication')
+TICKS_PER_HEARTBEAT = 4
+MESSAGES = (
+    AppendAnswer,
+    AppendRequest,
+    SnapshotAnswer,
+    SnapshotChunk,
+    VoteAnswer,
+    VoteRequest,
+)
+EFFECTS: Registry = Registry('effect')
+
+
+class Replica(BaseComponent):
+    """Runs the decisions: messages and ticks in, effects out.
+
+    The machine is called on the loop's own thread. Every ``done`` is
+    called once, never from inside the call that took it.
+    """
+
+    channel = 'replica'
+
+    def __init__(
+        self,
+        root,
+        network: PeerNetwork,
+        settings: ReplicaSettings,
+        machine: StateMachine,
+        rng: random.Random,
+    ):
+        super().__init__(channel='replica')
+        self.loop = root
+        self.network = network
+        self.settings = settings
+        self.machine = machine
+        self.rng = rng
+        self.state: ReplicaState | None = None
+        self.sync: SyncTask | None = None
+        self.applied_index = 0
+        self.active = False
+        self.handling = False
+        self.flush_planned = False
+        self.waiting = Waiting()
+        self.known_leader = ''
+        self.register(root)
+
+    # -- queries ----------------------------------------------------------
+
+    @property
+    def leader(self) -> str:
+        """The leader's name as known here, '' if there is none."""
+        return self.state.leader if self.active else ''
+
+    @property
+    def leads(self) -> bool:
+        return self.active and self.state.role is Role.LEADER
+
+    def status(self) -> ReplicaStatus:
+        """Return what this replica knows."""
+        return make_status(
+            self.settings.instance,
+            tuple(self.settings.peers),
+            self.state if self.active else None,
+            self.applied_index,
+        )
+
+    # -- commands ---------------------------------------------------------
+
+    def start(self) -> Result[None, Problem]:
+        """Open the folder and take part; a Failure names what is wrong."""
+        settings = self.settings
+        opened = open_storage(settings.folder, settings.instance)
+        if isinstance(opened, Failure):
+            return opened
+        storage = opened.unwrap()
+        self.state = ReplicaState(
+            instance=settings.instance,
+            peers=tuple(settings.peers),
+            bootstrap=settings.bootstrap,
+            limits=make_limits(settings),
+            recovered=storage.recovered,
+            rng=self.rng,
+            now=self.now(),
+        )
+        if storage.recovered.snapshot is not None:
+            self.restore(RestoreMachine(storage.recovered.snapshot))
+        self.sync = SyncTask(self.loop.poller, storage, self.take_outcome)
+        self.sync.register(self.loop)
+        self.sync.start()
+        for kind in MESSAGES:
+            self.network.subscribe(kind, self.take_message)
+        self.active = True
+        self.plan_tick()
+        LOG.info('replica_started', **self.state.summary())
+        return Success(None)
+
+    def stop(self) -> None:
+        """Finish the writes, close the folder and fail what waits."""
+        if self.sync is None:
+            return
+        self.active = False
+        self.sync.stop()
+        self.sync.unregister()
+        self.sync = None
+        self.waiting.fail_all(self.not_leader())
+
+    def propose(self, command: bytes, done: ProposalDone) -> None:
+        """Append one command; ``done`` gets the machine's answer.
+
+        Fails with NOT_LEADER when it was certainly not appended, and with
+        CHANGE_UNKNOWN when leadership was lost after that.
+        """
+        self.waiting.queue.append(Proposal(command, done))
+        self.plan_flush()
+
+    def read_barrier(self, done: ReadDone) -> None:
+        """Confirm leadership after now, then tell the applied index.
+
+        What the machine holds when ``done`` is called with Success is
+        current. Fails with NOT_LEADER.
+        """
+        if not self.leads:
+            problem = self.not_leader()
+            self.soon(lambda: done(Failure(problem)))
+            return
+        token = self.waiting.add_read(done)
+        ask_read(self.state, token, self.now())
+        self.soon(self.handle_effects)
+
+    def replace_storage(
+        self, instance: str, storage_id: str, done: ProposalDone
+    ) -> None:
+        """Let ``storage_id`` count for ``instance`` after a lost disk.
+
+        Fails with NOT_LEADER, STORAGE_REFUSED or CHANGE_UNKNOWN.
+        """
+        if not self.leads:
+            problem = self.not_leader()
+            self.soon(lambda: done(Failure(problem)))
+            return
+        asked = replace_storage(self.state, instance, storage_id, self.now())
+        if isinstance(asked, Failure):
+            self.soon(lambda: done(asked))
+            return
+        index = asked.unwrap()
+        if index:
+            self.waiting.note_appended(index, self.state.term, done)
+        else:
+            self.soon(lambda: done(Success(b'')))
+        self.soon(self.handle_effects)
+
+    # -- inputs -----------------------------------------------------------
+
+    def now(self) -> float:
+        return self.loop.scheduler.clock.now()
+
+    def soon(self, callback: Callable[[], None]) -> None:
+        """Run a callback at the next round of the loop."""
+        self.loop.scheduler.after(0.0, callback)
+
+    def plan_tick(self) -> None:
+        seconds = self.settings.heartbeat_ms / MILLISECONDS
+        self.loop.scheduler.after(seconds / TICKS_PER_HEARTBEAT, self.run_tick)
+
+    def run_tick(self) -> None:
+        if self.active:
+            tick(self.state, self.now())
+            self.handle_effects()
+            self.plan_tick()
+
+    def take_message(self, link: Link, message) -> None:
+        """Take a message of another instance, sent under its own name."""
+        if not self.active or link.hello is None:
+            return
+        try:
+            receive(self.state, link.hello.instance, message, self.now())
+        except InvariantError as error:
+            self.halt(Problem(ResultCode.STORAGE_DAMAGED, str(error)))
+            return
+        self.handle_effects()
+
+    def take_outcome(self, outcome: SyncDone | SyncFailed) -> None:
+        if not self.active:
+            return
+        if isinstance(outcome, SyncFailed):
+            self.halt(outcome.problem)
+            return
+        synced(self.state, outcome.ticket, self.now())
+        self.handle_effects()
+        self.flush()
+
+    def halt(self, problem: Problem) -> None:
+        """Take no further part: this disk can not be trusted any more."""
+        LOG.error('replica_halted', code=int(problem.code), why=problem.line())
+        self.active = False
+        self.waiting.fail_all(self.not_leader())
+
+    # -- proposals --------------------------------------------------------
+
+    def plan_flush(self) -> None:
+        if not self.flush_planned:
+            self.flush_planned = True
+            self.soon(self.run_flush)
+
+    def run_flush(self) -> None:
+        self.flush_planned = False
+        self.flush()
+
+    def flush(self) -> None:
+        """Append what is queued, one batch for each sync of ours."""
+        if not self.waiting.queue:
+            return
+        if not self.leads:
+            self.waiting.fail_queue(self.not_leader())
+            return
+        if not self.state.outbox.is_synced:
+            return
+        batch = self.waiting.take_batch(self.state.limits.batch_entries)
+        first = append_commands(
+            self.state,
+            [proposal.command for proposal in batch],
+            self.loop.scheduler.clock.unix_ms(),
+            self.now(),
+        )
+        for index, proposal in enumerate(batch, start=first):
+            self.waiting.note_appended(index, self.state.term, proposal.done)
+        self.handle_effects()
+
+    def not_leader(self) -> Problem:
+        return Problem(ResultCode.NOT_LEADER, where=self.leader)
+
+    # -- effects ----------------------------------------------------------
+
+    def handle_effects(self) -> None:
+        """Do what the decisions ask for, in order.
+
+        Callbacks may come back in here; the outermost call goes on with
+        what they add, so that the order is kept.
+        """
+        if self.handling:
+            return
+        self.handling = True
+        try:
+            while self.active and self.state.outbox.effects:
+                self.handle_batch(self.state.outbox.take())
+        except Exception as error:
+            LOG.exception('effect_failed')
+            self.halt(Problem(ResultCode.STORAGE_FAILED, repr(error)))
+        finally:
+            self.handling = False
+        self.note_leader()
+
+    def note_leader(self) -> None:
+        if self.leader != self.known_leader:
+            self.known_leader = self.leader
+            LOG.info('leader_known', leader=self.leader, term=self.state.term)
+
+    def handle_batch(self, effects: list) -> None:
+        writes = [e for e in effects if hasattr(e, 'ticket')]
+        if writes:
+            self.sync.write(writes)
+        for effect in effects:
+            if not hasattr(effect, 'ticket'):
+                EFFECTS.get(type(effect).__name__)(self, effect)
+
+    @EFFECTS.register('Send')
+    def send(self, effect: Send) -> None:
+        address = self.settings.peers[effect.to]
+        self.network.send(address, effect.message)
+
+    @EFFECTS.register('Apply')
+    def apply(self, effect: Apply) -> None:
+        for entry in effect.entries:
+            answer = b''
+            if entry.kind == KIND_COMMAND:
+                answer = self.machine.apply(
+                    entry.index, entry.stamp_unix_ms, entry.command
+                )
+            self.applied_index = entry.index
+            self.waiting.finish_entry(entry, answer)
+
+    @EFFECTS.register('TakeSnapshot')
+    def take_snapshot(self, effect: TakeSnapshot) -> None:
+        snapshot_taken(self.state, effect.index, self.machine.snapshot())
+
+    @EFFECTS.register('RestoreMachine')
+    def restore(self, effect: RestoreMachine) -> None:
+        self.machine.restore(effect.snapshot.data)
+        self.applied_index = effect.snapshot.index
+
+    @EFFECTS.register('ReadReady')
+    def finish_read(self, effect: ReadReady) -> None:
+        self.waiting.finish_read(effect.token, effect.index)
+
+    @EFFECTS.register('LeadershipLost')
+    def lose_leadership(self, _effect) -> None:
+        LOG.info('leadership_lost', term=self.state.term)
+        self.waiting.fail_all(self.not_leader())
+
+
+def make_limits(settings: ReplicaSettings) -> Limits:
+    return Limits(
+        election=settings.election_ms / MILLISECONDS,
+        heartbeat=settings.heartbeat_ms / MILLISECONDS,
+        snapshot_entries=settings.snapshot_entries,
+    )
--- /dev/null
+++ b/cyclamenlift/replication/voters.py
@@ -0,0 +1,129 @@
+"""Who counts: the voter set, by instance and storage id.
+
+An instance's name is not enough to count its vote, since its disk may have
+come back empty and forgotten what it promised. A configuration therefore
+maps each instance to the storage id of the data folder that counts for it,
+and is itself an entry of the log.
+
+* Founding: with no configuration in its log a candidate needs the votes of
+  *every* instance, all with empty logs. Any instance that holds an entry
+  refuses, so wiped folders can not found a second cluster beside data.
+* Replacement: while a changed configuration is not known to be committed,
+  a majority of the old *and* of the new one is needed.
+"""
+
+from collections.abc import Mapping
+import dataclasses
+import json
+
+
+class ConfigurationError(ValueError):
+    """The bytes of a configuration can not be read."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configuration:
+    """The storage id that counts for each instance, since ``index``."""
+
+    index: int
+    storage_ids: dict[str, str]
+
+    def has_majority(self, present: Mapping[str, str]) -> bool:
+        """Tell whether ``present`` (instance to storage id) is a majority.
+
+        >>> configuration = Configuration(1, {'a': '1', 'b': '2', 'c': '3'})
+        >>> configuration.has_majority({'a': '1', 'b': '2'})
+        True
+        >>> configuration.has_majority({'a': '1', 'b': 'an empty disk'})
+        False
+        """
+        held = sum(
+            present.get(name) == storage_id
+            for name, storage_id in self.storage_ids.items()
+        )
+        return held > len(self.storage_ids) // 2
+
+    def replaced(self, instance: str, storage_id: str) -> 'Configuration':
+        """Return a copy, not yet in the log, with one storage replaced."""
+        storage_ids = dict(self.storage_ids)
+        storage_ids[instance] = storage_id
+        return Configuration(0, storage_ids)
+
+    def encode(self) -> bytes:
+        return json.dumps(self.storage_ids, sort_keys=True).encode()
+
+    @classmethod
+    def decode(cls, index: int, data: bytes) -> 'Configuration':
+        """Read a configuration; raise ConfigurationError on bad bytes."""
+        try:
+            storage_ids = json.loads(data)
+        except ValueError as error:
+            raise ConfigurationError(str(error)) from error
+        if not isinstance(storage_ids, dict) or not storage_ids:
+            raise ConfigurationError('not a mapping of instances')
+        return cls(index, storage_ids)
+
+
+class Voters:
+    """The configurations of the log, and the quorums they ask for."""
+
+    def __init__(self, names: tuple[str, ...]):
+        self.names = names
+        self.history: list[Configuration] = []
+
+    def note_appended(self, configuration: Configuration) -> None:
+        self.history.append(configuration)
+
+    def truncate_from(self, index: int) -> None:
+        """Forget the configurations of entries that were cut."""
+        self.history = [c for c in self.history if c.index < index]
+
+    def reset(self, configuration: Configuration | None) -> None:
+        """Forget all but the configuration of a snapshot."""
+        self.history = [configuration] if configuration else []
+
+    def restart_from(self, configuration: Configuration | None) -> None:
+        """Begin with the configuration of a snapshot, keep later ones."""
+        first = configuration.index if configuration else 0
+        later = [c for c in self.history if c.index > first]
+        self.reset(configuration)
+        self.history.extend(later)
+
+    def at(self, index: int) -> Configuration | None:
+        """Return the configuration in force at ``index``."""
+        found = [c for c in self.history if c.index <= index]
+        return found[-1] if found else None
+
+    @property
+    def latest(self) -> Configuration | None:
+        return self.history[-1] if self.history else None
+
+    def active(self, commit_index: int) -> list[Configuration]:
+        """Return the committed configuration and those after it."""
+        committed = self.at(commit_index)
+        start = committed.index if committed else 0
+        return [c for c in self.history if c.index >= start]
+
+    def change_pending(self, commit_index: int) -> bool:
+        latest = self.latest
+        return latest is None or latest.index > commit_index
+
+    def has_quorum(
+        self, present: Mapping[str, str], commit_index: int
+    ) -> bool:
+        """Tell whether ``present`` decides: elects, commits, confirms."""
+        active = self.active(commit_index)
+        if not active:
+            return self.can_found(present)
+        return all(c.has_majority(present) for c in active)
+
+    def can_found(self, present: Mapping[str, str]) -> bool:
+        """Tell whether every instance is there to found the cluster."""
+        return all(name in present for name in self.names)
+
+    def names_storage(self, instance: str, storage_id: str) -> bool:
+        """Tell whether the latest configuration names this storage."""
+        latest = self.latest
+        if latest is None:
+            return False
+        return latest.storage_ids.get(instance) == storage_id
--- /dev/null
+++ b/cyclamenlift/replication/waiting.py
@@ -0,0 +1,88 @@
+"""Callers that wait: for a place in the log, a commit or a read."""
+
+from collections.abc import Callable
+import dataclasses
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.problems import Problem
+from cyclamenlift.wire.gen.protocol.ttypes import LogEntry
+
+ProposalDone = Callable[[Result[bytes, Problem]], None]
+ReadDone = Callable[[Result[int, Problem]], None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Proposal:
+    """A command that waits to be appended."""
+
+    command: bytes
+    done: ProposalDone
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Appended:
+    """A proposal that is in the log and waits to be committed."""
+
+    term: int
+    done: ProposalDone
+
+
+class Waiting:
+    """Everyone who has asked and not been answered; each is, once."""
+
+    def __init__(self):
+        self.queue: list[Proposal] = []
+        self.appended: dict[int, Appended] = {}
+        self.reads: dict[int, ReadDone] = {}
+        self.last_token = 0
+
+    def add_read(self, done: ReadDone) -> int:
+        """Keep a read; return the token it goes by."""
+        self.last_token += 1
+        self.reads[self.last_token] = done
+        return self.last_token
+
+    def take_batch(self, limit: int) -> list[Proposal]:
+        """Return the oldest queued proposals and forget them."""
+        batch = self.queue[:limit]
+        del self.queue[:limit]
+        return batch
+
+    def note_appended(self, index: int, term: int, done: ProposalDone) -> None:
+        self.appended[index] = Appended(term, done)
+
+    def finish_entry(self, entry: LogEntry, answer: bytes) -> None:
+        """Answer the proposal that became this committed entry."""
+        appended = self.appended.pop(entry.index, None)
+        if appended is None:
+            return
+        if appended.term == entry.term:
+            appended.done(Success(answer))
+        else:
+            appended.done(Failure(Problem(ResultCode.CHANGE_UNKNOWN)))
+
+    def finish_read(self, token: int, index: int) -> None:
+        done = self.reads.pop(token, None)
+        if done is not None:
+            done(Success(index))
+
+    def fail_queue(self, problem: Problem) -> None:
+        """Answer proposals that were certainly not appended."""
+        queue, self.queue = self.queue, []
+        for proposal in queue:
+            proposal.done(Failure(problem))
+
+    def fail_all(self, problem: Problem) -> None:
+        """Answer everyone; what was appended may yet be committed."""
+        unknown = Failure(Problem(ResultCode.CHANGE_UNKNOWN))
+        appended, self.appended = self.appended, {}
+        for waiting in appended.values():
+            waiting.done(unknown)
+        reads, self.reads = self.reads, {}
+        for done in reads.values():
+            done(Failure(problem))
+        self.fail_queue(problem)
--- a/cyclamenlift/routing/estimates.py
+++ b/cyclamenlift/routing/estimates.py
@@ -7,11 +7,11 @@
 from cyclamenlift.routing.messages import Outcome
 from cyclamenlift.wire.gen.protocol.ttypes import LoadFigures
 
-FRESH_FACTOR = 2.0
+FRESH_FACTOR = 1.0
 FRESH_MIN = 0.005
 FRESH_MAX = 0.25
 LOAD_SECONDS = 5.0
-MEAN_WEIGHT = 0.1
+MEAN_WEIGHT = 0.03
 LATENCY_SECONDS = 60.0
 LATENCY_HALF_LIFE = 10.0
 LATENCY_WEIGHT = 0.15
--- a/cyclamenlift/routing/policies.py
+++ b/cyclamenlift/routing/policies.py
@@ -15,10 +15,11 @@
 SAMPLE_NEAR = 3
 SAMPLE_FAR = 2
 ERROR_COST = 20.0
-NEAR_EQUAL = 0.2
+NEAR_EQUAL = 0.1
 REFUSING_LOAD = 1.5
 AGE_WEIGHT = 1.0
-BASE = 0.5
+EXCESS_WEIGHT = 1.0
+LATENCY_BAND = 1.25
 LOAD_POWER = 2.0
 
 
@@ -83,7 +84,6 @@
         best_cost = 0.0
         for candidate in near_first(group, usable):
             cost = expected_cost(group, candidate, now)
-            cost *= 1.0 + NEAR_EQUAL * group.rng.random()
             if best is None or cost < best_cost:
                 best = candidate
                 best_cost = cost
@@ -131,6 +131,8 @@
     if estimate.in_flight:
         latency = max(latency, AGE_WEIGHT * estimate.mean_age(now))
     load = relative_load(group, candidate, now)
-    cost = latency * (BASE + (load**LOAD_POWER))
+    cost = typical * load**LOAD_POWER
+    cost += EXCESS_WEIGHT * max(0.0, latency - LATENCY_BAND * typical)
     cost += group.distance(candidate)
-    return cost * (1.0 + ERROR_COST * estimate.errors(now))
+    cost += typical * ERROR_COST * estimate.errors(now)
+    return cost + typical * NEAR_EQUAL * group.rng.random()
--- /dev/null
+++ b/cyclamenlift/runtime/admin.py
@@ -0,0 +1,61 @@
+"""The admin pages of a daemon: status, metrics, burn figures, drain."""
+
+import dataclasses
+import typing
+
+from circuits.web.controllers import Controller
+from circuits.web.controllers import expose
+
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.problems import Problem
+from cyclamenlift.http.pages import json_answer
+from cyclamenlift.http.pages import problem_answer
+from cyclamenlift.http.pages import WebAnswer
+from cyclamenlift.runtime.status import daemon_status
+
+if typing.TYPE_CHECKING:
+    from cyclamenlift.runtime.daemon import DaemonNode
+
+METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
+
+
+class ApiPages(Controller):
+    """``/api``: the status that ``cyclamenlift status`` shows."""
+
+    channel = '/api'
+
+    def __init__(self, node: 'DaemonNode'):
+        super().__init__()
+        self.node = node
+
+    @expose('status')
+    def status(self) -> WebAnswer:
+        return json_answer(dataclasses.asdict(daemon_status(self.node)))
+
+
+class DaemonPages(Controller):
+    """``/metrics``, ``/burn`` and ``/drain``."""
+
+    channel = '/'
+
+    def __init__(self, node: 'DaemonNode'):
+        super().__init__()
+        self.node = node
+
+    @expose('metrics')
+    def metrics(self) -> WebAnswer:
+        return WebAnswer(
+            self.node.metrics.render_prometheus(), 200, METRICS_TYPE
+        )
+
+    @expose('burn')
+    def burn(self) -> WebAnswer:
+        return json_answer(self.node.burn_snapshot())
+
+    @expose('drain')
+    def drain(self) -> WebAnswer:
+        """Begin a drain; a second request changes nothing."""
+        if self.request.method != 'POST':
+            return problem_answer(Problem(ResultCode.METHOD_NOT_ALLOWED))
+        self.node.drain()
+        return json_answer(dataclasses.asdict(daemon_status(self.node)))
--- /dev/null
+++ b/cyclamenlift/runtime/control.py
@@ -0,0 +1,204 @@
+"""A control instance: the replicated log, its servers and the console."""
+
+import pathlib
+import random
+import signal
+import sys
+
+from circuits.core.components import BaseComponent
+from circuits.core.handlers import handler
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+import structlog
+
+from cyclamenlift.conf.settings import ControlSettings
+from cyclamenlift.core.logs import configure_logs
+from cyclamenlift.core.problems import Problem
+from cyclamenlift.core.streams import Address
+from cyclamenlift.core.tasks import build_root
+from cyclamenlift.events.context import ControlContext
+from cyclamenlift.events.server import DocumentServer
+from cyclamenlift.http.web import WebServer
+from cyclamenlift.ledger.server import ClaimServer
+from cyclamenlift.replication.settings import ReplicaSettings
+from cyclamenlift.replication.tasks import Replica
+from cyclamenlift.runtime.control_api import ControlApi
+from cyclamenlift.runtime.machine import ControlMachine
+from cyclamenlift.runtime.peers import parse_peers
+from cyclamenlift.wire.tasks import PeerNetwork
+
+EXIT_FAILED = 1
+EXIT_SETTINGS = 2
+STOP_SECONDS = 5.0
+IDLE_CHECK_SECONDS = 0.05
+LOG = structlog.get_logger('control')
+
+
+class ControlNode(BaseComponent):
+    """All parts of one control instance, and the order in which they stop."""
+
+    channel = 'control'
+
+    def __init__(
+        self,
+        settings: ControlSettings,
+        peers: dict[str, Address],
+        rng: random.Random,
+    ):
+        super().__init__(channel='control')
+        self.settings = settings
+        self.rng = rng
+        self.loop = build_root()
+        self.register(self.loop)
+        self.machine = ControlMachine()
+        self.network = self.make_network()
+        self.replica = self.make_replica(peers)
+        self.claims = self.make_claim_server()
+        self.documents = self.make_document_server()
+        self.context = ControlContext(
+            settings.instance,
+            settings.data_centre,
+            self.replica,
+            self.machine.events,
+            self.machine.ledger,
+        )
+        self.stopping = False
+        self.stop_deadline = 0.0
+
+    # -- parts ------------------------------------------------------------
+
+    def make_network(self) -> PeerNetwork:
+        settings = self.settings
+        network = PeerNetwork(
+            self.loop.poller,
+            settings.instance,
+            settings.data_centre,
+            settings.cluster,
+        )
+        return network.register(self.loop)
+
+    def make_replica(self, peers: dict[str, Address]) -> Replica:
+        settings = self.settings
+        others = {
+            name: address
+            for name, address in peers.items()
+            if name != settings.instance
+        }
+        replica_settings = ReplicaSettings(
+            instance=settings.instance,
+            folder=pathlib.Path(settings.data),
+            peers=others,
+            election_ms=settings.election_ms,
+            heartbeat_ms=settings.heartbeat_ms,
+            snapshot_entries=settings.snapshot_entries,
+            bootstrap=settings.bootstrap,
+        )
+        return Replica(
+            self.loop, self.network, replica_settings, self.machine, self.rng
+        )
+
+    def make_claim_server(self) -> ClaimServer:
+        return ClaimServer(
+            self.network,
+            self.replica,
+            self.machine.ledger,
+            self.settings.instance,
+            self.settings.max_claims,
+            self.settings.recorded_answer_bytes,
+        )
+
+    def make_document_server(self) -> DocumentServer:
+        server = DocumentServer(
+            self.network,
+            self.replica,
+            self.machine.events,
+            self.settings.instance,
+            self.rng,
+        )
+        self.machine.subscribe_version(server.tell)
+        return server
+
+    # -- start and stop ---------------------------------------------------
+
+    def start_parts(self) -> Result[None, Problem]:
+        """Open the data folder, then the ports; a Failure changes nothing."""
+        opened = self.replica.start()
+        if isinstance(opened, Failure):
+            return opened
+        self.peer_address = self.network.listen(
+            Address.parse(self.settings.peer_listen)
+        )
+        self.admin = WebServer(
+            self.loop,
+            Address.parse(self.settings.admin_listen),
+            [ControlApi(self.context)],
+        )
+        LOG.info(
+            'control_started',
+            peer=str(self.peer_address),
+            admin=str(self.admin.address),
+            version=self.machine.events.version,
+        )
+        return Success(None)
+
+    def begin_stop(self) -> None:
+        """Take no new requests, answer those in hand, then leave."""
+        if self.stopping:
+            return
+        self.stopping = True
+        now = self.loop.scheduler.clock.now()
+        self.stop_deadline = now + STOP_SECONDS
+        LOG.info('stop_began')
+        self.admin.begin_drain()
+        self.network.stop_listening()
+        self.check_idle()
+
+    def check_idle(self) -> None:
+        busy = self.admin.busy or self.claims.proposals
+        if busy and self.loop.scheduler.clock.now() < self.stop_deadline:
+            self.loop.scheduler.after(IDLE_CHECK_SECONDS, self.check_idle)
+            return
+        self.finish_stop()
+
+    def finish_stop(self) -> None:
+        self.replica.stop()
+        self.network.close_all()
+        self.admin.http.close_all()
+        LOG.info('stopped')
+        self.loop.stop()
+
+    @handler('signal', channel='*')
+    def _on_signal(self, event, number, _stack) -> None:
+        if number in (signal.SIGTERM, signal.SIGINT):
+            event.stop()
+            self.begin_stop()
+
+
+def run(settings: ControlSettings) -> int:
+    """Run a control instance until it is told to stop.
+
+    Return the exit status: 2 for wrong settings, 1 when the data folder or
+    a port can not be had; every problem is on standard error.
+    """
+    configure_logs(settings.log_format, settings.log_level, settings.instance)
+    peers = parse_peers(settings)
+    if isinstance(peers, Failure):
+        report(peers.failure())
+        return EXIT_SETTINGS
+    node = ControlNode(settings, peers.unwrap(), random.Random())
+    try:
+        started = node.start_parts()
+    except OSError as error:
+        LOG.error('port_unavailable', error=str(error))
+        return EXIT_FAILED
+    if isinstance(started, Failure):
+        report([started.failure()])
+        return EXIT_FAILED
+    node.loop.run()
+    return 0
+
+
+def report(problems: list[Problem]) -> None:
+    for problem in problems:
+        sys.stderr.write(problem.line() + '\n')
--- a/cyclamenlift/runtime/daemon.py
+++ b/cyclamenlift/runtime/daemon.py
@@ -21,11 +21,14 @@
 from cyclamenlift.http.limits import ClientLimits
 from cyclamenlift.http.limits import HttpLimits
 from cyclamenlift.http.server import HttpServer
+from cyclamenlift.http.web import WebServer
 from cyclamenlift.ledger.tasks import ClaimClient
 from cyclamenlift.membership.settings import MembershipSettings
 from cyclamenlift.membership.tasks import Membership
 from cyclamenlift.models.rules import EventRules
 from cyclamenlift.routing.state import RoutingState
+from cyclamenlift.runtime.admin import ApiPages
+from cyclamenlift.runtime.admin import DaemonPages
 from cyclamenlift.runtime.local import local_pair
 from cyclamenlift.wire.gen.protocol.ttypes import BodyChunk
 from cyclamenlift.wire.gen.protocol.ttypes import CallStart
@@ -74,6 +77,11 @@
             Address.parse(settings.peer_listen)
         )
         self.membership = self.make_membership()
+        self.admin = WebServer(
+            self.loop,
+            Address.parse(settings.admin_listen),
+            [ApiPages(self), DaemonPages(self)],
+        )
 
     # -- parts ------------------------------------------------------------
 
@@ -206,6 +214,7 @@
             entry=str(self.entry_address),
             peer=str(self.peer_address),
             gossip=str(self.gossip_address),
+            admin=str(self.admin.address),
         )
 
     def on_rules(self, rules: EventRules) -> None:
@@ -270,6 +279,7 @@
         self.membership.stop()
         self.network.close_all()
         self.entry.close_all()
+        self.admin.http.close_all()
         self.loop.stop()
 
     @handler('signal', channel='*')
--- /dev/null
+++ b/cyclamenlift/runtime/peers.py
@@ -0,0 +1,78 @@
+"""The control instances as the settings name them."""
+
+import re
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from cyclamenlift.conf.settings import ControlSettings
+from cyclamenlift.conf.settings import NAME_PATTERN
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.problems import Problem
+from cyclamenlift.core.streams import Address
+
+MOST_PEERS = 7
+HINT = 'Write name=host:port for every control instance, this one too.'
+
+
+def parse_peers(
+    settings: ControlSettings,
+) -> Result[dict[str, Address], list[Problem]]:
+    """Return the peer address of each control instance by its name.
+
+    Every problem is returned at once. An instance that is not in its own
+    list, or stands there with another address than it listens on, would be
+    counted wrongly by the others.
+    """
+    peers, problems = read_list(settings.peers)
+    if not problems:
+        problems.extend(check_whole(peers, settings))
+    return Failure(problems) if problems else Success(peers)
+
+
+def read_list(
+    texts: tuple[str, ...],
+) -> tuple[dict[str, Address], list[Problem]]:
+    """Return the instances that could be read, and what could not."""
+    peers: dict[str, Address] = {}
+    problems = []
+    for text in texts:
+        name, _, place = text.partition('=')
+        try:
+            address = Address.parse(place)
+        except ValueError:
+            address = None
+        if address is None or not re.match(NAME_PATTERN, name):
+            problems.append(problem(f'{text!r} is not name=host:port'))
+            continue
+        if name in peers:
+            problems.append(problem(f'{name!r} is named twice'))
+        peers[name] = address
+    return peers, problems
+
+
+def check_whole(
+    peers: dict[str, Address], settings: ControlSettings
+) -> list[Problem]:
+    """Return what is wrong with a list whose parts are well formed."""
+    problems = []
+    own = peers.get(settings.instance)
+    if own is None:
+        problems.append(problem(f'{settings.instance!r} is not in the list'))
+    elif own.port != Address.parse(settings.peer_listen).port:
+        problems.append(
+            problem(
+                f'{settings.instance!r} stands there with port {own.port}, '
+                f'but peer_listen is {settings.peer_listen}'
+            )
+        )
+    if len(set(peers.values())) < len(peers):
+        problems.append(problem('two instances have one address'))
+    if len(peers) > MOST_PEERS:
+        problems.append(problem(f'more than {MOST_PEERS} instances'))
+    return problems
+
+
+def problem(detail: str) -> Problem:
+    return Problem(ResultCode.SETTING_INVALID, detail, 'peers', HINT)
--- a/cyclamenlift/standins/fleet.py
+++ b/cyclamenlift/standins/fleet.py
@@ -142,7 +142,7 @@
     arguments: list[str]
 
     def status(self) -> dict | None:
-        return ask_json(self.admin, '/status')
+        return ask_json(self.admin, '/api/status')
 
 
 @dataclasses.dataclass(slots=True)
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -115,7 +115,7 @@
 def drain(fleet: Fleet, number: int) -> None:
     daemon = fleet.daemons[number]
     fleet.start(
-        'drain', ['cyclamenlift', 'drain', f'--address={daemon.admin}']
+        'drain', ['cyclamenlift', 'drain', f'--addresses={daemon.admin}']
     )
 
 
