--- /dev/null
+++ b/tests/calls/test_tasks.py
@@ -0,0 +1,62 @@
+"""Frames find their call, and only theirs."""
+
+import pytest
+
+from cyclamenlift.wire.gen.protocol.ttypes import AnswerStart
+from cyclamenlift.wire.gen.protocol.ttypes import BodyChunk
+from cyclamenlift.wire.gen.protocol.ttypes import Broken
+from cyclamenlift.wire.gen.protocol.ttypes import Cancelled
+from cyclamenlift.wire.gen.protocol.ttypes import Refused
+from tests.runtime.builders import answer
+from tests.runtime.builders import late
+from tests.runtime.builders import PathBed
+from tests.runtime.builders import ScriptedTarget
+
+FOREIGN = b'the answer of somebody else'
+
+
+def answer_frame(number: int) -> AnswerStart:
+    size = len(FOREIGN)
+    return AnswerStart(number, 200, [], size, FOREIGN, True, None, 0)
+
+
+@pytest.mark.parametrize(
+    ('handler', 'make'),
+    [
+        ('on_answer_start', answer_frame),
+        ('on_refused', lambda n: Refused(n, 2001, '', 0, None)),
+        ('on_broken', lambda n: Broken(n, 3000, '', None)),
+        ('on_cancelled', lambda n: Cancelled(n, True, None)),
+        ('on_body_chunk', lambda n: BodyChunk(n, FOREIGN, True)),
+    ],
+)
+@pytest.mark.parametrize('own_link', [True, False])
+def test_frame_for_another_call_or_link_changes_nothing(
+    handler, make, own_link
+):
+    """A wrong number on the right link, the right number on a wrong one."""
+    target = ScriptedTarget(late(0.2, answer(b'mine')))
+    bed = PathBed(target.address)
+    try:
+        caller = bed.send()
+        bed.run_until(lambda: target.requests)
+        (number,) = bed.calls.tries
+        (attempt,) = bed.calls.tries[number].tries.values()
+        link = attempt.link if own_link else object()
+        frame = make(number + 1 if own_link else number)
+        getattr(bed.calls, handler)(link, frame)
+        assert bed.receive(caller).body == b'mine'
+    finally:
+        bed.close()
+        target.close()
+
+
+def test_answer_that_comes_after_the_deadline_reaches_nobody():
+    slow = ScriptedTarget(late(0.4, answer(b'late')), answer(b'next'))
+    bed = PathBed(slow.address, deadline_ms=200, max_tries=1)
+    try:
+        assert bed.ask().status == 504
+        assert bed.ask().body == b'next'
+    finally:
+        bed.close()
+        slow.close()
--- a/tests/runtime/test_path.py
+++ b/tests/runtime/test_path.py
@@ -57,12 +57,12 @@
     ids=['closed', 'body cut', 'head cut', 'garbage', 'late'],
 )
 def test_broken_booking_is_unknown_and_runs_once(bed, script, code):
-    target = ScriptedTarget(script)
-    path = bed(target, deadline_ms=400)
+    targets = [ScriptedTarget(script), ScriptedTarget(script)]
+    path = bed(*targets, deadline_ms=400)
     found = path.ask('POST', '/book', b'{}', Idempotency_Key='k')
     assert found.result == code
     assert json.loads(found.body)['run'] == 'unknown'
-    assert len(target.requests) == 1
+    assert sum(len(t.requests) for t in targets) == 1
     assert [e.ending for e in path.claims.ends] == [ClaimEnding.UNKNOWN]
 
 
--- /dev/null
+++ b/tests/system/test_failures.py
@@ -0,0 +1,186 @@
+"""The brief's promises with real processes that fail.
+
+Every count is made by the stand-in targets or the caller.
+"""
+
+import hashlib
+import signal
+import time
+
+import pytest
+
+from cyclamenlift.core.codes import is_not_run
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.standins.fleet import temporary_fleet
+from cyclamenlift.standins.fleet import wait_until
+from tests.system.builders import call
+from tests.system.builders import document
+from tests.system.builders import entry_of
+from tests.system.builders import in_background
+from tests.system.builders import make_fleet
+from tests.system.builders import publish
+from tests.system.builders import runs_of
+from tests.system.builders import SlowUpload
+from tests.system.builders import WAIT_SECONDS
+
+BODY = bytes(range(256)) * 8192
+SHA = hashlib.sha256(BODY).hexdigest().encode()
+
+
+@pytest.fixture
+def fleet():
+    with temporary_fleet() as made:
+        yield made
+
+
+def test_graceful_stops_cut_off_no_upload(fleet):
+    """An entry and a gate are stopped while uploads pass through them."""
+    make_fleet(fleet, 2, path_ms='/uploads=1500')
+    publish(fleet, document(), 0, 'c1')
+    entry = entry_of(fleet)
+    upload = SlowUpload(entry.entry, BODY, 'up-1')
+    wait_until(
+        lambda: entry.status()['kept_body_bytes'] > 0,
+        WAIT_SECONDS,
+        'the upload has begun',
+    )
+    entry.running.send_signal(signal.SIGTERM)
+    time.sleep(0.3)
+    waiting = in_background(upload.finish)
+    busy = wait_until(
+        lambda: [d for d in fleet.daemons[:2] if d.status()['in_flight'] > 0],
+        WAIT_SECONDS,
+        'a target runs the upload',
+    )
+    busy[0].running.send_signal(signal.SIGTERM)
+    answer = waiting()
+    assert answer.startswith(b'HTTP/1.1 200')
+    assert SHA in answer
+    assert entry.running.process.wait(WAIT_SECONDS) == 0
+    assert busy[0].running.process.wait(WAIT_SECONDS) == 0
+    assert runs_of(fleet, 'up-1') == 1
+
+
+def test_drained_target_gets_no_new_work_within_seconds(fleet):
+    make_fleet(fleet, 2)
+    publish(fleet, document(), 0, 'c1')
+    entry, leaving = entry_of(fleet), fleet.daemons[0]
+    assert {call(entry.entry)[0] for _ in range(20)} == {200}
+    done = fleet.command('drain', f'--addresses={leaving.admin}')
+    assert done.returncode == 0
+    before = fleet.targets[0].counters()['runs']
+    assert {call(entry.entry)[0] for _ in range(40)} == {200}
+    assert {call(leaving.entry)[0] for _ in range(10)} == {200}
+    assert fleet.targets[0].counters()['runs'] == before
+    assert leaving.status()['state'] == 'draining'
+
+
+def test_booking_survives_the_kill_of_its_entry_and_runs_once(fleet):
+    make_fleet(fleet, 2, path_ms='/bookings=800')
+    publish(fleet, document(), 0, 'c1')
+    entry, other = entry_of(fleet), fleet.daemons[0]
+    first = in_background(call, entry.entry, 'POST', '/bookings', b'{}', 'k1')
+    wait_until(
+        lambda: runs_of(fleet, 'k1') == 1, WAIT_SECONDS, 'the booking runs'
+    )
+    entry.running.kill()
+    first()
+    for _ in range(5):
+        _, code, _ = call(other.entry, 'POST', '/bookings', b'{}', 'k1')
+        assert code in (
+            ResultCode.CLAIM_IN_PROGRESS,
+            ResultCode.CLAIM_UNKNOWN,
+        )
+    assert runs_of(fleet, 'k1') == 1
+
+
+def test_second_attempt_gets_the_recorded_answer(fleet):
+    make_fleet(fleet, 2)
+    publish(fleet, document(), 0, 'c1')
+    entry, other = entry_of(fleet), fleet.daemons[0]
+    first = call(entry.entry, 'POST', '/bookings', b'{}', 'k1')
+    assert first[1] == ResultCode.ANSWERED
+
+    def recorded():
+        second = call(other.entry, 'POST', '/bookings', b'{}', 'k1')
+        return second if second[0] == 200 else None
+
+    second = wait_until(recorded, WAIT_SECONDS, 'the answer is recorded')
+    assert second[1] == ResultCode.ANSWERED_FROM_RECORD
+    assert second[2] == first[2]
+    reused = call(other.entry, 'POST', '/bookings', b'{"other": 1}', 'k1')
+    assert reused[1] == ResultCode.KEY_REUSED
+    assert runs_of(fleet, 'k1') == 1
+
+
+def test_without_a_majority_bookings_are_not_run_and_look_ups_go_on(fleet):
+    make_fleet(fleet, 2)
+    publish(fleet, document(), 0, 'c1')
+    entry = entry_of(fleet).entry
+    for control in fleet.controls[:2]:
+        control.running.kill()
+    assert call(entry)[0] == 200
+    status, code, _ = call(entry, 'POST', '/bookings', b'{}', 'k1')
+    assert (status, code) == (503, ResultCode.NO_MAJORITY)
+    assert is_not_run(code)
+    assert runs_of(fleet, 'k1') == 0
+    for control in fleet.controls[:2]:
+        fleet.restart(control)
+
+    def booked():
+        return call(entry, 'POST', '/bookings', b'{}', 'k2')[0] == 200
+
+    wait_until(booked, WAIT_SECONDS, 'a majority grants again')
+    assert runs_of(fleet, 'k2') == 1
+
+
+def test_restarted_daemon_comes_back_to_the_current_version(fleet):
+    make_fleet(fleet, 2)
+    publish(fleet, document(), 0, 'c1')
+    victim = fleet.daemons[0]
+    victim.running.kill()
+    for number in range(1, 6):
+        value = document(deadline_ms=1000 + number)
+        publish(fleet, value, number, f'c{number + 1}')
+    fleet.restart(victim)
+    fleet.wait_in_force(6, len(fleet.daemons))
+    wait_until(lambda: victim.status()['confirmed'], WAIT_SECONDS, 'confirmed')
+    assert call(victim.entry)[0] == 200
+
+
+def test_killed_target_costs_no_look_up(fleet):
+    make_fleet(fleet, 3)
+    publish(fleet, document(), 0, 'c1')
+    entry = entry_of(fleet).entry
+    codes = []
+    for number in range(150):
+        if number == 50:
+            fleet.targets[0].running.kill()
+        if number == 100:
+            fleet.daemons[1].running.kill()
+        codes.append(call(entry)[0])
+    assert set(codes) == {200}
+
+
+def test_measuring_stays_within_its_budget_during_a_burst(fleet):
+    budget = 10.0
+    make_fleet(fleet, 3)
+    publish(fleet, document(probe_budget_per_second=budget), 0, 'c1')
+    gates = fleet.daemons[:3]
+    began = time.monotonic()
+    before = sum(d.status()['probes_answered'] for d in gates)
+    asked = sum(t.counters()['health_requests'] for t in fleet.targets)
+    waits = [
+        in_background(
+            lambda entry=d.entry: [call(entry)[0] for _ in range(150)]
+        )
+        for d in fleet.daemons
+    ]
+    assert all(set(wait()) == {200} for wait in waits)
+    # The gates count health requests in ``probes_answered`` too.
+    after = sum(d.status()['probes_answered'] for d in gates)
+    health = sum(t.counters()['health_requests'] for t in fleet.targets)
+    seconds = time.monotonic() - began
+    saved = len(gates) * max(1.0, budget / len(gates))
+    assert after - before <= budget * seconds + saved
+    assert health - asked <= after - before + len(gates)
