--- a/cyclamenlift/conf/settings.py
+++ b/cyclamenlift/conf/settings.py
@@ -65,9 +65,6 @@
     admin_listen: AddressText = pydantic.Field(
         '127.0.0.1:7180', description='address for status, metrics, console'
     )
-    control: AddressList = pydantic.Field(
-        (), description='peer addresses of the control instances'
-    )
     log_format: Literal['json', 'console'] = pydantic.Field(
         'json', description='form of the log lines'
     )
@@ -85,6 +82,9 @@
     gossip_listen: AddressText = pydantic.Field(
         '127.0.0.1:7101', description='address for membership, UDP'
     )
+    control: AddressList = pydantic.Field(
+        (), description='peer addresses of the control instances'
+    )
     seeds: AddressList = pydantic.Field(
         (), description='gossip addresses of some other daemons'
     )
--- a/cyclamenlift/models/document.py
+++ b/cyclamenlift/models/document.py
@@ -25,6 +25,9 @@
 METHOD_PATTERN = r'^[A-Z]{3,10}$'
 
 Name = Annotated[str, pydantic.Field(pattern=NAME_PATTERN)]
+Policy = Literal[
+    'hot_cold', 'random', 'round_robin', 'least_calls', 'power_of_two'
+]
 
 
 class StrictModel(pydantic.BaseModel):
@@ -41,9 +44,15 @@
     only.
     """
 
-    method: Annotated[str, pydantic.Field(pattern=METHOD_PATTERN)]
-    path: str = '/*'
-    idempotent: bool = False
+    method: str = pydantic.Field(
+        pattern=METHOD_PATTERN, description='HTTP method, in capitals'
+    )
+    path: str = pydantic.Field(
+        '/*', description='whole path, or a prefix that ends in *'
+    )
+    idempotent: bool = pydantic.Field(
+        False, description='whether it may run twice without harm'
+    )
 
     @pydantic.field_validator('path')
     @classmethod
@@ -58,55 +67,97 @@
 class ObjectiveModel(StrictModel):
     """Service-level objective: a share of calls answered within a time."""
 
-    latency_ms: Annotated[float, pydantic.Field(gt=0, le=600_000)] = 100.0
-    percent: Annotated[float, pydantic.Field(gt=0, lt=100)] = 99.9
+    latency_ms: float = pydantic.Field(
+        100.0, gt=0, le=600_000, description='a good call is answered within'
+    )
+    percent: float = pydantic.Field(
+        99.9, gt=0, lt=100, description='share of calls that must be good'
+    )
 
 
 class ServiceModel(StrictModel):
     """One service of the event."""
 
-    name: Name
-    targets: Annotated[tuple[str, ...], pydantic.Field(min_length=1)] = ('*',)
-    data_centres: tuple[Name, ...] = ()
-    deadline_ms: Annotated[int, pydantic.Field(ge=1, le=3_600_000)] = 2_000
-    upload_deadline_ms: Annotated[int, pydantic.Field(ge=1, le=3_600_000)] = (
-        300_000
-    )
-    policy: Literal[
-        'hot_cold',
-        'random',
-        'round_robin',
-        'least_calls',
-        'power_of_two',
-    ] = 'hot_cold'
-    max_tries: Annotated[int, pydantic.Field(ge=1, le=10)] = 3
-    retry_budget_percent: Annotated[float, pydantic.Field(ge=0, le=100)] = 10.0
-    hedge: bool = True
-    queue_limit: Annotated[int, pydantic.Field(ge=0, le=10_000)] = 16
-    probe_budget_per_second: Annotated[
-        float, pydantic.Field(ge=0, le=100_000)
-    ] = 20.0
-    ejection_percent: Annotated[int, pydantic.Field(ge=0, le=100)] = 30
-    slow_start_ms: Annotated[int, pydantic.Field(ge=0, le=600_000)] = 5_000
-    max_body_bytes: Annotated[int, pydantic.Field(ge=0, le=4 * 1024**3)] = (
-        64 * 1024**2
-    )
-    whole_answer_bytes: Annotated[
-        int, pydantic.Field(ge=0, le=64 * 1024**2)
-    ] = 256 * 1024
-    operations: tuple[OperationModel, ...] = ()
-    objective: ObjectiveModel = ObjectiveModel()
+    name: Name = pydantic.Field(
+        description='name of the service, as in the Host header'
+    )
+    targets: tuple[str, ...] = pydantic.Field(
+        ('*',),
+        min_length=1,
+        description='patterns of the target names that may carry it',
+    )
+    data_centres: tuple[Name, ...] = pydantic.Field(
+        (), description='data centres that may carry it; empty: all'
+    )
+    deadline_ms: int = pydantic.Field(
+        2_000, ge=1, le=3_600_000, description='longest wait of a call'
+    )
+    upload_deadline_ms: int = pydantic.Field(
+        300_000,
+        ge=1,
+        le=3_600_000,
+        description='longest wait of a call with a body over 64 KiB',
+    )
+    policy: Policy = pydantic.Field(
+        'hot_cold', description='how a target is chosen'
+    )
+    max_tries: int = pydantic.Field(
+        3, ge=1, le=10, description='most tries of one call, hedges included'
+    )
+    retry_budget_percent: float = pydantic.Field(
+        10.0,
+        ge=0,
+        le=100,
+        description='retries and hedges, as a share of first tries',
+    )
+    hedge: bool = pydantic.Field(
+        True, description='whether idempotent calls may be hedged'
+    )
+    queue_limit: int = pydantic.Field(
+        16, ge=0, le=10_000, description='calls that may wait at one gate'
+    )
+    probe_budget_per_second: float = pydantic.Field(
+        20.0,
+        ge=0,
+        le=100_000,
+        description='load probes and health requests, over all targets',
+    )
+    ejection_percent: int = pydantic.Field(
+        30, ge=0, le=100, description='most targets set aside as bad'
+    )
+    slow_start_ms: int = pydantic.Field(
+        5_000, ge=0, le=600_000, description='time to ramp a new target up'
+    )
+    max_body_bytes: int = pydantic.Field(
+        64 * 1024**2, ge=0, le=4 * 1024**3, description='largest body'
+    )
+    whole_answer_bytes: int = pydantic.Field(
+        256 * 1024,
+        ge=0,
+        le=64 * 1024**2,
+        description='answers up to this size are gathered before sending',
+    )
+    operations: tuple[OperationModel, ...] = pydantic.Field(
+        (), description='which calls may be repeated; first match counts'
+    )
+    objective: ObjectiveModel = pydantic.Field(
+        ObjectiveModel(), description='the service-level objective'
+    )
 
 
 class EventDocument(StrictModel):
     """The whole configuration: one event with its services."""
 
-    event: Name
-    starts_at: datetime.datetime
-    ends_at: datetime.datetime
-    services: Annotated[
-        tuple[ServiceModel, ...], pydantic.Field(min_length=1, max_length=500)
-    ]
+    event: Name = pydantic.Field(description='name of the event')
+    starts_at: datetime.datetime = pydantic.Field(
+        description='start, with an offset such as +03:00'
+    )
+    ends_at: datetime.datetime = pydantic.Field(
+        description='end; keyed calls are taken until then'
+    )
+    services: tuple[ServiceModel, ...] = pydantic.Field(
+        min_length=1, max_length=500, description='the services that take part'
+    )
 
     @pydantic.field_validator('starts_at', 'ends_at')
     @classmethod
