--- a/cyclamenlift/runtime/daemon.py
+++ b/cyclamenlift/runtime/daemon.py
@@ -221,7 +221,6 @@
         self.calls.apply_rules(rules)
         self.share_probe_budget()
         self.membership.announce(config_version=rules.version)
-        LOG.info('document_in_force', version=rules.version)
 
     def on_member(self, record: MemberRecord) -> None:
         self.routing.note_member(record, self.scheduler.clock.now())
