Count calls for metrics and the burn report

Cause: operators saw neither what callers got nor how fast the error budget goes. Change: a daemon counts every finished call (plain numbers and HDR histograms on the path, OpenTelemetry instruments read at collection); /metrics, /burn, cyclamenlift report burn as table, JSON and page. A target's 5xx is an answer but not a good one; calls whose caller left count for nothing.

--- a/cyclamenlift/calls/life.py
+++ b/cyclamenlift/calls/life.py
@@ -68,6 +68,8 @@
         self.fallback: Try | None = None
         self.keyed: KeyedEnd | None = None
         self.answered = False
+        self.status = 0
+        self.service_seconds: float | None = None
         self.hedged = False
         self.caller_gone = False
         self.timer = calls.scheduler.at(request.deadline, self.on_deadline)
@@ -246,6 +248,7 @@
 
     def on_answer_start(self, attempt: Try, answer: AnswerStart) -> None:
         attempt.answering = True
+        self.service_seconds = answer.service_time_us / MICROSECONDS
         attempt.status = answer.status
         attempt.headers = answer.headers
         attempt.length = answer.body_length
@@ -307,6 +310,7 @@
             return
         self.state.done = True
         self.relay = Relay(self.exchange, attempt)
+        self.status = attempt.status
         self.cancel_tries(Outcome.OVERTAKEN, except_for=attempt)
         self.timer.cancel()
         if not self.caller_gone:
@@ -388,6 +392,7 @@
         if self.answered:
             return
         self.state.done = True
+        self.status = status
         self.cancel_tries(Outcome.OVERTAKEN)
         self.close(code)
         if not self.caller_gone:
--- /dev/null
+++ b/cyclamenlift/core/metrics.py
@@ -0,0 +1,293 @@
+"""Metrics of one daemon, by OpenTelemetry, cheap on the call path.
+
+Adding to an OpenTelemetry counter costs several microseconds, too much for
+each of a call's steps. The call path therefore only adds to plain numbers
+and HDR histograms; observable instruments read them when ``/metrics`` is
+asked for. ``METRICS`` is the one list of names, units and meanings.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import enum
+
+from hdrh.histogram import HdrHistogram
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.resources import Resource
+import prometheus_client
+
+from cyclamenlift.core.codes import ResultCode
+
+MICROSECONDS = 1_000_000
+MAX_MICROSECONDS = 600 * MICROSECONDS
+SIGNIFICANT_DIGITS = 2
+QUANTILES = (0.5, 0.99, 0.999)
+THOUSAND = 1000
+
+
+class Kind(enum.Enum):
+    """Whether a value only grows or goes up and down."""
+
+    COUNTER = 'counter'
+    GAUGE = 'gauge'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MetricInfo:
+    """Name, unit and meaning of one metric."""
+
+    name: str
+    kind: Kind
+    unit: str
+    description: str
+    attributes: tuple[str, ...] = ()
+
+
+METRICS = (
+    MetricInfo(
+        'cyclamenlift.calls',
+        Kind.COUNTER,
+        '{call}',
+        'calls that ended at this entry',
+        ('service', 'result'),
+    ),
+    MetricInfo(
+        'cyclamenlift.calls.refused',
+        Kind.COUNTER,
+        '{call}',
+        'calls that this entry proved not run, by result code',
+        ('service', 'code'),
+    ),
+    MetricInfo(
+        'cyclamenlift.call.duration',
+        Kind.GAUGE,
+        's',
+        'time from the request head to the end of a call, since the start',
+        ('service', 'quantile'),
+    ),
+    MetricInfo(
+        'cyclamenlift.call.added',
+        Kind.GAUGE,
+        's',
+        "time of answered calls without the target's own, since the start",
+        ('service', 'quantile'),
+    ),
+    MetricInfo(
+        'cyclamenlift.calls.open',
+        Kind.GAUGE,
+        '{call}',
+        'calls that entered here and are not yet answered',
+    ),
+    MetricInfo(
+        'cyclamenlift.gate.refused',
+        Kind.COUNTER,
+        '{call}',
+        'calls that this gate refused',
+    ),
+    MetricInfo(
+        'cyclamenlift.gate.probes',
+        Kind.COUNTER,
+        '{probe}',
+        'load probes that this gate answered',
+    ),
+    MetricInfo(
+        'cyclamenlift.gate.in_flight',
+        Kind.GAUGE,
+        '{call}',
+        'calls that the local target runs now',
+    ),
+    MetricInfo(
+        'cyclamenlift.gate.queued',
+        Kind.GAUGE,
+        '{call}',
+        'calls that wait at this gate',
+    ),
+    MetricInfo(
+        'cyclamenlift.gossip.sent',
+        Kind.COUNTER,
+        'By',
+        'payload of membership packets sent',
+    ),
+    MetricInfo(
+        'cyclamenlift.gossip.received',
+        Kind.COUNTER,
+        'By',
+        'payload of membership packets received',
+    ),
+    MetricInfo(
+        'cyclamenlift.gossip.refused',
+        Kind.COUNTER,
+        '{packet}',
+        'membership packets of strangers or malformed ones',
+    ),
+    MetricInfo(
+        'cyclamenlift.members',
+        Kind.GAUGE,
+        '{instance}',
+        'members that are alive or suspected',
+    ),
+    MetricInfo(
+        'cyclamenlift.config.version',
+        Kind.GAUGE,
+        '{version}',
+        'version of the event document in force here, 0 for none',
+    ),
+)
+INFO = {info.name: info for info in METRICS}
+
+
+class ResultClass(enum.Enum):
+    """What a result code means for the caller: its thousands."""
+
+    ANSWERED = 1
+    NOT_RUN = 2
+    UNKNOWN = 3
+    WRONG = 4
+    OTHER = 0
+
+
+CLASS_VALUES = frozenset(item.value for item in ResultClass)
+
+
+def result_class(code: int) -> ResultClass:
+    """Return the class of a result code.
+
+    >>> result_class(ResultCode.DRAINING).name
+    'NOT_RUN'
+    """
+    thousands = code // THOUSAND
+    return ResultClass(thousands if thousands in CLASS_VALUES else 0)
+
+
+def make_histogram() -> HdrHistogram:
+    return HdrHistogram(1, MAX_MICROSECONDS, SIGNIFICANT_DIGITS)
+
+
+@dataclasses.dataclass(slots=True)
+class CallFigures:
+    """What is counted of one service's calls."""
+
+    codes: dict[int, int] = dataclasses.field(default_factory=dict)
+    duration: HdrHistogram = dataclasses.field(default_factory=make_histogram)
+    added: HdrHistogram = dataclasses.field(default_factory=make_histogram)
+
+
+class Metrics:
+    """The metrics of one process, with a registry of their own."""
+
+    def __init__(self, instance: str, data_centre: str) -> None:
+        self.calls: dict[str, CallFigures] = {}
+        self.registry = prometheus_client.CollectorRegistry()
+        reader = PrometheusMetricReader(
+            scope_info_enabled=False, registry=self.registry
+        )
+        resource = Resource(
+            {
+                'service.name': 'cyclamenlift',
+                'service.instance.id': instance,
+                'cloud.availability_zone': data_centre,
+            }
+        )
+        self.provider = MeterProvider(
+            metric_readers=[reader],
+            resource=resource,
+            shutdown_on_exit=False,
+        )
+        self.meter = self.provider.get_meter('cyclamenlift')
+        self.watch_calls()
+
+    # -- the call path ----------------------------------------------------
+
+    def call_finished(
+        self,
+        service: str,
+        code: int,
+        seconds: float,
+        added_seconds: float | None = None,
+    ) -> None:
+        """Count one call; ``added_seconds`` if an answer told the rest."""
+        figures = self.calls.get(service)
+        if figures is None:
+            figures = self.calls[service] = CallFigures()
+        figures.codes[code] = figures.codes.get(code, 0) + 1
+        figures.duration.record_value(int(seconds * MICROSECONDS) + 1)
+        if added_seconds is not None:
+            value = max(0.0, added_seconds)
+            figures.added.record_value(int(value * MICROSECONDS) + 1)
+
+    # -- collection -------------------------------------------------------
+
+    def watch(self, name: str, read: Callable[[], float]) -> None:
+        """Report ``read()`` as the metric ``name`` at each collection."""
+        self.observe(name, lambda: [Observation(read())])
+
+    def observe(
+        self, name: str, read: Callable[[], Iterable[Observation]]
+    ) -> None:
+        """Make the instrument that the list describes under ``name``."""
+        info = INFO[name]
+        create = {
+            Kind.COUNTER: self.meter.create_observable_counter,
+            Kind.GAUGE: self.meter.create_observable_gauge,
+        }[info.kind]
+        create(
+            info.name,
+            callbacks=[lambda _options: read()],
+            unit=info.unit,
+            description=info.description,
+        )
+
+    def watch_calls(self) -> None:
+        self.observe('cyclamenlift.calls', self.calls_by_class)
+        self.observe('cyclamenlift.calls.refused', self.calls_refused)
+        self.observe(
+            'cyclamenlift.call.duration',
+            lambda: self.quantiles(lambda figures: figures.duration),
+        )
+        self.observe(
+            'cyclamenlift.call.added',
+            lambda: self.quantiles(lambda figures: figures.added),
+        )
+
+    def calls_by_class(self) -> list[Observation]:
+        result = []
+        for service, figures in self.calls.items():
+            counts = dict.fromkeys(ResultClass, 0)
+            for code, count in figures.codes.items():
+                counts[result_class(code)] += count
+            for kind, count in counts.items():
+                attributes = {'service': service, 'result': kind.name.lower()}
+                result.append(Observation(count, attributes))
+        return result
+
+    def calls_refused(self) -> list[Observation]:
+        return [
+            Observation(count, {'service': service, 'code': str(int(code))})
+            for service, figures in self.calls.items()
+            for code, count in figures.codes.items()
+            if result_class(code) is ResultClass.NOT_RUN
+        ]
+
+    def quantiles(
+        self, choose: Callable[[CallFigures], HdrHistogram]
+    ) -> list[Observation]:
+        result = []
+        for service, figures in self.calls.items():
+            histogram = choose(figures)
+            if not histogram.get_total_count():
+                continue
+            for quantile in QUANTILES:
+                value = histogram.get_value_at_percentile(100 * quantile)
+                attributes = {'service': service, 'quantile': str(quantile)}
+                result.append(Observation(value / MICROSECONDS, attributes))
+        return result
+
+    def render_prometheus(self) -> bytes:
+        """Return all metrics in the text form of Prometheus."""
+        return prometheus_client.generate_latest(self.registry)
+
+    def close(self) -> None:
+        """Stop the collection; the process is about to end."""
+        self.provider.shutdown()
--- a/cyclamenlift/gate/running.py
+++ b/cyclamenlift/gate/running.py
@@ -185,6 +185,7 @@
         self, code: ResultCode, detail: str = '', wait: float = 0.0
     ) -> None:
         """Say that the call did not run: nothing reached the target."""
+        self.gate.refused += 1
         message = Refused(
             call_id=self.start.call_id,
             code=int(code),
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -42,6 +42,7 @@
         self.rule: ServiceRule | None = None
         self.idle_hooks: list[Callable[[], None]] = []
         self.state_hooks: list[Callable[[TargetState], None]] = []
+        self.refused = 0
 
     def subscribe(self, network) -> None:
         """Take the messages of entries from the peer network."""
--- /dev/null
+++ b/cyclamenlift/reports/__init__.py
@@ -0,0 +1,6 @@
+"""Reports for operators: service-level burn."""
+
+from cyclamenlift.reports.queries import ServiceBurn
+from cyclamenlift.reports.state import BurnWindows
+
+__all__ = ['BurnWindows', 'ServiceBurn']
--- /dev/null
+++ b/cyclamenlift/reports/burn.py
@@ -0,0 +1,103 @@
+"""The command behind ``cyclamenlift report burn``."""
+
+from collections.abc import Mapping
+import pathlib
+
+from returns.result import Failure
+from returns.result import Result
+
+from cyclamenlift.cli.admin import request
+from cyclamenlift.cli.flags import is_true
+from cyclamenlift.cli.flags import parse_addresses
+from cyclamenlift.cli.flags import wants_help
+from cyclamenlift.cli.flags import wrong
+from cyclamenlift.cli.output import complain
+from cyclamenlift.cli.output import say
+from cyclamenlift.cli.output import say_json
+from cyclamenlift.cli.output import say_table
+from cyclamenlift.cli.registry import ExitStatus
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.problems import Problem
+from cyclamenlift.core.streams import Address
+from cyclamenlift.reports.models import BurnSnapshot
+from cyclamenlift.reports.models import read_snapshot
+from cyclamenlift.reports.queries import burn
+from cyclamenlift.reports.queries import ServiceBurn
+from cyclamenlift.reports.rendering import to_html
+from cyclamenlift.reports.rendering import to_plain
+from cyclamenlift.reports.rendering import to_table
+
+PATH = '/burn'
+FLAGS = ('addresses', 'json', 'html')
+HELP = (
+    'cyclamenlift report burn --addresses=HOST:PORT,... [--json] '
+    '[--html=FILE]\n'
+    '  --addresses  admin addresses of daemons\n'
+    '  --json       plain data instead of a table\n'
+    '  --html       also write a page with plots to this file'
+)
+
+
+def fetch(address: Address) -> Result[BurnSnapshot, Problem]:
+    """Return the figures of one daemon."""
+    return request(address, 'GET', PATH).bind(
+        lambda answer: read_snapshot(answer.value)
+    )
+
+
+def run(
+    addresses: list[Address], as_json: bool, html_path: str = ''
+) -> ExitStatus:
+    """Fetch, work out and show the burn of every service.
+
+    What some daemons did not give is named; the exit status then is that
+    of a failure, since the report does not cover all calls.
+    """
+    snapshots = []
+    missing = []
+    for address in addresses:
+        result = fetch(address)
+        if isinstance(result, Failure):
+            complain(result.failure())
+            missing.append(str(address))
+        else:
+            snapshots.append(result.unwrap())
+    burns = burn(snapshots)
+    written = not html_path or write_page(html_path, burns, missing)
+    if as_json:
+        say_json({'services': to_plain(burns), 'missing': missing})
+    else:
+        say_table(to_table(burns))
+    whole = written and not missing
+    return ExitStatus.FINE if whole else ExitStatus.FAILED
+
+
+def write_page(
+    path: str, burns: list[ServiceBurn], missing: list[str]
+) -> bool:
+    """Write the page; report a file that can't be written."""
+    try:
+        pathlib.Path(path).write_text(
+            to_html(burns, missing), encoding='utf-8'
+        )
+    except OSError as error:
+        complain(Problem(ResultCode.SETTING_INVALID, str(error), 'html'))
+        return False
+    return True
+
+
+def run_command(flags: Mapping[str, str]) -> ExitStatus:
+    """Run the command with the flags of the command line."""
+    if wants_help(flags):
+        say(HELP)
+        return ExitStatus.FINE
+    unknown = sorted(set(flags) - set(FLAGS))
+    if unknown:
+        complain(wrong('no such flag', unknown[0]))
+        return ExitStatus.WRONG_USE
+    places = parse_addresses(flags.get('addresses', ''), 'addresses')
+    if isinstance(places, Failure):
+        complain(places.failure())
+        return ExitStatus.WRONG_USE
+    as_json = is_true(flags.get('json', 'False'))
+    return run(places.unwrap(), as_json, flags.get('html', ''))
--- a/cyclamenlift/runtime/admin.py
+++ b/cyclamenlift/runtime/admin.py
@@ -45,12 +45,12 @@
     @expose('metrics')
     def metrics(self) -> WebAnswer:
         return WebAnswer(
-            self.node.metrics.render_prometheus(), 200, METRICS_TYPE
+            self.node.observer.metrics.render_prometheus(), 200, METRICS_TYPE
         )
 
     @expose('burn')
     def burn(self) -> WebAnswer:
-        return json_answer(self.node.burn_snapshot())
+        return json_answer(self.node.observer.burn_snapshot())
 
     @expose('drain')
     def drain(self) -> WebAnswer:
--- a/cyclamenlift/runtime/daemon.py
+++ b/cyclamenlift/runtime/daemon.py
@@ -30,6 +30,7 @@
 from cyclamenlift.runtime.admin import ApiPages
 from cyclamenlift.runtime.admin import DaemonPages
 from cyclamenlift.runtime.local import local_pair
+from cyclamenlift.runtime.observing import Observer
 from cyclamenlift.wire.gen.protocol.ttypes import BodyChunk
 from cyclamenlift.wire.gen.protocol.ttypes import CallStart
 from cyclamenlift.wire.gen.protocol.ttypes import Credit
@@ -77,6 +78,7 @@
             Address.parse(settings.peer_listen)
         )
         self.membership = self.make_membership()
+        self.observer = Observer(self)
         self.admin = WebServer(
             self.loop,
             Address.parse(settings.admin_listen),
--- /dev/null
+++ b/cyclamenlift/runtime/observing.py
@@ -0,0 +1,72 @@
+"""What a daemon counts: metrics and the figures of the burn report."""
+
+import typing
+
+from cyclamenlift.calls.life import Call
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.metrics import Metrics
+from cyclamenlift.reports.state import BurnWindows
+from cyclamenlift.reports.state import counts_for_objective
+from cyclamenlift.reports.state import is_good
+
+if typing.TYPE_CHECKING:
+    from cyclamenlift.runtime.daemon import DaemonNode
+
+SERVER_ERROR = 500
+
+
+class Observer:
+    """Counts every finished call and reads the parts when asked."""
+
+    def __init__(self, node: 'DaemonNode'):
+        self.node = node
+        settings = node.settings
+        self.metrics = Metrics(settings.instance, settings.data_centre)
+        self.burn = BurnWindows(settings.instance, settings.data_centre)
+        node.calls.finished_hooks.append(self.on_finished)
+        self.watch()
+
+    def on_finished(self, call: Call, code: ResultCode) -> None:
+        """Count a call, unless its caller left before the answer."""
+        if call.caller_gone:
+            return
+        now = self.node.scheduler.clock.now()
+        seconds = now - call.exchange.received_at
+        added = None
+        if call.service_seconds is not None:
+            added = seconds - call.service_seconds
+        self.metrics.call_finished(call.service, int(code), seconds, added)
+        if counts_for_objective(code):
+            good = is_good(code, seconds, call.request.rule)
+            good = good and call.status < SERVER_ERROR
+            self.burn.record(call.service, good, seconds, now)
+
+    def burn_snapshot(self) -> dict[str, object]:
+        """Return the figures that ``cyclamenlift report burn`` reads."""
+        now = self.node.scheduler.clock.now()
+        return self.burn.to_snapshot(now, self.node.follower.rules)
+
+    def watch(self) -> None:
+        node = self.node
+        watch = self.metrics.watch
+        members = node.membership
+        watch('cyclamenlift.calls.open', lambda: len(node.calls.open_calls))
+        watch('cyclamenlift.gossip.sent', lambda: members.counters.bytes_out)
+        watch(
+            'cyclamenlift.gossip.received', lambda: members.counters.bytes_in
+        )
+        watch(
+            'cyclamenlift.gossip.refused',
+            lambda: members.counters.strangers + members.counters.malformed,
+        )
+        watch('cyclamenlift.members', lambda: len(members.members()))
+        watch('cyclamenlift.config.version', lambda: node.follower.version)
+        if node.gate is not None:
+            self.watch_gate(node.gate)
+
+    def watch_gate(self, gate) -> None:
+        watch = self.metrics.watch
+        watch('cyclamenlift.gate.refused', lambda: gate.refused)
+        watch('cyclamenlift.gate.probes', lambda: gate.budget.answered)
+        watch('cyclamenlift.gate.in_flight', lambda: len(gate.state.running))
+        watch('cyclamenlift.gate.queued', lambda: len(gate.state.queue))
