Send the answer before the bookkeeping of a call

Cause: a profile of the entry (one call at a time) showed 12 % of the work after an answer's arrival in counters, and routing's notes, all before the answer left; 6 % was one test of a code against a range, which Python walks through for an enum. Change: the answer leaves first, then routing, cancellations and counters; the hedge is planned after the call has left; the range is two comparisons.

--- a/cyclamenlift/calls/life.py
+++ b/cyclamenlift/calls/life.py
@@ -139,9 +139,10 @@
         self.calls.tries[number] = self
         self.state.try_started()
         self.calls.routing.call_started(self.service, choice.instance, now)
-        self.plan_hedge(now)
         if not attempt.send(self.start_message(now), self.whole_body):
             self.end_unsent(attempt)
+        elif not self.answered:
+            self.plan_hedge(now)
 
     def start_message(self, now: float) -> CallStart:
         left = time_left(self.request.deadline, now)
@@ -178,20 +179,31 @@
     # -- ends of tries ----------------------------------------------------
 
     def end_try(self, attempt: Try, outcome: Outcome, ending: Ending) -> None:
-        """Note how a try ended and do what follows from it."""
-        self.drop_try(attempt, outcome)
+        """Note how a try ended and do what follows from it.
+
+        An answer leaves before routing takes note of it; a retry needs
+        routing to know first.
+        """
+        self.forget_try(attempt)
         step = self.state.try_ended(ending, self.calls.now())
         if step is Step.ANSWER:
             self.answer_whole(attempt)
-        elif step is Step.RETRY:
+        self.tell_routing(attempt, outcome)
+        if step is Step.RETRY:
             self.start_try()
         elif step is Step.GIVE_UP:
             self.finish_failed()
 
     def drop_try(self, attempt: Try, outcome: Outcome) -> None:
-        now = self.calls.now()
+        self.forget_try(attempt)
+        self.tell_routing(attempt, outcome)
+
+    def forget_try(self, attempt: Try) -> None:
         self.tries.pop(attempt.number, None)
         self.calls.tries.pop(attempt.number, None)
+
+    def tell_routing(self, attempt: Try, outcome: Outcome) -> None:
+        now = self.calls.now()
         seconds = now - attempt.started_at
         self.calls.routing.call_ended(
             self.service, attempt.instance, outcome, seconds, now
@@ -393,10 +405,11 @@
             return
         self.state.done = True
         self.status = status
-        self.cancel_tries(Outcome.OVERTAKEN)
-        self.close(code)
+        # The answer leaves first: the rest would only delay it.
         if not self.caller_gone:
             self.exchange.respond(status, headers, body)
+        self.cancel_tries(Outcome.OVERTAKEN)
+        self.close(code)
 
     def close(self, code: ResultCode) -> None:
         """End the call: from here on nothing of it is kept."""
--- a/cyclamenlift/calls/tasks.py
+++ b/cyclamenlift/calls/tasks.py
@@ -205,8 +205,8 @@
         found = self.find(link, answer.call_id)
         if found is not None:
             call, attempt = found
-            self.note_load(call, attempt, answer.load)
             call.on_answer_start(attempt, answer)
+            self.note_load(call, attempt, answer.load)
 
     def on_body_chunk(self, link, chunk: BodyChunk) -> None:
         found = self.find(link, chunk.call_id)
--- a/cyclamenlift/reports/state.py
+++ b/cyclamenlift/reports/state.py
@@ -19,7 +19,8 @@
 MICROSECONDS = 1_000_000
 MAX_MICROSECONDS = 3_600 * MICROSECONDS
 SIGNIFICANT_DIGITS = 2
-CALLERS_FAULT = range(4000, 5000)
+FIRST_CALLERS_FAULT = 4000
+LAST_CALLERS_FAULT = 4999
 ANSWERED = (ResultCode.ANSWERED, ResultCode.ANSWERED_FROM_RECORD)
 
 
@@ -29,7 +30,7 @@
     >>> counts_for_objective(ResultCode.KEY_REQUIRED)
     False
     """
-    return code not in CALLERS_FAULT
+    return not FIRST_CALLERS_FAULT <= code <= LAST_CALLERS_FAULT
 
 
 def is_good(code: int, seconds: float, rule: ServiceRule) -> bool:
