Replicate the log on three or five control instances, measured

Cause: event documents and claims must survive kills, lost disks, cuts and frozen leaders, with no outside store. A call's tries have a module of their own; the answers to problems that stood twice stand once. Each of nine broken rules makes the model fail: vote or acknowledgement before its sync, own copy before its sync, old-term commit, vote for a shorter log, empty disk counted, majority founding, old voters forgotten early, old round confirming a read.

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -329,6 +329,8 @@
 ) -> None:
     """Make all runs, round by round; append each result to a file.
 
+    Runs that the file holds already are not made again.
+
     Args:
         site: dundee or addis.
         out: File that gets one JSON line for each run.
@@ -346,6 +348,8 @@
     ]
     path = pathlib.Path(out)
     path.parent.mkdir(parents=True, exist_ok=True)
+    done = made_already(path)
+    jobs = [job for job in jobs if job not in done]
     end_cleanly()
     pool = multiprocessing.Pool(workers, initializer=end_cleanly)
     with pool, path.open('a') as file:
@@ -355,6 +359,18 @@
                 file.flush()
 
 
+def made_already(path: pathlib.Path) -> set[Job]:
+    """Return the jobs whose results a file holds, late ones not."""
+    if not path.exists():
+        return set()
+    names = [field.name for field in dataclasses.fields(Job)]
+    return {
+        Job(**{name: row[name] for name in names})
+        for rows in load_results(str(path)).values()
+        for row in rows
+    }
+
+
 def load_results(path: str) -> dict[tuple[str, str], list[dict]]:
     """Return the runs of a file by scenario and policy, late ones not."""
     found: dict[tuple[str, str], list[dict]] = {}
--- a/bench/replication.py
+++ b/bench/replication.py
@@ -1,13 +1,15 @@
 """What the replicated log costs: ``python -m bench.replication``.
 
-Real processes on loopback with real syncs: commits a second and latency by
-the number of proposals that wait at once, recovery after the leader was
-killed, restart time and bytes by length of history. The results go to
+Real processes on loopback with real syncs. Measured are a bare sync,
+commits a second and latency by the number of proposals that wait at once,
+recovery after the leader was killed, and restart time and bytes by length
+of history. The results go to
 ``bench/results/replication.json``.
 """
 
 import dataclasses
 import json
+import os
 import pathlib
 import shutil
 import statistics
@@ -25,7 +27,9 @@
 HISTORIES = (0, 500, 2000, 8000, 32000)
 LOAD_SECONDS = 2
 ROUNDS = 3
-KILLS = 8
+KILLS = 10
+SYNCS = 2000
+SYNC_BYTES = 300
 POLL_SECONDS = 0.005
 MILLISECONDS = 1000
 RESULTS = pathlib.Path(__file__).parent / 'results' / 'replication.json'
@@ -64,6 +68,27 @@
     current_ms: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SyncPoint:
+    """The disk alone: an append and its sync, without the product."""
+
+    syncs: int
+    p50_ms: float
+    p99_ms: float
+
+
+def measure_sync() -> SyncPoint:
+    times = []
+    with tempfile.TemporaryFile(dir=tempfile.gettempdir()) as file:
+        for _ in range(SYNCS):
+            began_at = time.monotonic()
+            os.write(file.fileno(), b'x' * SYNC_BYTES)
+            os.fdatasync(file.fileno())
+            times.append(MILLISECONDS * (time.monotonic() - began_at))
+    times.sort()
+    return SyncPoint(SYNCS, times[SYNCS // 2], times[SYNCS * 99 // 100])
+
+
 def measure_commits(cluster: Processes, size: int, waiting: int):
     leader = cluster.leader()
     reports = [
@@ -177,7 +202,8 @@
 
 def main(output: str = str(RESULTS)) -> None:
     """Measure everything and keep the results as JSON."""
-    points: list = []
+    points: list = [measure_sync()]
+    show(points[0])
     for size in SIZES:
         points.extend(measure_cluster(size))
     for changes in HISTORIES:
--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,289 @@
+"""Slopes of one daemon's cost: ``python -m bench.slopes``.
+
+Real processes on loopback, about 60 daemons at most. Each stage prints its
+points, the straight line through them and the fit's error, and ends its
+processes. The figures go to ``docs/CAPACITY.md``.
+"""
+
+import dataclasses
+import json
+import pathlib
+import random
+import socket
+import statistics
+import sys
+import time
+
+import fire
+import psutil
+
+from bench.fit import fit_line
+from cyclamenlift.core.registry import Registry
+from cyclamenlift.standins.fleet import ask
+from cyclamenlift.standins.fleet import DaemonHandle
+from cyclamenlift.standins.fleet import Fleet
+from cyclamenlift.standins.fleet import TargetHandle
+from cyclamenlift.standins.fleet import temporary_fleet
+from cyclamenlift.standins.fleet import wait_until
+from cyclamenlift.standins.load import LoadPlan
+from cyclamenlift.standins.load import run_load
+from cyclamenlift.standins.loops import run_precisely
+from demo.document import demo_document
+
+STAGES: Registry = Registry('stage')
+RESULTS = pathlib.Path(__file__).parent / 'results' / 'slopes.json'
+MEMBER_SIZES = (10, 20, 40, 60)
+SERVICE_SIZES = (1, 23, 46, 91)
+CALL_RATES = (50, 100, 200, 300)
+CALLER_SIZES = (0, 100, 200, 400, 800)
+IDLE_SECONDS = 15.0
+LOAD_SECONDS = 8.0
+SLOTS = 64
+BATCH = 5
+MEBIBYTE = 1024.0**2
+READY_SECONDS = 60.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Point:
+    """One measured value at one size."""
+
+    stage: str
+    value: str
+    unit: str
+    size: float
+    measured: float
+
+
+class Recorder:
+    """Keeps points and prints the lines through them."""
+
+    def __init__(self) -> None:
+        self.points: list[Point] = []
+
+    def note(
+        self, stage: str, value: str, unit: str, size: float, measured: float
+    ) -> None:
+        point = Point(stage, value, unit, size, round(measured, 5))
+        self.points.append(point)
+        say(json.dumps(dataclasses.asdict(point)))
+
+    def show_lines(self) -> None:
+        names = dict.fromkeys((p.stage, p.value, p.unit) for p in self.points)
+        for stage, value, unit in names:
+            points = [
+                (p.size, p.measured)
+                for p in self.points
+                if (p.stage, p.value) == (stage, value)
+            ]
+            line = fit_line(points)
+            say(
+                f'{stage}, {value}: {line.base:.4g} + {line.slope:.4g} x size'
+                f' {unit}, rms error {line.error:.2g}, {len(points)} points'
+            )
+
+
+def say(text: str) -> None:
+    sys.stdout.write(text + '\n')
+    sys.stdout.flush()
+
+
+def cpu_seconds(daemon: DaemonHandle) -> float:
+    times = psutil.Process(daemon.running.process.pid).cpu_times()
+    return times.user + times.system
+
+
+def memory(daemon: DaemonHandle) -> float:
+    """Return the resident memory in MiB."""
+    process = psutil.Process(daemon.running.process.pid)
+    return process.memory_info().rss / MEBIBYTE
+
+
+def idle_cpu(daemons: list[DaemonHandle]) -> float:
+    """Return the mean processor time of a daemon, ms a second."""
+    before = [cpu_seconds(d) for d in daemons]
+    time.sleep(IDLE_SECONDS)
+    after = [cpu_seconds(d) for d in daemons]
+    spent = statistics.fmean(b - a for a, b in zip(before, after))
+    return 1000.0 * spent / IDLE_SECONDS
+
+
+def gossip_bytes(daemon: DaemonHandle) -> float:
+    """Return the payload of gossip in and out since the start."""
+    _status, _headers, body = ask(daemon.admin, 'GET', '/metrics')
+    return sum(
+        float(line.rsplit(' ', 1)[1])
+        for line in body.decode().splitlines()
+        if line.startswith('cyclamenlift_gossip_') and '_bytes_total' in line
+    )
+
+
+def publish(fleet: Fleet, document: dict, base: int) -> float:
+    """Publish a document; return the instant of its acceptance."""
+    path = fleet.folder / f'event-{base}.json'
+    path.write_text(json.dumps(document))
+    done = fleet.command(
+        'event',
+        'publish',
+        str(path),
+        f'--base={base}',
+        f'--console={fleet.consoles()}',
+    )
+    if done.returncode:
+        raise SystemExit(done.stdout + done.stderr)
+    return time.monotonic()
+
+
+def document_with(services: int) -> dict:
+    """Return the demo's document with so many services."""
+    document = demo_document()
+    first = document['services'][0]
+    extra = [
+        {**first, 'name': f'service-{number:02d}'}
+        for number in range(services - 1)
+    ]
+    document['services'] = [first, *extra]
+    return document
+
+
+def start_control(fleet: Fleet) -> None:
+    fleet.start_controls(1)
+    wait_until(lambda: fleet.controls[0].status(), 20, 'control')
+
+
+def start_daemons(fleet: Fleet, count: int, target: TargetHandle) -> None:
+    """Start daemons a few at a time.
+
+    A port that was found free is taken only once its process listens.
+    """
+    for number in range(count):
+        fleet.start_daemon(f'daemon-{number}', 'dc-a', target)
+        if (number + 1) % BATCH == 0 or number + 1 == count:
+            for daemon in fleet.daemons[-BATCH:]:
+                wait_until(daemon.status, READY_SECONDS, daemon.running.name)
+
+
+@STAGES.register('members')
+def members_stage(recorder: Recorder) -> None:
+    """Idle cost, spread of a document and links, against daemons."""
+    for size in MEMBER_SIZES:
+        with temporary_fleet('warning') as fleet:
+            start_control(fleet)
+            target = fleet.start_target('prices-0', 'prices', SLOTS)
+            publish(fleet, document_with(1), 0)
+            start_daemons(fleet, size, target)
+            fleet.wait_in_force(1, size, READY_SECONDS)
+            measure_members(fleet, size, recorder)
+
+
+def measure_members(fleet: Fleet, size: int, recorder: Recorder) -> None:
+    daemons = fleet.daemons
+    before = [gossip_bytes(d) for d in daemons]
+    recorder.note('members', 'idle CPU', 'ms/s', size, idle_cpu(daemons))
+    spent = [gossip_bytes(d) - b for d, b in zip(daemons, before)]
+    rate = statistics.fmean(spent) / IDLE_SECONDS
+    recorder.note('members', 'gossip payload', 'B/s', size, rate)
+    rss = statistics.fmean(memory(d) for d in daemons)
+    recorder.note('members', 'memory', 'MiB', size, rss)
+    accepted = publish(fleet, document_with(2), 1)
+    fleet.wait_in_force(2, size, READY_SECONDS)
+    seconds = time.monotonic() - accepted
+    recorder.note('members', 'document everywhere', 's', size, seconds)
+    entry = daemons[0]
+    quiet = memory(entry)
+    send(entry, 200.0, LOAD_SECONDS)
+    grown = memory(entry) - quiet
+    recorder.note('members', 'growth of an entry', 'MiB', size, grown)
+
+
+@STAGES.register('services')
+def services_stage(recorder: Recorder) -> None:
+    """Memory and idle cost against services in the document."""
+    for size in SERVICE_SIZES:
+        with temporary_fleet('warning') as fleet:
+            start_control(fleet)
+            target = fleet.start_target('prices-0', 'prices', SLOTS)
+            publish(fleet, document_with(size), 0)
+            start_daemons(fleet, 4, target)
+            fleet.wait_in_force(1, 4)
+            cost = idle_cpu(fleet.daemons)
+            recorder.note('services', 'idle CPU', 'ms/s', size, cost)
+            rss = statistics.fmean(memory(d) for d in fleet.daemons)
+            recorder.note('services', 'memory', 'MiB', size, rss)
+            data = len(json.dumps(document_with(size)))
+            recorder.note('services', 'document', 'B', size, data)
+
+
+@STAGES.register('calls')
+def calls_stage(recorder: Recorder) -> None:
+    """Processor time and memory of an entry and a gate against calls."""
+    with temporary_fleet('warning') as fleet:
+        start_control(fleet)
+        target = fleet.start_target(
+            'prices-0', 'prices', SLOTS, service_ms=2.0, sigma=0
+        )
+        publish(fleet, document_with(1), 0)
+        gate = fleet.start_daemon('gate', 'dc-a', target)
+        entry = fleet.start_daemon('entry', 'dc-a')
+        fleet.wait_in_force(1, 2)
+        send(entry, 50.0, 2.0)
+        for rate in CALL_RATES:
+            before = [cpu_seconds(d) for d in (entry, gate)]
+            sent = send(entry, float(rate), LOAD_SECONDS)
+            after = [cpu_seconds(d) for d in (entry, gate)]
+            for name, a, b in zip(('entry', 'gate'), before, after):
+                cost = 1000.0 * (b - a) / sent.seconds
+                recorder.note('calls', f'{name} CPU', 'ms/s', rate, cost)
+            recorder.note('calls', 'entry memory', 'MiB', rate, memory(entry))
+            recorder.note('calls', 'gate memory', 'MiB', rate, memory(gate))
+            recorder.note('calls', 'failed', 'calls', rate, sent.failures())
+
+
+def send(entry: DaemonHandle, rate: float, seconds: float):
+    plan = LoadPlan(
+        addresses=(entry.entry,),
+        rate=rate,
+        seconds=seconds,
+        seed=random.Random(rate).randrange(1_000),
+    )
+    return run_precisely(run_load(plan))
+
+
+@STAGES.register('callers')
+def callers_stage(recorder: Recorder) -> None:
+    """Memory of an entry against connections of idle callers."""
+    with temporary_fleet('warning') as fleet:
+        entry = fleet.start_daemon('entry', 'dc-a', idle_seconds=300)
+        wait_until(entry.status, READY_SECONDS, 'entry')
+        host, _, port = entry.entry.rpartition(':')
+        held: list[socket.socket] = []
+        for size in CALLER_SIZES:
+            while len(held) < size:
+                held.append(socket.create_connection((host, int(port))))
+            time.sleep(1.0)
+            recorder.note('callers', 'memory', 'MiB', size, memory(entry))
+        for connection in held:
+            connection.close()
+
+
+def main(stages: str = 'members,services,calls,callers') -> None:
+    """Run stages in order, print their lines and keep the points.
+
+    Args:
+        stages: Names of stages, with commas between.
+    """
+    listed = stages if isinstance(stages, tuple) else str(stages).split(',')
+    recorder = Recorder()
+    for name in listed:
+        STAGES.get(name)(recorder)
+        RESULTS.write_text(
+            json.dumps(
+                [dataclasses.asdict(p) for p in recorder.points], indent=1
+            )
+            + '\n'
+        )
+    recorder.show_lines()
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- a/cyclamenlift/calls/keyed.py
+++ b/cyclamenlift/calls/keyed.py
@@ -85,7 +85,7 @@
         if self.call.answered or self.call.state.done or late:
             self.end(ClaimEnding.RELEASED, None)
             return
-        self.call.start_try()
+        self.call.tries.start()
 
     def on_recorded(self, record: RecordedAnswer) -> None:
         if record.body_kept:
--- a/cyclamenlift/calls/life.py
+++ b/cyclamenlift/calls/life.py
@@ -3,7 +3,6 @@
 import typing
 
 from cyclamenlift.calls.answers import answer_headers
-from cyclamenlift.calls.answers import problem_answer
 from cyclamenlift.calls.attempt import Try
 from cyclamenlift.calls.intake import Request
 from cyclamenlift.calls.keyed import KeyedEnd
@@ -13,16 +12,17 @@
 from cyclamenlift.calls.state import Ending
 from cyclamenlift.calls.state import EndKind
 from cyclamenlift.calls.state import Step
-from cyclamenlift.core.clock import time_left
+from cyclamenlift.calls.tries import Tries
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.http.exchange import Exchange
+from cyclamenlift.http.response import problem_body
+from cyclamenlift.http.response import problem_headers
+from cyclamenlift.http.response import problem_status
 from cyclamenlift.routing.state import Outcome
 from cyclamenlift.wire.gen.protocol.ttypes import AnswerStart
 from cyclamenlift.wire.gen.protocol.ttypes import BodyChunk
 from cyclamenlift.wire.gen.protocol.ttypes import Broken
-from cyclamenlift.wire.gen.protocol.ttypes import CallStart
-from cyclamenlift.wire.gen.protocol.ttypes import Cancel
 from cyclamenlift.wire.gen.protocol.ttypes import Cancelled
 from cyclamenlift.wire.gen.protocol.ttypes import Header
 from cyclamenlift.wire.gen.protocol.ttypes import RecordedAnswer
@@ -33,13 +33,6 @@
 
 MICROSECONDS = 1_000_000
 SERVER_ERROR = 500
-# The gate gets a little less time than the entry has, so that its proof
-# of "not run" arrives before the entry must answer without one.
-GATE_MARGIN = 0.010
-GATE_MARGIN_SHARE = 0.05
-# A hedge goes out by this share of a call's time, also where too few
-# answers were seen to know when one pays: the first target may be frozen.
-LATEST_HEDGE_SHARE = 0.25
 OVERLOAD_HEADER = 'cyclamenlift-overloaded'
 OVERLOAD_CODES = frozenset((ResultCode.OVERLOADED, ResultCode.QUEUE_DEADLINE))
 
@@ -62,18 +55,15 @@
         self.body_size = 0
         self.reserved = 0
         self.whole_body = b''
-        self.tries: dict[int, Try] = {}
-        self.tried: set[str] = set()
+        self.tries = Tries(self)
         self.relay: Relay | None = None
         self.fallback: Try | None = None
         self.keyed: KeyedEnd | None = None
         self.answered = False
         self.status = 0
         self.service_seconds: float | None = None
-        self.hedged = False
         self.caller_gone = False
         self.timer = calls.scheduler.at(request.deadline, self.on_deadline)
-        self.hedge_timer = None
 
     # -- the request ------------------------------------------------------
 
@@ -118,63 +108,7 @@
             self.keyed = KeyedEnd(self)
             self.keyed.claim()
             return
-        self.start_try()
-
-    # -- tries ------------------------------------------------------------
-
-    def start_try(self, hedge: bool = False) -> None:
-        """Send the call to the best gate that has not had it yet."""
-        now = self.calls.now()
-        excluded = frozenset(self.tried)
-        choice = self.calls.routing.choose(self.service, now, excluded)
-        if choice is None or (hedge and choice.hot):
-            if not self.tries:
-                self.finish_failed()
-            return
-        link = self.calls.link_to(choice)
-        number = self.calls.next_number()
-        attempt = Try(number, choice.instance, link, now, hedge)
-        self.tried.add(choice.instance)
-        self.tries[number] = attempt
-        self.calls.tries[number] = self
-        self.state.try_started()
-        self.calls.routing.call_started(self.service, choice.instance, now)
-        if not attempt.send(self.start_message(now), self.whole_body):
-            self.end_unsent(attempt)
-        elif not self.answered:
-            self.plan_hedge(now)
-
-    def start_message(self, now: float) -> CallStart:
-        left = time_left(self.request.deadline, now)
-        left -= min(GATE_MARGIN, left * GATE_MARGIN_SHARE)
-        exchange = self.exchange
-        return CallStart(
-            service_name=self.service,
-            method=exchange.method,
-            path=exchange.path,
-            headers=self.calls.forwarded_headers(exchange),
-            time_left_us=int(left * MICROSECONDS),
-            body_length=len(self.whole_body),
-            idempotent=self.request.idempotent,
-            depth=self.request.depth,
-            trace_id=self.request.call_id,
-            config_version=self.calls.rules.version,
-        )
-
-    def plan_hedge(self, now: float) -> None:
-        if not (self.request.idempotent and self.request.rule.hedge):
-            return
-        if self.hedge_timer is not None:
-            return
-        latest = time_left(self.request.deadline, now) * LATEST_HEDGE_SHARE
-        wait = self.calls.routing.hedge_after(self.service, now)
-        wait = latest if wait is None else min(wait, latest)
-        self.hedge_timer = self.calls.scheduler.at(now + wait, self.on_hedge)
-
-    def on_hedge(self) -> None:
-        if not self.answered and self.state.may_hedge():
-            self.hedged = True
-            self.start_try(hedge=True)
+        self.tries.start()
 
     # -- ends of tries ----------------------------------------------------
 
@@ -184,31 +118,16 @@
         An answer leaves before routing takes note of it; a retry needs
         routing to know first.
         """
-        self.forget_try(attempt)
+        self.tries.forget(attempt)
         step = self.state.try_ended(ending, self.calls.now())
         if step is Step.ANSWER:
             self.answer_whole(attempt)
-        self.tell_routing(attempt, outcome)
+        self.tries.tell_routing(attempt, outcome)
         if step is Step.RETRY:
-            self.start_try()
+            self.tries.start()
         elif step is Step.GIVE_UP:
             self.finish_failed()
 
-    def drop_try(self, attempt: Try, outcome: Outcome) -> None:
-        self.forget_try(attempt)
-        self.tell_routing(attempt, outcome)
-
-    def forget_try(self, attempt: Try) -> None:
-        self.tries.pop(attempt.number, None)
-        self.calls.tries.pop(attempt.number, None)
-
-    def tell_routing(self, attempt: Try, outcome: Outcome) -> None:
-        now = self.calls.now()
-        seconds = now - attempt.started_at
-        self.calls.routing.call_ended(
-            self.service, attempt.instance, outcome, seconds, now
-        )
-
     def end_unsent(self, attempt: Try) -> None:
         code = ResultCode.TARGET_UNREACHABLE
         ending = Ending(EndKind.NOT_RUN, code)
@@ -251,7 +170,7 @@
         self, attempt: Try, outcome: Outcome, code: ResultCode
     ) -> None:
         if self.relay is not None and self.relay.attempt is attempt:
-            self.drop_try(attempt, outcome)
+            self.tries.drop(attempt, outcome)
             self.break_off()
             return
         self.end_try(attempt, outcome, Ending(EndKind.UNKNOWN, code))
@@ -323,7 +242,7 @@
         self.state.done = True
         self.relay = Relay(self.exchange, attempt)
         self.status = attempt.status
-        self.cancel_tries(Outcome.OVERTAKEN, except_for=attempt)
+        self.tries.cancel(Outcome.OVERTAKEN, except_for=attempt)
         self.timer.cancel()
         if not self.caller_gone:
             self.relay.start()
@@ -337,7 +256,7 @@
             return
         if self.keyed is not None:
             self.keyed.record(attempt, None)
-        self.drop_try(attempt, Outcome.ANSWERED)
+        self.tries.drop(attempt, Outcome.ANSWERED)
         if not self.caller_gone:
             self.relay.finish()
         self.close(ResultCode.ANSWERED)
@@ -369,9 +288,8 @@
         if self.fallback is not None:
             self.answer_whole(self.fallback)
             return
-        unsent = all(t.never_left() for t in self.tries.values())
-        code = self.state.deadline_code(unsent)
-        self.cancel_tries(Outcome.TIMEOUT)
+        code = self.state.deadline_code(self.tries.none_left())
+        self.tries.cancel(Outcome.TIMEOUT)
         self.give_up(Problem(code))
 
     def give_up(self, problem: Problem) -> None:
@@ -388,10 +306,11 @@
         self.say(problem)
 
     def say(self, problem: Problem) -> None:
-        status, headers, body = problem_answer(problem)
+        headers = problem_headers(problem)
         if problem.code in OVERLOAD_CODES:
             headers.append((OVERLOAD_HEADER, 'here'))
-        self.respond(problem.code, status, headers, body)
+        status = problem_status(problem)
+        self.respond(problem.code, status, headers, problem_body(problem))
 
     def answer_record(self, record: RecordedAnswer) -> None:
         """Answer with what an earlier attempt with this key was told."""
@@ -408,7 +327,7 @@
         # The answer leaves first: the rest would only delay it.
         if not self.caller_gone:
             self.exchange.respond(status, headers, body)
-        self.cancel_tries(Outcome.OVERTAKEN)
+        self.tries.cancel(Outcome.OVERTAKEN)
         self.close(code)
 
     def close(self, code: ResultCode) -> None:
@@ -417,33 +336,18 @@
             return
         self.answered = True
         self.timer.cancel()
-        if self.hedge_timer is not None:
-            self.hedge_timer.cancel()
+        self.tries.stop_hedging()
         self.calls.body_budget.free(self.reserved)
         self.reserved = 0
         self.whole_body = b''
         self.calls.finished(self, code)
 
-    def cancel_tries(
-        self, outcome: Outcome, except_for: Try | None = None
-    ) -> None:
-        """Cancel at their gates the tries that no longer matter.
-
-        ``outcome`` tells routing what their silence says of their targets.
-        """
-        for attempt in list(self.tries.values()):
-            if attempt is except_for:
-                continue
-            attempt.link.send(Cancel(attempt.number))
-            self.state.open_tries -= 1
-            self.drop_try(attempt, outcome)
-
     def on_gone(self) -> None:
         """The caller left: stop, unless the call must not run in vain."""
         self.caller_gone = True
         if self.answered or self.keyed is not None:
             return
-        self.cancel_tries(Outcome.CANCELLED)
+        self.tries.cancel(Outcome.CANCELLED)
         self.close(ResultCode.CANCELLED_NOT_RUN)
 
 
--- a/cyclamenlift/calls/tasks.py
+++ b/cyclamenlift/calls/tasks.py
@@ -7,7 +7,6 @@
 from returns.result import Success
 import structlog
 
-from cyclamenlift.calls.answers import problem_answer
 from cyclamenlift.calls.attempt import Try
 from cyclamenlift.calls.budgets import BodyBudget
 from cyclamenlift.calls.budgets import RetryBudget
@@ -96,8 +95,7 @@
         """Take one request from the HTTP border."""
         result = read_request(exchange, self.rules, self.max_depth)
         if not isinstance(result, Success):
-            status, headers, body = problem_answer(result.failure())
-            exchange.respond(status, headers, body)
+            exchange.respond_problem(result.failure())
             return
         request = result.unwrap()
         if not request.call_id:
@@ -139,8 +137,8 @@
             call_id=call.request.call_id,
             service=call.service,
             code=int(code),
-            tried=sorted(call.tried),
-            hedged=call.hedged,
+            tried=sorted(call.tries.tried),
+            hedged=call.tries.hedged,
             budget=round(call.state.budget.balance, 1),
         )
 
@@ -190,7 +188,7 @@
         call = self.tries.get(number)
         if call is None:
             return None
-        attempt = call.tries.get(number)
+        attempt = call.tries.open.get(number)
         if attempt is None or attempt.link is not link:
             return None
         return call, attempt
@@ -247,7 +245,7 @@
 
     def on_link_lost(self, link) -> None:
         for call in list(self.tries.values()):
-            for attempt in list(call.tries.values()):
+            for attempt in list(call.tries.open.values()):
                 if attempt.link is link:
                     call.on_link_lost(attempt)
 
--- /dev/null
+++ b/cyclamenlift/calls/tries.py
@@ -0,0 +1,136 @@
+"""The tries of one call: where they go, when they are hedged or cancelled."""
+
+import typing
+
+from cyclamenlift.calls.attempt import Try
+from cyclamenlift.core.clock import time_left
+from cyclamenlift.routing.messages import Outcome
+from cyclamenlift.wire.gen.protocol.ttypes import CallStart
+from cyclamenlift.wire.gen.protocol.ttypes import Cancel
+
+if typing.TYPE_CHECKING:
+    from cyclamenlift.calls.life import Call
+
+MICROSECONDS = 1_000_000
+# The gate gets a little less time than the entry has, so that its proof
+# of "not run" arrives before the entry must answer without one.
+GATE_MARGIN = 0.010
+GATE_MARGIN_SHARE = 0.05
+# A hedge goes out by this share of a call's time, also where too few
+# answers were seen to know when one pays: the first target may be frozen.
+LATEST_HEDGE_SHARE = 0.25
+
+
+class Tries:
+    """Owns the open tries of one call and the timer of its hedge.
+
+    ``open`` holds the tries that have not ended, by number; ``tried`` the
+    instances that had the call.
+    """
+
+    def __init__(self, call: 'Call'):
+        self.call = call
+        self.calls = call.calls
+        self.service = call.request.rule.name
+        self.open: dict[int, Try] = {}
+        self.tried: set[str] = set()
+        self.hedged = False
+        self.hedge_timer = None
+
+    # -- commands ---------------------------------------------------------
+
+    def start(self, hedge: bool = False) -> None:
+        """Send the call to the best gate that has not had it yet."""
+        now = self.calls.now()
+        excluded = frozenset(self.tried)
+        choice = self.calls.routing.choose(self.service, now, excluded)
+        if choice is None or (hedge and choice.hot):
+            if not self.open:
+                self.call.finish_failed()
+            return
+        link = self.calls.link_to(choice)
+        number = self.calls.next_number()
+        attempt = Try(number, choice.instance, link, now, hedge)
+        self.tried.add(choice.instance)
+        self.open[number] = attempt
+        self.calls.tries[number] = self.call
+        self.call.state.try_started()
+        self.calls.routing.call_started(self.service, choice.instance, now)
+        if not attempt.send(self.start_message(now), self.call.whole_body):
+            self.call.end_unsent(attempt)
+        elif not self.call.answered:
+            self.plan_hedge(now)
+
+    def forget(self, attempt: Try) -> None:
+        self.open.pop(attempt.number, None)
+        self.calls.tries.pop(attempt.number, None)
+
+    def tell_routing(self, attempt: Try, outcome: Outcome) -> None:
+        """Report the end of a try to the estimates of its target."""
+        now = self.calls.now()
+        seconds = now - attempt.started_at
+        self.calls.routing.call_ended(
+            self.service, attempt.instance, outcome, seconds, now
+        )
+
+    def drop(self, attempt: Try, outcome: Outcome) -> None:
+        self.forget(attempt)
+        self.tell_routing(attempt, outcome)
+
+    def cancel(self, outcome: Outcome, except_for: Try | None = None) -> None:
+        """Cancel at their gates the tries that no longer matter.
+
+        ``outcome`` tells routing what their silence says of their targets.
+        """
+        for attempt in list(self.open.values()):
+            if attempt is except_for:
+                continue
+            attempt.link.send(Cancel(attempt.number))
+            self.call.state.open_tries -= 1
+            self.drop(attempt, outcome)
+
+    def stop_hedging(self) -> None:
+        if self.hedge_timer is not None:
+            self.hedge_timer.cancel()
+
+    # -- queries ----------------------------------------------------------
+
+    def none_left(self) -> bool:
+        """Tell whether no open try has left this process."""
+        return all(attempt.never_left() for attempt in self.open.values())
+
+    # -- steps ------------------------------------------------------------
+
+    def start_message(self, now: float) -> CallStart:
+        request = self.call.request
+        exchange = self.call.exchange
+        left = time_left(request.deadline, now)
+        left -= min(GATE_MARGIN, left * GATE_MARGIN_SHARE)
+        return CallStart(
+            service_name=self.service,
+            method=exchange.method,
+            path=exchange.path,
+            headers=self.calls.forwarded_headers(exchange),
+            time_left_us=int(left * MICROSECONDS),
+            body_length=len(self.call.whole_body),
+            idempotent=request.idempotent,
+            depth=request.depth,
+            trace_id=request.call_id,
+            config_version=self.calls.rules.version,
+        )
+
+    def plan_hedge(self, now: float) -> None:
+        request = self.call.request
+        if not (request.idempotent and request.rule.hedge):
+            return
+        if self.hedge_timer is not None:
+            return
+        latest = time_left(request.deadline, now) * LATEST_HEDGE_SHARE
+        wait = self.calls.routing.hedge_after(self.service, now)
+        wait = latest if wait is None else min(wait, latest)
+        self.hedge_timer = self.calls.scheduler.at(now + wait, self.on_hedge)
+
+    def on_hedge(self) -> None:
+        if not self.call.answered and self.call.state.may_hedge():
+            self.hedged = True
+            self.start(hedge=True)
--- a/cyclamenlift/cli/status.py
+++ b/cyclamenlift/cli/status.py
@@ -84,7 +84,7 @@
         words.extend(
             f'{item.get("instance")}: {repair_of(item)}'
             for item in replica.get('instances') or ()
-            if not (item.get('counts') and item.get('caught_up'))
+            if repair_of(item)
         )
     return '; '.join(words)
 
@@ -93,4 +93,6 @@
     """Return what is missing until another disk may be lost."""
     if not item.get('counts'):
         return 'storage does not count'
-    return 'not caught up'
+    if not item.get('reachable'):
+        return 'not reachable'
+    return '' if item.get('caught_up') else 'not caught up'
--- /dev/null
+++ b/cyclamenlift/replication/handling.py
@@ -0,0 +1,69 @@
+"""How a replica does what its decisions ask for, by kind of effect."""
+
+from typing import TYPE_CHECKING
+
+import structlog
+
+from cyclamenlift.core.registry import Registry
+from cyclamenlift.replication.commits import snapshot_taken
+from cyclamenlift.replication.effects import Apply
+from cyclamenlift.replication.effects import LeadershipLost
+from cyclamenlift.replication.effects import ReadReady
+from cyclamenlift.replication.effects import RestoreMachine
+from cyclamenlift.replication.effects import Send
+from cyclamenlift.replication.effects import TakeSnapshot
+from cyclamenlift.replication.log import KIND_COMMAND
+from cyclamenlift.replication.snapshots import Snapshot
+
+if TYPE_CHECKING:
+    from cyclamenlift.replication.tasks import Replica
+
+LOG = structlog.get_logger('replication')
+EFFECTS: Registry = Registry('effect')
+
+
+@EFFECTS.register('Send')
+def send(replica: 'Replica', effect: Send) -> None:
+    address = replica.settings.peers[effect.to]
+    replica.network.send(address, effect.message)
+
+
+@EFFECTS.register('Apply')
+def apply(replica: 'Replica', effect: Apply) -> None:
+    """Run committed commands and answer those who proposed them."""
+    for entry in effect.entries:
+        answer = b''
+        if entry.kind == KIND_COMMAND:
+            answer = replica.machine.apply(
+                entry.index, entry.stamp_unix_ms, entry.command
+            )
+        replica.applied_index = entry.index
+        replica.waiting.finish_entry(entry, answer)
+
+
+@EFFECTS.register('TakeSnapshot')
+def take_snapshot(replica: 'Replica', effect: TakeSnapshot) -> None:
+    data = replica.machine.snapshot()
+    snapshot_taken(replica.state, effect.index, data)
+
+
+@EFFECTS.register('RestoreMachine')
+def restore(replica: 'Replica', effect: RestoreMachine) -> None:
+    restore_machine(replica, effect.snapshot)
+
+
+def restore_machine(replica: 'Replica', snapshot: Snapshot) -> None:
+    """Replace the machine's state by that of a snapshot."""
+    replica.machine.restore(snapshot.data)
+    replica.applied_index = snapshot.index
+
+
+@EFFECTS.register('ReadReady')
+def finish_read(replica: 'Replica', effect: ReadReady) -> None:
+    replica.waiting.finish_read(effect.token, effect.index)
+
+
+@EFFECTS.register('LeadershipLost')
+def lose_leadership(replica: 'Replica', _effect: LeadershipLost) -> None:
+    LOG.info('leadership_lost', term=replica.state.term)
+    replica.waiting.fail_all(replica.not_leader())
--- a/cyclamenlift/replication/tasks.py
+++ b/cyclamenlift/replication/tasks.py
@@ -12,20 +12,14 @@
 from cyclamenlift.core.clock import MILLISECONDS
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.problems import Problem
-from cyclamenlift.core.registry import Registry
 from cyclamenlift.replication.commands import append_commands
 from cyclamenlift.replication.commands import replace_storage
-from cyclamenlift.replication.commits import snapshot_taken
-from cyclamenlift.replication.effects import Apply
-from cyclamenlift.replication.effects import ReadReady
-from cyclamenlift.replication.effects import RestoreMachine
-from cyclamenlift.replication.effects import Send
-from cyclamenlift.replication.effects import TakeSnapshot
+from cyclamenlift.replication.handling import EFFECTS
+from cyclamenlift.replication.handling import restore_machine
 from cyclamenlift.replication.inputs import connection_lost
 from cyclamenlift.replication.inputs import receive
 from cyclamenlift.replication.inputs import synced
 from cyclamenlift.replication.inputs import tick
-from cyclamenlift.replication.log import KIND_COMMAND
 from cyclamenlift.replication.machine import StateMachine
 from cyclamenlift.replication.queries import make_status
 from cyclamenlift.replication.queries import ReplicaStatus
@@ -54,6 +48,7 @@
 
 LOG = structlog.get_logger('replication')
 TICKS_PER_HEARTBEAT = 4
+MAX_COMMAND_BYTES = 2 * 1024 * 1024
 MESSAGES = (
     AppendAnswer,
     AppendRequest,
@@ -62,7 +57,6 @@
     VoteAnswer,
     VoteRequest,
 )
-EFFECTS: Registry = Registry('effect')
 
 
 class Replica(BaseComponent):
@@ -138,7 +132,7 @@
             now=self.now(),
         )
         if storage.recovered.snapshot is not None:
-            self.restore(RestoreMachine(storage.recovered.snapshot))
+            restore_machine(self, storage.recovered.snapshot)
         self.sync = SyncTask(self.loop.poller, storage, self.take_outcome)
         self.sync.register(self.loop)
         self.sync.start()
@@ -164,8 +158,14 @@
         """Append one command; ``done`` gets the machine's answer.
 
         Fails with NOT_LEADER when it was certainly not appended, and with
-        CHANGE_UNKNOWN when leadership was lost after that.
+        CHANGE_UNKNOWN when leadership was lost after that. A command too
+        large for one frame between instances fails with BODY_TOO_LARGE.
         """
+        if len(command) > MAX_COMMAND_BYTES:
+            detail = f'a command of {len(command)} bytes'
+            problem = Problem(ResultCode.BODY_TOO_LARGE, detail)
+            self.soon(lambda: done(Failure(problem)))
+            return
         self.waiting.queue.append(Proposal(command, done))
         self.plan_flush()
 
@@ -323,40 +323,6 @@
             if not hasattr(effect, 'ticket'):
                 EFFECTS.get(type(effect).__name__)(self, effect)
 
-    @EFFECTS.register('Send')
-    def send(self, effect: Send) -> None:
-        address = self.settings.peers[effect.to]
-        self.network.send(address, effect.message)
-
-    @EFFECTS.register('Apply')
-    def apply(self, effect: Apply) -> None:
-        for entry in effect.entries:
-            answer = b''
-            if entry.kind == KIND_COMMAND:
-                answer = self.machine.apply(
-                    entry.index, entry.stamp_unix_ms, entry.command
-                )
-            self.applied_index = entry.index
-            self.waiting.finish_entry(entry, answer)
-
-    @EFFECTS.register('TakeSnapshot')
-    def take_snapshot(self, effect: TakeSnapshot) -> None:
-        snapshot_taken(self.state, effect.index, self.machine.snapshot())
-
-    @EFFECTS.register('RestoreMachine')
-    def restore(self, effect: RestoreMachine) -> None:
-        self.machine.restore(effect.snapshot.data)
-        self.applied_index = effect.snapshot.index
-
-    @EFFECTS.register('ReadReady')
-    def finish_read(self, effect: ReadReady) -> None:
-        self.waiting.finish_read(effect.token, effect.index)
-
-    @EFFECTS.register('LeadershipLost')
-    def lose_leadership(self, _effect) -> None:
-        LOG.info('leadership_lost', term=self.state.term)
-        self.waiting.fail_all(self.not_leader())
-
 
 def make_limits(settings: ReplicaSettings) -> Limits:
     return Limits(
--- a/tests/calls/test_tasks.py
+++ b/tests/calls/test_tasks.py
@@ -41,7 +41,7 @@
         caller = bed.send()
         bed.run_until(lambda: target.requests)
         (number,) = bed.calls.tries
-        (attempt,) = bed.calls.tries[number].tries.values()
+        (attempt,) = bed.calls.tries[number].tries.open.values()
         link = attempt.link if own_link else object()
         frame = make(number + 1 if own_link else number)
         getattr(bed.calls, handler)(link, frame)
--- a/tests/cli/test_program.py
+++ b/tests/cli/test_program.py
@@ -21,7 +21,13 @@
         'established': True,
         'instances': [
             {'instance': 'b', 'counts': False, 'caught_up': False},
-            {'instance': 'c', 'counts': True, 'caught_up': False},
+            {
+                'instance': 'c',
+                'counts': True,
+                'caught_up': False,
+                'reachable': True,
+            },
+            {'instance': 'e', 'counts': True, 'caught_up': True},
         ],
     },
 }
@@ -179,6 +185,7 @@
     assert status == 1
     assert 'leader, term 3; b: storage does not count' in out
     assert 'c: not caught up' in out
+    assert 'e: not reachable' in out
     assert 'no answer' in out
     assert '6003 127.0.0.1:1' in err
     status, out, _ = command('status', *flags, '--json')
--- a/tests/replication/test_model.py
+++ b/tests/replication/test_model.py
@@ -67,6 +67,17 @@
     'old_disk_comes_back',
     'replace_disk',
 )
+NOT_READING = (
+    *DISK_RULES,
+    'crash',
+    'deliver_one_way',
+    'elect',
+    'exchange',
+    'deliver_one',
+    'lose_messages',
+    'propose_to_all',
+    'sync',
+)
 NOT_FOUNDING = (
     *DISK_RULES[1:],
     'found',
@@ -94,7 +105,7 @@
     'old_term_commits': BrokenRule(commits, 'may_commit', always),
     'vote_for_shorter_log': BrokenRule(elections, 'is_current', always),
     'old_round_confirms_read': BrokenRule(
-        Leadership, 'note_answer', confirm_any_round
+        Leadership, 'note_answer', confirm_any_round, NOT_READING
     ),
     'empty_disk_counts': BrokenRule(
         Configuration, 'has_majority', count_names, ()
--- a/tests/replication/test_tasks.py
+++ b/tests/replication/test_tasks.py
@@ -15,6 +15,7 @@
 from cyclamenlift.core.tasks import build_root
 from cyclamenlift.replication.queries import Role
 from cyclamenlift.replication.settings import ReplicaSettings
+from cyclamenlift.replication.tasks import MAX_COMMAND_BYTES
 from cyclamenlift.replication.tasks import Replica
 from cyclamenlift.wire.tasks import PeerNetwork
 
@@ -74,6 +75,14 @@
     second.replica.stop()
 
 
+def test_command_over_the_limit_is_refused(tmp_path):
+    alone = Alone(tmp_path).lead()
+    answer = alone.ask('propose', b'x' * (MAX_COMMAND_BYTES + 1))
+    assert answer.failure().code is ResultCode.BODY_TOO_LARGE
+    assert alone.ask('propose', b'x' * MAX_COMMAND_BYTES) == Success(b'1')
+    alone.replica.stop()
+
+
 @pytest.mark.parametrize(
     ('command', 'arguments'),
     [('propose', (b'x',)), ('read_barrier', ()), ('replace_storage', 'ab')],
