Hold the budget for measuring at each target alone

Cause: a gate took the service's probe budget divided by the gates that it saw. Ruled out: a high-water mark of gates seen, which a restarted gate does not have, and shares handed out by control, which a cut-off gate does not learn of. Change: probe_budget_per_second is the budget at each target, and its own daemon holds to it alone, health requests included. Entries go on sharing the same figure for a service among themselves, so they ask less than is allowed. Conclusion: the promise no longer depends on a view of the members.

--- a/cyclamenlift/console/views.py
+++ b/cyclamenlift/console/views.py
@@ -36,7 +36,7 @@
     'retry_budget_percent': 'repeated tries, of all first tries',
     'hedge': 'a second try in parallel for a slow idempotent call',
     'queue_limit': 'calls that wait at one target',
-    'probe_budget_per_second': 'for all targets of the service together',
+    'probe_budget_per_second': 'at each target; its daemon holds to it alone',
     'ejection_percent': 'of the targets, at most, at one time',
     'slow_start_ms': 'until a fresh target gets its full share',
     'path': 'ends in * for all that begins so',
--- a/cyclamenlift/gate/probes.py
+++ b/cyclamenlift/gate/probes.py
@@ -4,7 +4,7 @@
 
 
 class ProbeBudget:
-    """A token bucket: this gate's share of the event's probe budget.
+    """A token bucket: the budget for measuring this gate's target.
 
     A probe beyond it is dropped without an answer, so measuring costs a
     target's instance no more than was set, however many entries ask.
@@ -17,7 +17,7 @@
         self.answered = 0
         self.dropped = 0
 
-    def set_share(self, per_second: float, now: float) -> None:
+    def set_rate(self, per_second: float, now: float) -> None:
         """Change the rate; tokens saved under the old rate are capped."""
         self.fill(now)
         self.per_second = per_second
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -53,15 +53,19 @@
 
     # -- commands ---------------------------------------------------------
 
-    def apply_rules(self, rules: EventRules, gates: int) -> None:
-        """Take a new event document; ``gates`` share its probe budget."""
+    def apply_rules(self, rules: EventRules) -> None:
+        """Take a new event document.
+
+        The budget for measuring is one for each target. A budget for the
+        service would have to be shared out by the gates that this one
+        sees, and gates that do not see each other would exceed it.
+        """
         self.rule = rules.services.get(self.service)
         if self.rule is None:
-            self.budget.set_share(0.0, self.now())
+            self.budget.set_rate(0.0, self.now())
             return
         self.state.queue_limit = self.rule.queue_limit
-        share = self.rule.probes_per_second / max(1, gates)
-        self.budget.set_share(share, self.now())
+        self.budget.set_rate(self.rule.probes_per_second, self.now())
 
     def drain(self) -> None:
         """Take no new call; queued ones are refused as not run."""
--- a/cyclamenlift/models/document.py
+++ b/cyclamenlift/models/document.py
@@ -120,7 +120,7 @@
         20.0,
         ge=0,
         le=100_000,
-        description='load probes and health requests, over all targets',
+        description='load probes and health requests at each target',
     )
     ejection_percent: int = pydantic.Field(
         30, ge=0, le=100, description='most targets set aside as bad'
--- a/cyclamenlift/runtime/control.py
+++ b/cyclamenlift/runtime/control.py
@@ -26,6 +26,8 @@
 from cyclamenlift.replication.settings import ReplicaSettings
 from cyclamenlift.replication.tasks import Replica
 from cyclamenlift.runtime.control_api import ControlApi
+from cyclamenlift.runtime.control_metrics import ControlMetrics
+from cyclamenlift.runtime.control_metrics import MetricsPage
 from cyclamenlift.runtime.machine import ControlMachine
 from cyclamenlift.runtime.peers import parse_peers
 from cyclamenlift.wire.tasks import PeerNetwork
@@ -65,6 +67,7 @@
             self.machine.events,
             self.machine.ledger,
         )
+        self.metrics = ControlMetrics(self.context, self.claims)
         self.stopping = False
         self.stop_deadline = 0.0
 
@@ -137,6 +140,7 @@
             [
                 ControlApi(self.context),
                 ConsolePages(ContextPort(self.context)),
+                MetricsPage(self.metrics),
             ],
         )
         LOG.info(
--- /dev/null
+++ b/cyclamenlift/runtime/control_metrics.py
@@ -0,0 +1,157 @@
+"""Metrics of a control instance, read when ``/metrics`` is asked for.
+
+``CONTROL_METRICS`` is the one list of their names, units and meanings. The
+numbers are those of this instance, as it sees itself: claims are answered
+by whoever leads, so add up the instances for the cluster's counts.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from circuits.web.controllers import Controller
+from circuits.web.controllers import expose
+from opentelemetry.metrics import Observation
+
+from cyclamenlift.core.metrics import Kind
+from cyclamenlift.core.metrics import MetricInfo
+from cyclamenlift.core.metrics import Metrics
+from cyclamenlift.events.context import ControlContext
+from cyclamenlift.http.pages import WebAnswer
+from cyclamenlift.ledger.server import ClaimServer
+from cyclamenlift.replication.queries import ReplicaStatus
+from cyclamenlift.replication.queries import Role
+from cyclamenlift.runtime.admin import METRICS_TYPE
+from cyclamenlift.wire.gen.protocol.ttypes import ClaimVerdict
+
+COMMITS = MetricInfo(
+    'cyclamenlift.control.commits',
+    Kind.COUNTER,
+    '{entry}',
+    'log entries known to be committed, over all time',
+)
+TERM = MetricInfo(
+    'cyclamenlift.control.term',
+    Kind.GAUGE,
+    '{term}',
+    'term of the replicated log; it rises with each election',
+)
+ROLE = MetricInfo(
+    'cyclamenlift.control.role',
+    Kind.GAUGE,
+    '{instance}',
+    '1 for the role that this instance has, 0 for the others',
+    ('role',),
+)
+LOG_INDEX = MetricInfo(
+    'cyclamenlift.control.log.index',
+    Kind.GAUGE,
+    '{entry}',
+    'index of the last entry in the log of this instance',
+)
+APPLIED_INDEX = MetricInfo(
+    'cyclamenlift.control.log.applied',
+    Kind.GAUGE,
+    '{entry}',
+    'index of the last entry that took effect here',
+)
+CLAIMS_HELD = MetricInfo(
+    'cyclamenlift.control.claims.held',
+    Kind.GAUGE,
+    '{key}',
+    'keys that the ledger holds',
+)
+CLAIMS_ANSWERED = MetricInfo(
+    'cyclamenlift.control.claims.answered',
+    Kind.COUNTER,
+    '{claim}',
+    'claims that this instance answered, by verdict',
+    ('verdict',),
+)
+VERSION = MetricInfo(
+    'cyclamenlift.control.config.version',
+    Kind.GAUGE,
+    '{version}',
+    'version of the event document that took effect here, 0 for none',
+)
+CONTROL_METRICS = (
+    COMMITS,
+    TERM,
+    ROLE,
+    LOG_INDEX,
+    APPLIED_INDEX,
+    CLAIMS_HELD,
+    CLAIMS_ANSWERED,
+    VERSION,
+)
+
+
+class ControlMetrics:
+    """Observable instruments over the parts of one control instance."""
+
+    def __init__(self, context: ControlContext, claims: ClaimServer):
+        self.context = context
+        self.claims = claims
+        self.metrics = Metrics(context.instance, context.data_centre)
+        self.watch(COMMITS, lambda: self.status().commit_index)
+        self.watch(TERM, lambda: self.status().term)
+        self.observe(ROLE, self.roles)
+        self.watch(LOG_INDEX, lambda: self.status().last_index)
+        self.watch(APPLIED_INDEX, lambda: self.status().applied_index)
+        self.watch(CLAIMS_HELD, lambda: len(context.ledger))
+        self.observe(CLAIMS_ANSWERED, self.verdicts)
+        self.watch(VERSION, lambda: context.store.version)
+
+    def status(self) -> ReplicaStatus:
+        return self.context.replica.status()
+
+    def watch(self, info: MetricInfo, read: Callable[[], float]) -> None:
+        """Report ``read()`` at each collection."""
+        self.observe(info, lambda: [Observation(read())])
+
+    def observe(
+        self, info: MetricInfo, read: Callable[[], Iterable[Observation]]
+    ) -> None:
+        """Make the instrument that ``info`` describes."""
+        meter = self.metrics.meter
+        create = {
+            Kind.COUNTER: meter.create_observable_counter,
+            Kind.GAUGE: meter.create_observable_gauge,
+        }[info.kind]
+        create(
+            info.name,
+            callbacks=[lambda _options: read()],
+            unit=info.unit,
+            description=info.description,
+        )
+
+    def roles(self) -> list[Observation]:
+        current = self.status().role
+        return [
+            Observation(int(role is current), {'role': role.value})
+            for role in Role
+        ]
+
+    def verdicts(self) -> list[Observation]:
+        counts = self.claims.verdicts
+        return [
+            Observation(counts[verdict], {'verdict': verdict.name.lower()})
+            for verdict in ClaimVerdict
+        ]
+
+    def render(self) -> bytes:
+        """Return all metrics in the text form of Prometheus."""
+        return self.metrics.render_prometheus()
+
+
+class MetricsPage(Controller):
+    """``/metrics`` of a control instance."""
+
+    channel = '/metrics'
+
+    def __init__(self, metrics: ControlMetrics):
+        super().__init__()
+        self.metrics = metrics
+
+    @expose('index')
+    def index(self) -> WebAnswer:
+        return WebAnswer(self.metrics.render(), 200, METRICS_TYPE)
--- a/cyclamenlift/runtime/daemon.py
+++ b/cyclamenlift/runtime/daemon.py
@@ -35,7 +35,6 @@
 from cyclamenlift.wire.gen.protocol.ttypes import CallStart
 from cyclamenlift.wire.gen.protocol.ttypes import Credit
 from cyclamenlift.wire.gen.protocol.ttypes import MemberRecord
-from cyclamenlift.wire.gen.protocol.ttypes import MemberState
 from cyclamenlift.wire.gen.protocol.ttypes import TargetState
 from cyclamenlift.wire.tasks import PeerNetwork
 
@@ -146,9 +145,10 @@
                 data_centre=settings.data_centre,
                 cluster=settings.cluster,
                 listen=Address.parse(settings.gossip_listen),
+                advertise=settings.advertise_gossip,
                 seeds=tuple(Address.parse(seed) for seed in settings.seeds),
                 period=settings.gossip_seconds,
-                peer_address=str(self.peer_address),
+                peer_address=settings.advertise_peer or str(self.peer_address),
                 service_name=settings.service,
                 slots=settings.slots,
                 target_name=settings.target_name or settings.instance,
@@ -221,26 +221,12 @@
 
     def on_rules(self, rules: EventRules) -> None:
         self.calls.apply_rules(rules)
-        self.share_probe_budget()
+        if self.gate is not None:
+            self.gate.apply_rules(rules)
         self.membership.announce(config_version=rules.version)
 
     def on_member(self, record: MemberRecord) -> None:
         self.routing.note_member(record, self.scheduler.clock.now())
-        self.share_probe_budget()
-
-    def share_probe_budget(self) -> None:
-        """Give our gate its part of the event's probe budget."""
-        rules = self.follower.rules
-        if self.gate is None or rules is None:
-            return
-        alive = (MemberState.ALIVE, MemberState.SUSPECT)
-        gates = sum(
-            1
-            for record in self.membership.members()
-            if record.service_name == self.settings.service
-            and record.state in alive
-        )
-        self.gate.apply_rules(rules, max(1, gates))
 
     def on_target_state(self, state: TargetState) -> None:
         self.membership.announce(target_state=state)
--- a/tests/runtime/control_builders.py
+++ b/tests/runtime/control_builders.py
@@ -9,6 +9,7 @@
 from cyclamenlift.cli.admin import request
 from cyclamenlift.cli.publishing import LeaderCall
 from cyclamenlift.core.streams import Address
+from cyclamenlift.standins.fleet import ask
 from cyclamenlift.standins.fleet import free_port
 from tests.models.builders import document_value
 
@@ -95,6 +96,11 @@
         result = request(self.admins[name], 'GET', path)
         return result.value_or(None).value if result.value_or(None) else {}
 
+    def text(self, name: str) -> str:
+        """Return the metrics page of one instance."""
+        _, _, body = ask(str(self.admins[name]), 'GET', '/metrics')
+        return body.decode()
+
     def post(self, name: str, body: dict) -> int:
         result = request(self.admins[name], 'POST', '/api/publish', body)
         answer = result.value_or(None)
