--- a/bench/path.py
+++ b/bench/path.py
@@ -4,15 +4,21 @@
 stand-in target with a constant service time. Direct calls and calls through
 the path alternate in rounds, so that noise of the machine meets both. The
 processor time of both daemons is read from the system.
+
+``python -m bench.path --closed=3000`` sends one call at a time instead, with
+a target that answers at once: what a single caller waits for.
 """
 
 import dataclasses
 import json
+import socket
 import sys
+import time
 
 import fire
 import psutil
 
+from cyclamenlift.core.streams import Address
 from cyclamenlift.standins.fleet import DaemonHandle
 from cyclamenlift.standins.fleet import Fleet
 from cyclamenlift.standins.fleet import temporary_fleet
@@ -23,13 +29,23 @@
 from demo.document import demo_document
 
 SERVICE_MS = 2.0
+CLOSED_SERVICE_MS = 0.01
 ROUNDS = 3
+READ_SIZE = 65536
+CLOSED_REQUEST = (
+    b'GET /prices?size=64 HTTP/1.1\r\n'
+    b'Host: prices\r\n'
+    b'Cyclamenlift-Timeout-Ms: 2000\r\n\r\n'
+)
 MICROSECONDS = 1e6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Point:
-    """One rate: latency in milliseconds, processor time in microseconds."""
+    """One rate: latency in milliseconds, processor time in microseconds.
+
+    A rate of 0 stands for calls one at a time.
+    """
 
     rate: float
     direct_p50: float
@@ -43,11 +59,13 @@
     failures: int
 
 
-def start(fleet: Fleet) -> tuple[DaemonHandle, DaemonHandle, str]:
+def start(
+    fleet: Fleet, service_ms: float = SERVICE_MS
+) -> tuple[DaemonHandle, DaemonHandle, str]:
     """Start control, target, gate and entry; publish the document."""
     fleet.start_controls(1)
     target = fleet.start_target(
-        'prices-0', 'prices', 64, service_ms=SERVICE_MS, sigma=0
+        'prices-0', 'prices', 64, service_ms=service_ms, sigma=0
     )
     gate = fleet.start_daemon('gate', 'bole', target)
     entry = fleet.start_daemon('entry', 'bole')
@@ -93,6 +111,49 @@
     return make_point(rate, direct, through, spent)
 
 
+def call_in_turn(address: str, calls: int) -> list[float]:
+    """Return the sorted latencies of calls sent one after the other, ms."""
+    found = []
+    with socket.create_connection(Address.parse(address)) as caller:
+        caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for _ in range(calls):
+            began = time.perf_counter()
+            caller.sendall(CLOSED_REQUEST)
+            answer = caller.recv(READ_SIZE)
+            found.append((time.perf_counter() - began) * 1000)
+            if not answer.startswith(b'HTTP/1.1 200'):
+                raise SystemExit(f'an answer began with {answer[:40]!r}')
+    return sorted(found)
+
+
+def measure_closed(entry, gate, target: str, calls: int) -> Point:
+    """Return the point of calls one at a time, over alternating rounds."""
+    direct, through = [], []
+    spent = [0.0, 0.0]
+    for _ in range(ROUNDS):
+        direct += call_in_turn(target, calls)
+        before = [cpu_seconds(d) for d in (entry, gate)]
+        through += call_in_turn(entry.entry, calls)
+        after = [cpu_seconds(d) for d in (entry, gate)]
+        for side in (0, 1):
+            spent[side] += after[side] - before[side]
+    total = len(through)
+    p50 = [sorted(found)[total // 2] for found in (direct, through)]
+    p99 = [sorted(found)[total * 99 // 100] for found in (direct, through)]
+    return Point(
+        rate=0.0,
+        direct_p50=round(p50[0], 3),
+        direct_p99=round(p99[0], 3),
+        path_p50=round(p50[1], 3),
+        path_p99=round(p99[1], 3),
+        added_p50=round(p50[1] - p50[0], 3),
+        added_p99=round(p99[1] - p99[0], 3),
+        entry_us=round(spent[0] / total * MICROSECONDS, 1),
+        gate_us=round(spent[1] / total * MICROSECONDS, 1),
+        failures=0,
+    )
+
+
 def make_point(rate: float, direct, through, spent) -> Point:
     found = [merge(direct), merge(through)]
     p50 = [h.get_value_at_percentile(50.0) / 1000 for h in found]
@@ -120,13 +181,26 @@
     return first
 
 
-def main(rates: str = '10,100,300', seconds: float = 6.0) -> None:
+def write_point(point: Point) -> None:
+    sys.stdout.write(json.dumps(dataclasses.asdict(point)) + '\n')
+    sys.stdout.flush()
+
+
+def main(
+    rates: str = '10,100,300', seconds: float = 6.0, closed: int = 0
+) -> None:
     """Print one JSON line for each rate.
 
     Args:
         rates: Calls a second, with commas between.
         seconds: Length of one round; three rounds each way for a rate.
+        closed: Send that many calls a round, one at a time, and no rates.
     """
+    if closed:
+        with temporary_fleet('warning') as fleet:
+            parts = start(fleet, CLOSED_SERVICE_MS)
+            write_point(measure_closed(*parts, closed))
+        return
     listed = rates if isinstance(rates, tuple) else str(rates).split(',')
     with temporary_fleet('warning') as fleet:
         entry, gate, target = start(fleet)
@@ -134,8 +208,7 @@
             point = run_precisely(
                 measure(entry, gate, target, float(rate), seconds)
             )
-            sys.stdout.write(json.dumps(dataclasses.asdict(point)) + '\n')
-            sys.stdout.flush()
+            write_point(point)
 
 
 if __name__ == '__main__':
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -5,6 +5,7 @@
 processes. The figures go to ``docs/CAPACITY.md``.
 """
 
+import contextlib
 import dataclasses
 import json
 import pathlib
@@ -20,6 +21,7 @@
 from bench.fit import fit_line
 from cyclamenlift.core.registry import Registry
 from cyclamenlift.standins.fleet import ask
+from cyclamenlift.standins.fleet import ControlHandle
 from cyclamenlift.standins.fleet import DaemonHandle
 from cyclamenlift.standins.fleet import Fleet
 from cyclamenlift.standins.fleet import TargetHandle
@@ -37,6 +39,7 @@
 CALL_RATES = (50, 100, 200, 300)
 CALLER_SIZES = (0, 100, 200, 400, 800)
 IDLE_SECONDS = 15.0
+SETTLE_SECONDS = 100.0
 LOAD_SECONDS = 8.0
 SLOTS = 64
 BATCH = 5
@@ -88,24 +91,24 @@
     sys.stdout.flush()
 
 
-def cpu_seconds(daemon: DaemonHandle) -> float:
-    times = psutil.Process(daemon.running.process.pid).cpu_times()
+def cpu_seconds(handle: DaemonHandle | ControlHandle) -> float:
+    times = psutil.Process(handle.running.process.pid).cpu_times()
     return times.user + times.system
 
 
-def memory(daemon: DaemonHandle) -> float:
+def memory(handle: DaemonHandle | ControlHandle) -> float:
     """Return the resident memory in MiB."""
-    process = psutil.Process(daemon.running.process.pid)
+    process = psutil.Process(handle.running.process.pid)
     return process.memory_info().rss / MEBIBYTE
 
 
-def idle_cpu(daemons: list[DaemonHandle]) -> float:
-    """Return the mean processor time of a daemon, ms a second."""
-    before = [cpu_seconds(d) for d in daemons]
+def idle_cpu(handles: list) -> list[float]:
+    """Return the processor time of each process, ms a second."""
+    before = [cpu_seconds(h) for h in handles]
     time.sleep(IDLE_SECONDS)
-    after = [cpu_seconds(d) for d in daemons]
-    spent = statistics.fmean(b - a for a, b in zip(before, after))
-    return 1000.0 * spent / IDLE_SECONDS
+    after = [cpu_seconds(h) for h in handles]
+    scale = 1000.0 / IDLE_SECONDS
+    return [scale * (b - a) for a, b in zip(before, after)]
 
 
 def gossip_bytes(daemon: DaemonHandle) -> float:
@@ -152,12 +155,16 @@
 
 
 def start_daemons(fleet: Fleet, count: int, target: TargetHandle) -> None:
-    """Start daemons a few at a time.
+    """Start daemons a few at a time, all beside one target.
 
-    A port that was found free is taken only once its process listens.
+    A port that was found free is taken only once its process listens. No
+    connections are kept warm: together they would pass the target's limit,
+    and each daemon would open its own again and again.
     """
     for number in range(count):
-        fleet.start_daemon(f'daemon-{number}', 'dc-a', target)
+        fleet.start_daemon(
+            f'daemon-{number}', 'dc-a', target, warm_connections=0
+        )
         if (number + 1) % BATCH == 0 or number + 1 == count:
             for daemon in fleet.daemons[-BATCH:]:
                 wait_until(daemon.status, READY_SECONDS, daemon.running.name)
@@ -176,20 +183,52 @@
             measure_members(fleet, size, recorder)
 
 
-def measure_members(fleet: Fleet, size: int, recorder: Recorder) -> None:
+@STAGES.register('settled')
+def settled_stage(recorder: Recorder) -> None:
+    """Idle cost once the start's changes have stopped going round.
+
+    The sizes run at the same time, each a cluster of its own; a start's
+    records are sent on for about two minutes.
+    """
+    with contextlib.ExitStack() as stack:
+        fleets = {}
+        for size in MEMBER_SIZES:
+            fleet = stack.enter_context(temporary_fleet('warning'))
+            start_control(fleet)
+            target = fleet.start_target('prices-0', 'prices', SLOTS)
+            publish(fleet, document_with(1), 0)
+            start_daemons(fleet, size, target)
+            fleets[size] = fleet
+        time.sleep(SETTLE_SECONDS)
+        for size, fleet in fleets.items():
+            measure_idle('settled', fleet, size, recorder)
+
+
+def measure_idle(
+    stage: str, fleet: Fleet, size: int, recorder: Recorder
+) -> None:
     daemons = fleet.daemons
     before = [gossip_bytes(d) for d in daemons]
-    recorder.note('members', 'idle CPU', 'ms/s', size, idle_cpu(daemons))
+    *costs, control = idle_cpu([*daemons, fleet.controls[0]])
+    cost = statistics.fmean(costs)
+    recorder.note(stage, 'idle CPU', 'ms/s', size, cost)
+    recorder.note(stage, 'control CPU', 'ms/s', size, control)
+    held = memory(fleet.controls[0])
+    recorder.note(stage, 'control memory', 'MiB', size, held)
     spent = [gossip_bytes(d) - b for d, b in zip(daemons, before)]
     rate = statistics.fmean(spent) / IDLE_SECONDS
-    recorder.note('members', 'gossip payload', 'B/s', size, rate)
+    recorder.note(stage, 'gossip payload', 'B/s', size, rate)
     rss = statistics.fmean(memory(d) for d in daemons)
-    recorder.note('members', 'memory', 'MiB', size, rss)
+    recorder.note(stage, 'memory', 'MiB', size, rss)
+
+
+def measure_members(fleet: Fleet, size: int, recorder: Recorder) -> None:
+    measure_idle('members', fleet, size, recorder)
     accepted = publish(fleet, document_with(2), 1)
     fleet.wait_in_force(2, size, READY_SECONDS)
     seconds = time.monotonic() - accepted
     recorder.note('members', 'document everywhere', 's', size, seconds)
-    entry = daemons[0]
+    entry = fleet.daemons[0]
     quiet = memory(entry)
     send(entry, 200.0, LOAD_SECONDS)
     grown = memory(entry) - quiet
@@ -206,7 +245,7 @@
             publish(fleet, document_with(size), 0)
             start_daemons(fleet, 4, target)
             fleet.wait_in_force(1, 4)
-            cost = idle_cpu(fleet.daemons)
+            cost = statistics.fmean(idle_cpu(fleet.daemons))
             recorder.note('services', 'idle CPU', 'ms/s', size, cost)
             rss = statistics.fmean(memory(d) for d in fleet.daemons)
             recorder.note('services', 'memory', 'MiB', size, rss)
@@ -266,7 +305,16 @@
             connection.close()
 
 
-def main(stages: str = 'members,services,calls,callers') -> None:
+def save(points: list[Point]) -> None:
+    """Keep the points; those of stages that did not run stay."""
+    stages = {p.stage for p in points}
+    old = json.loads(RESULTS.read_text()) if RESULTS.exists() else []
+    kept = [p for p in old if p['stage'] not in stages]
+    kept.extend(dataclasses.asdict(p) for p in points)
+    RESULTS.write_text(json.dumps(kept, indent=1) + '\n')
+
+
+def main(stages: str = 'members,settled,services,calls,callers') -> None:
     """Run stages in order, print their lines and keep the points.
 
     Args:
@@ -276,12 +324,7 @@
     recorder = Recorder()
     for name in listed:
         STAGES.get(name)(recorder)
-        RESULTS.write_text(
-            json.dumps(
-                [dataclasses.asdict(p) for p in recorder.points], indent=1
-            )
-            + '\n'
-        )
+        save(recorder.points)
     recorder.show_lines()
 
 
--- a/cyclamenlift/calls/life.py
+++ b/cyclamenlift/calls/life.py
@@ -336,11 +336,22 @@
             return
         self.answered = True
         self.timer.cancel()
-        self.tries.stop_hedging()
         self.calls.body_budget.free(self.reserved)
         self.reserved = 0
         self.whole_body = b''
         self.calls.finished(self, code)
+        self.let_go()
+
+    def let_go(self) -> None:
+        """Break the rings of references through this call.
+
+        Its objects are then freed at once. Rings wait for the cyclic
+        collector, which stops the process for milliseconds.
+        """
+        self.tries.close()
+        self.exchange.on_gone = None
+        self.exchange.on_broken = None
+        self.exchange.on_drained = None
 
     def on_gone(self) -> None:
         """The caller left: stop, unless the call must not run in vain."""
--- a/cyclamenlift/calls/relay.py
+++ b/cyclamenlift/calls/relay.py
@@ -57,7 +57,10 @@
 
 def relay_headers(attempt: Try) -> list[tuple[str, str]]:
     """Return the target's headers and our result code."""
-    headers = [(h.name, h.value) for h in attempt.headers]
-    headers = [pair for pair in headers if pair[0] != 'cyclamenlift-result']
+    headers = [
+        (h.name, h.value)
+        for h in attempt.headers
+        if h.name != 'cyclamenlift-result'
+    ]
     headers.extend(answer_headers(ResultCode.ANSWERED))
     return headers
--- a/cyclamenlift/calls/tasks.py
+++ b/cyclamenlift/calls/tasks.py
@@ -19,6 +19,7 @@
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.http.exchange import Exchange
 from cyclamenlift.http.headers import end_to_end
+from cyclamenlift.http.headers import HOP_BY_HOP
 from cyclamenlift.models.rules import EventRules
 from cyclamenlift.models.rules import ServiceRule
 from cyclamenlift.wire.gen.protocol.ttypes import AnswerStart
@@ -44,6 +45,7 @@
         'expect',
     )
 )
+NOT_FORWARDED = OWN_HEADERS | HOP_BY_HOP
 
 
 class Calls:
@@ -61,6 +63,7 @@
     ):
         self.scheduler = scheduler
         self.clock = scheduler.clock
+        self.now: Callable[[], float] = scheduler.clock.now
         self.routing = routing
         self.claims = claims
         self.link_to = link_to
@@ -144,9 +147,6 @@
 
     # -- queries ----------------------------------------------------------
 
-    def now(self) -> float:
-        return self.clock.now()
-
     def next_number(self) -> int:
         return next(self.numbers)
 
@@ -167,12 +167,7 @@
 
     def forwarded_headers(self, exchange: Exchange) -> list[Header]:
         """Return the caller's headers that the target should see."""
-        kept = [
-            pair
-            for pair in end_to_end(exchange.headers)
-            if pair[0] not in OWN_HEADERS
-        ]
-        return as_headers(kept)
+        return as_headers(end_to_end(exchange.headers, NOT_FORWARDED))
 
     def is_idle(self) -> bool:
         return not self.open_calls
--- a/cyclamenlift/calls/tries.py
+++ b/cyclamenlift/calls/tries.py
@@ -41,24 +41,25 @@
 
     def start(self, hedge: bool = False) -> None:
         """Send the call to the best gate that has not had it yet."""
+        call = self.call
         now = self.calls.now()
         excluded = frozenset(self.tried)
         choice = self.calls.routing.choose(self.service, now, excluded)
         if choice is None or (hedge and choice.hot):
             if not self.open:
-                self.call.finish_failed()
+                call.finish_failed()
             return
         link = self.calls.link_to(choice)
         number = self.calls.next_number()
         attempt = Try(number, choice.instance, link, now, hedge)
         self.tried.add(choice.instance)
         self.open[number] = attempt
-        self.calls.tries[number] = self.call
-        self.call.state.try_started()
+        self.calls.tries[number] = call
+        call.state.try_started()
         self.calls.routing.call_started(self.service, choice.instance, now)
-        if not attempt.send(self.start_message(now), self.call.whole_body):
-            self.call.end_unsent(attempt)
-        elif not self.call.answered:
+        if not attempt.send(self.start_message(now), call.whole_body):
+            call.end_unsent(attempt)
+        elif not call.answered:
             self.plan_hedge(now)
 
     def forget(self, attempt: Try) -> None:
@@ -89,9 +90,11 @@
             self.call.state.open_tries -= 1
             self.drop(attempt, outcome)
 
-    def stop_hedging(self) -> None:
+    def close(self) -> None:
+        """Stop hedging and let go of the call, which has its answer."""
         if self.hedge_timer is not None:
             self.hedge_timer.cancel()
+        self.call = None
 
     # -- queries ----------------------------------------------------------
 
--- a/cyclamenlift/conf/settings.py
+++ b/cyclamenlift/conf/settings.py
@@ -11,6 +11,7 @@
 
 import pydantic
 from pydantic_settings import BaseSettings
+from pydantic_settings import NoDecode
 from pydantic_settings import SettingsConfigDict
 from returns.result import Failure
 from returns.result import Result
@@ -34,6 +35,15 @@
 AddressText = Annotated[str, pydantic.AfterValidator(check_address)]
 
 
+def check_optional_address(value: str) -> str:
+    return check_address(value) if value else value
+
+
+OptionalAddress = Annotated[
+    str, pydantic.AfterValidator(check_optional_address)
+]
+
+
 def split_addresses(value) -> tuple[str, ...]:
     """Accept ``a:1,b:2`` as well as a sequence (fire parses commas)."""
     if isinstance(value, str):
@@ -41,8 +51,11 @@
     return value
 
 
+# Without NoDecode the environment would have to hold JSON; a union with str
+# would allow commas, too, but report each wrong entry once for either part.
 AddressList = Annotated[
-    str | tuple[AddressText, ...],
+    tuple[AddressText, ...],
+    NoDecode,
     pydantic.BeforeValidator(split_addresses),
 ]
 
@@ -82,6 +95,13 @@
     gossip_listen: AddressText = pydantic.Field(
         '127.0.0.1:7101', description='address for membership, UDP'
     )
+    advertise_peer: OptionalAddress = pydantic.Field(
+        '', description='peer address for other daemons; empty: peer_listen'
+    )
+    advertise_gossip: OptionalAddress = pydantic.Field(
+        '',
+        description='gossip address for other daemons; empty: gossip_listen',
+    )
     control: AddressList = pydantic.Field(
         (), description='peer addresses of the control instances'
     )
--- a/cyclamenlift/core/clock.py
+++ b/cyclamenlift/core/clock.py
@@ -25,8 +25,9 @@
 class SystemClock:
     """The clocks of this machine."""
 
-    def now(self) -> float:
-        return time.monotonic()
+    # The function itself: a call reads the clock some twenty times, and a
+    # method around it would cost as much again.
+    now = staticmethod(time.monotonic)
 
     def unix_ms(self) -> int:
         return time.time_ns() // 1_000_000
--- a/cyclamenlift/core/metrics.py
+++ b/cyclamenlift/core/metrics.py
@@ -18,8 +18,6 @@
 from opentelemetry.sdk.resources import Resource
 import prometheus_client
 
-from cyclamenlift.core.codes import ResultCode
-
 MICROSECONDS = 1_000_000
 MAX_MICROSECONDS = 600 * MICROSECONDS
 SIGNIFICANT_DIGITS = 2
@@ -154,7 +152,7 @@
 def result_class(code: int) -> ResultClass:
     """Return the class of a result code.
 
-    >>> result_class(ResultCode.DRAINING).name
+    >>> result_class(2002).name
     'NOT_RUN'
     """
     thousands = code // THOUSAND
--- a/cyclamenlift/core/poller.py
+++ b/cyclamenlift/core/poller.py
@@ -150,12 +150,10 @@
 
     def serve(self, number: int, mask: int) -> None:
         """Hand one ready socket to its owner."""
-        if number == self._ctrl_recv:
-            with contextlib.suppress(BlockingIOError):
-                os.read(number, CONTROL_BYTES)
-            return
         watched = self.by_number.get(number)
         if watched is None:
+            if number == self._ctrl_recv:
+                self.clear_wake_up()
             return
         if not watched.direct:
             self.fire_stock(watched, mask)
@@ -167,8 +165,16 @@
             LOG.exception('socket_failed', owner=str(watched.owner.channel))
             watched.owner.on_poll_lost(watched.sock)
 
+    def clear_wake_up(self) -> None:
+        """Take out the bytes that ``resume`` has written."""
+        with contextlib.suppress(BlockingIOError):
+            os.read(self._ctrl_recv, CONTROL_BYTES)
+
     def call_owner(self, watched: Watched, mask: int) -> None:
         owner = watched.owner
+        if mask == select.EPOLLIN:
+            owner.on_poll_read(watched.sock)
+            return
         if mask & LOST and not mask & select.EPOLLIN:
             owner.on_poll_lost(watched.sock)
             return
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -34,6 +34,7 @@
     def __init__(self, scheduler, client, service: str, slots: int):
         self.scheduler = scheduler
         self.clock = scheduler.clock
+        self.now: Callable[[], float] = scheduler.clock.now
         self.client = client
         self.service = service
         self.state = GateState(slots)
@@ -95,9 +96,6 @@
 
     # -- queries ----------------------------------------------------------
 
-    def now(self) -> float:
-        return self.clock.now()
-
     def figures(self) -> LoadFigures:
         return self.state.figures(self.now())
 
--- a/cyclamenlift/http/client.py
+++ b/cyclamenlift/http/client.py
@@ -227,14 +227,14 @@
 
     def complete(self, stream: Stream, call: TargetCall) -> None:
         """End a call whose answer is whole."""
-        call.done = True
+        listener = call.end()
         parser = stream.context.parser
         clean = parser.keep_alive and not parser.stray and call.request_whole
         if clean and not stream.pending:
             self.release(stream)
         else:
             self.discard(stream)
-        call.listener.on_end()
+        listener.on_end()
 
     def on_drained(self, stream: Stream) -> None:
         call = stream.context.call
@@ -255,8 +255,7 @@
             self.assign(call)
             return
         if error is None and connection.parser.end_of_input():
-            call.done = True
-            call.listener.on_end()
+            call.end().on_end()
             return
         reason = error or 'it closed the connection'
         self.fail(call, f'no whole answer of the target: {reason}')
@@ -266,8 +265,7 @@
 
         def report() -> None:
             if not call.done:
-                call.done = True
-                call.listener.on_failure(TargetFailure(call.sent, detail))
+                call.end().on_failure(TargetFailure(call.sent, detail))
 
         self.root.scheduler.after(0.0, report)
 
--- a/cyclamenlift/http/exchange.py
+++ b/cyclamenlift/http/exchange.py
@@ -8,7 +8,6 @@
 
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.core.streams import Address
-from cyclamenlift.http.headers import find_header
 from cyclamenlift.http.headers import Headers
 from cyclamenlift.http.request_parser import IncomingRequest
 from cyclamenlift.http.response import answer_head
@@ -56,6 +55,7 @@
         'body_length',
         'chunked',
         'connection',
+        'first_fields',
         'handed_over',
         'headers',
         'left',
@@ -84,6 +84,8 @@
         self.method: str = request.method
         self.path: str = request.path
         self.headers: Headers = request.headers
+        # Reversed, so that of fields with one name the first one stays.
+        self.first_fields = dict(reversed(request.headers))
         self.body_length: int | None = request.body_length
         self.remote: Address = connection.stream.remote
         self.received_at = received_at
@@ -102,7 +104,7 @@
 
     def header(self, name: str) -> str | None:
         """Return the first field of this lower-case name."""
-        return find_header(self.headers, name)
+        return self.first_fields.get(name)
 
     @property
     def pending(self) -> int:
--- a/cyclamenlift/http/headers.py
+++ b/cyclamenlift/http/headers.py
@@ -37,16 +37,18 @@
     return None
 
 
-def end_to_end(headers: Headers) -> Headers:
+def end_to_end(
+    headers: Headers, dropped: frozenset[str] = HOP_BY_HOP
+) -> Headers:
     """Return the fields that go on to the next hop.
 
     Dropped are the hop-by-hop fields, those that ``Connection`` names, and
-    ``Expect``, since this hop answers it. Names are in lower case.
+    ``Expect``, since this hop answers it. Names are in lower case. A caller
+    that drops more passes ``dropped``, which must hold ``HOP_BY_HOP``.
 
     >>> end_to_end([('connection', 'x-a'), ('x-a', '1'), ('x-b', '2')])
     [('x-b', '2')]
     """
-    dropped = HOP_BY_HOP
     for name, value in headers:
         if name == 'connection':
             named = {part.strip().lower() for part in value.split(',')}
--- a/cyclamenlift/http/target_call.py
+++ b/cyclamenlift/http/target_call.py
@@ -44,7 +44,7 @@
     ):
         self.client = client
         self.request = request
-        self.listener = listener
+        self.listener: TargetListener | None = listener
         self.head = request.head()
         self.unsent: list[bytes] = []
         self.body_left = request.body_length
@@ -85,10 +85,21 @@
             raise ValueError('the body does not have its declared length')
         self.body_left = left
 
+    def end(self) -> TargetListener:
+        """Mark the call as over; return the listener for its last word.
+
+        The listener usually holds this call: letting go of it breaks that
+        ring, so that both are freed without the cyclic collector.
+        """
+        self.done = True
+        listener = self.listener
+        self.listener = None
+        return listener
+
     def cancel(self) -> None:
         """Give up: the connection is closed, no callback follows."""
         if not self.done:
-            self.done = True
+            self.end()
             self.client.drop(self)
 
     def pause(self) -> None:
--- a/cyclamenlift/ledger/server.py
+++ b/cyclamenlift/ledger/server.py
@@ -1,5 +1,6 @@
 """The ledger's server on a control instance: frames in, proposals out."""
 
+import collections
 from collections.abc import Callable
 
 from returns.result import Failure
@@ -23,6 +24,7 @@
 from cyclamenlift.wire.gen.protocol.ttypes import ClaimEnd
 from cyclamenlift.wire.gen.protocol.ttypes import ClaimEndAnswer
 from cyclamenlift.wire.gen.protocol.ttypes import ClaimRequest
+from cyclamenlift.wire.gen.protocol.ttypes import ClaimVerdict
 from cyclamenlift.wire.gen.protocol.ttypes import Command
 from cyclamenlift.wire.tasks import Link
 from cyclamenlift.wire.tasks import PeerNetwork
@@ -52,6 +54,9 @@
         self.max_claims = max_claims
         self.recorded_answer_bytes = recorded_answer_bytes
         self.proposals = 0
+        self.verdicts: collections.Counter[ClaimVerdict] = (
+            collections.Counter()
+        )
         network.subscribe(ClaimRequest, self.on_claim)
         network.subscribe(ClaimEnd, self.on_end)
 
@@ -67,23 +72,30 @@
     def on_claim(self, link: Link, request: ClaimRequest) -> None:
         number = request.request_id or 0
         if not self.leads():
-            link.send(not_leader(number, self.replica.leader))
+            self.reply(link, not_leader(number, self.replica.leader))
             return
         if not self.ledger.well_formed(attempt_of(request)):
-            link.send(answer_of(refused(ResultCode.BAD_REQUEST), number))
+            self.reply(
+                link, answer_of(refused(ResultCode.BAD_REQUEST), number)
+            )
             return
         if self.is_full(request):
-            link.send(ledger_full(number))
+            self.reply(link, ledger_full(number))
             return
         if self.proposals >= MAX_PROPOSALS:
-            link.send(no_majority(number, self.instance))
+            self.reply(link, no_majority(number, self.instance))
             return
 
         def answer(result: Result[bytes, Problem]) -> None:
-            link.send(self.claim_answer(result, number))
+            self.reply(link, self.claim_answer(result, number))
 
         self.propose(Command(claim=request), answer)
 
+    def reply(self, link: Link, answer: ClaimAnswer) -> None:
+        """Send an answer and count its verdict."""
+        self.verdicts[answer.verdict] += 1
+        link.send(answer)
+
     def claim_answer(
         self, result: Result[bytes, Problem], number: int
     ) -> ClaimAnswer:
--- a/cyclamenlift/membership/budget.py
+++ b/cyclamenlift/membership/budget.py
@@ -54,6 +54,4 @@
 
     def spend(self, size: int) -> None:
         """Count a sent packet of ``size`` payload bytes."""
-        self.tokens = max(
-            -CREDIT_BYTES, self.tokens - size - IP_UDP_BYTES
-        )
+        self.tokens = max(-CREDIT_BYTES, self.tokens - size - IP_UDP_BYTES)
--- a/cyclamenlift/membership/digests.py
+++ b/cyclamenlift/membership/digests.py
@@ -60,9 +60,7 @@
     return f'{number}:{marks}'
 
 
-def wanted(
-    table: MemberTable, text: str, rng: random.Random
-) -> list[Entry]:
+def wanted(table: MemberTable, text: str, rng: random.Random) -> list[Entry]:
     """Return the entries that answer a pull, in the order of sending.
 
     A text that can't be read asks for nothing.
@@ -86,7 +84,9 @@
     table: MemberTable, digests: list[str], rng: random.Random
 ) -> list[Entry]:
     """Return all of the buckets that differ, tombstones too."""
-    numbers = [n for n in range(BUCKETS) if digests[n] != short(table.marks[n])]
+    numbers = [
+        n for n in range(BUCKETS) if digests[n] != short(table.marks[n])
+    ]
     rng.shuffle(numbers)
     return [e for n in numbers for e in table.buckets[n].values()]
 
--- a/cyclamenlift/membership/receiving.py
+++ b/cyclamenlift/membership/receiving.py
@@ -62,9 +62,7 @@
     def note_sender(self, packet: GossipPacket) -> None:
         sender = self.state.table.get(packet.sender)
         if sender is not None:
-            self.state.note_version(
-                packet.config_version, sender.peer_address
-            )
+            self.state.note_version(packet.config_version, sender.peer_address)
 
     def compare(self, packet: GossipPacket) -> None:
         """Count packets in a row whose sender knows other members.
--- a/cyclamenlift/membership/rounds.py
+++ b/cyclamenlift/membership/rounds.py
@@ -65,9 +65,7 @@
         state = self.state
         result = []
         for helper in state.sample(INDIRECT_PROBES, probe.instance):
-            packet = state.packer.bare(
-                GossipKind.PING_REQUEST, probe.sequence
-            )
+            packet = state.packer.bare(GossipKind.PING_REQUEST, probe.sequence)
             packet.subject = probe.instance
             sent = state.packer.finish(
                 helper.gossip_address, packet, [], now, piggyback=False
@@ -114,9 +112,7 @@
         if self.count < self.next_join:
             return []
         self.join_wait = min(2 * self.join_wait, MAX_JOIN_WAIT)
-        self.next_join = self.count + self.state.rng.randint(
-            1, self.join_wait
-        )
+        self.next_join = self.count + self.state.rng.randint(1, self.join_wait)
         return self.state.join(now)
 
     def mend(self, now: float) -> list[Outgoing]:
--- a/cyclamenlift/membership/settings.py
+++ b/cyclamenlift/membership/settings.py
@@ -8,12 +8,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MembershipSettings:
-    """Identity, addresses and what this instance announces at first."""
+    """Identity, addresses and what this instance announces at first.
+
+    ``advertise`` is the gossip address that others are told, where it is
+    not the one that is listened on.
+    """
 
     instance: str
     data_centre: str
     cluster: str
     listen: Address
+    advertise: str = ''
     seeds: tuple[Address, ...] = ()
     period: float = 1.0
     peer_address: str = ''
--- a/cyclamenlift/membership/state.py
+++ b/cyclamenlift/membership/state.py
@@ -9,8 +9,8 @@
 import dataclasses
 import random
 
-from cyclamenlift.membership.budget import BYTES_PER_PERIOD
 from cyclamenlift.membership.budget import ByteBudget
+from cyclamenlift.membership.budget import BYTES_PER_PERIOD
 from cyclamenlift.membership.contacts import Contacts
 from cyclamenlift.membership.digests import write_digests
 from cyclamenlift.membership.digests import write_marks
@@ -212,9 +212,7 @@
 
     def pull(self, address: str, now: float) -> Outgoing:
         """Ask one member for the records that differ."""
-        packet = self.packer.bare(
-            GossipKind.JOIN, self.prober.next_sequence()
-        )
+        packet = self.packer.bare(GossipKind.JOIN, self.prober.next_sequence())
         if self.receiver.hungry:
             packet.subject = write_marks(self.table, self.rng)
         elif len(self.table) > 1:
--- a/cyclamenlift/membership/tasks.py
+++ b/cyclamenlift/membership/tasks.py
@@ -5,7 +5,6 @@
 import socket
 
 from circuits.core.components import BaseComponent
-from circuits.core.handlers import handler
 import structlog
 
 from cyclamenlift.core.streams import Address
@@ -95,7 +94,7 @@
         clock = self.loop.scheduler.clock
         self.state = MembershipState(
             self.settings,
-            str(address),
+            self.settings.advertise or str(address),
             clock.now(),
             clock.unix_ms(),
             self.rng,
@@ -144,10 +143,8 @@
         self.plan_period()
         self.finish(self.state.on_period(self.loop.scheduler.clock.now()))
 
-    @handler('_read')
-    def _on_poll_read(self, sock) -> None:
-        if sock is not self.sock:
-            return
+    def on_poll_read(self, sock: socket.socket) -> None:
+        """Take the datagrams that wait, as many as one turn may."""
         for _ in range(DATAGRAMS_PER_READ):
             try:
                 data = sock.recv(MAX_PACKET_BYTES + 1)
@@ -158,11 +155,12 @@
             if self.sock is None:
                 return
 
-    @handler('_error', '_disconnect')
-    def _on_poll_error(self, sock, *_args) -> None:
+    def on_poll_write(self, sock: socket.socket) -> None:
+        """Do nothing: datagrams that the kernel refuses are lost."""
+
+    def on_poll_lost(self, sock: socket.socket) -> None:
         """Take the error off the socket; the next packet tells more."""
-        if sock is self.sock:
-            sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
 
     def take(self, data: bytes) -> None:
         """Handle one datagram."""
@@ -175,7 +173,11 @@
             counters.malformed += 1
             return
         now = self.loop.scheduler.clock.now()
-        self.finish(self.state.on_packet(packet, now))
+        refuted = counters.refutations
+        outgoing = self.state.on_packet(packet, now)
+        if counters.refutations > refuted:
+            LOG.info('gossip_refuted', sender=packet.sender)
+        self.finish(outgoing)
 
     def finish(self, outgoing: list[Outgoing]) -> None:
         """Send what the state decided and tell the subscribers."""
--- a/cyclamenlift/membership/verdicts.py
+++ b/cyclamenlift/membership/verdicts.py
@@ -67,9 +67,7 @@
         held = revise(record, state=MemberState.SUSPECT)
         return held if supersedes(held, known) else None
 
-    def merge_version(
-        self, record: MemberRecord, known: MemberRecord
-    ) -> None:
+    def merge_version(self, record: MemberRecord, known: MemberRecord) -> None:
         """Take a higher configuration version of the same incarnation.
 
         Versions do not raise incarnations: one published document would
@@ -79,9 +77,7 @@
             return
         if record.config_version > known.config_version:
             entry = self.table.entries[record.instance]
-            entry.record = revise(
-                known, config_version=record.config_version
-            )
+            entry.record = revise(known, config_version=record.config_version)
 
     def failing(self) -> int:
         counts = self.table.counts
--- a/cyclamenlift/runtime/daemon.py
+++ b/cyclamenlift/runtime/daemon.py
@@ -11,6 +11,7 @@
 from cyclamenlift.conf.settings import DaemonSettings
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.logs import configure_logs
+from cyclamenlift.core.memory import keep_start_up_objects
 from cyclamenlift.core.streams import Address
 from cyclamenlift.core.tasks import build_root
 from cyclamenlift.events.tasks import ConfigFollower
@@ -281,5 +282,6 @@
     configure_logs(settings.log_format, settings.log_level, settings.instance)
     node = DaemonNode(settings, random.Random())
     node.start_parts()
+    keep_start_up_objects()
     node.loop.run()
     return 0
--- a/cyclamenlift/standins/fleet.py
+++ b/cyclamenlift/standins/fleet.py
@@ -20,6 +20,9 @@
 import time
 
 from cyclamenlift.core.streams import Address
+from cyclamenlift.standins.paths import ANYBODY
+from cyclamenlift.standins.paths import DirectPaths
+from cyclamenlift.standins.paths import Paths
 
 START_SECONDS = 20.0
 STOP_SECONDS = 10.0
@@ -163,9 +166,15 @@
 class Fleet:
     """Processes of one run; ``close`` ends every one of them."""
 
-    def __init__(self, folder: pathlib.Path, log_level: str = 'info'):
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        log_level: str = 'info',
+        paths: Paths | None = None,
+    ):
         self.folder = folder
         self.log_level = log_level
+        self.paths = paths or DirectPaths()
         self.processes: list[Running] = []
         self.targets: list[TargetHandle] = []
         self.daemons: list[DaemonHandle] = []
@@ -227,8 +236,8 @@
     def start_controls(self, count: int, **options) -> list[ControlHandle]:
         """Start the control instances of a new cluster."""
         names = [f'control-{n}' for n in range(1, count + 1)]
-        peers = [f'{name}={free_port()}' for name in names]
-        for name, peer in zip(names, peers, strict=True):
+        peers = {name: free_port() for name in names}
+        for name, address in peers.items():
             data = self.folder / name
             admin = free_port()
             arguments = [
@@ -237,19 +246,28 @@
                 f'--instance={name}',
                 '--data_centre=dc-a',
                 f'--data={data}',
-                f'--peers={",".join(peers)}',
-                f'--peer_listen={peer.partition("=")[2]}',
+                f'--peers={self.peers_of(name, peers)}',
+                f'--peer_listen={address}',
                 f'--admin_listen={admin}',
                 f'--log_level={self.log_level}',
             ]
             arguments += [f'--{k}={v}' for k, v in options.items()]
             running = self.start(name, [*arguments, '--bootstrap=True'])
-            address = peer.partition('=')[2]
             self.controls.append(
                 ControlHandle(running, name, address, admin, data, arguments)
             )
         return self.controls
 
+    def peers_of(self, name: str, peers: dict[str, str]) -> str:
+        """Return the list for one control instance: its paths to others."""
+        told = [
+            f'{other}={address}'
+            if other == name
+            else f'{other}={self.paths.tcp(name, other, address)}'
+            for other, address in peers.items()
+        ]
+        return ','.join(told)
+
     def start_daemon(
         self,
         name: str,
@@ -272,7 +290,9 @@
             f'--log_level={self.log_level}',
         ]
         if self.controls:
-            addresses = ','.join(c.peer for c in self.controls)
+            addresses = ','.join(
+                self.paths.tcp(name, c.name, c.peer) for c in self.controls
+            )
             arguments.append(f'--control={addresses}')
         if self.seeds:
             arguments.append(f'--seeds={",".join(self.seeds[:3])}')
@@ -280,9 +300,15 @@
             arguments.append(f'--service={target.service}')
             arguments.append(f'--target={target.address}')
             arguments.append(f'--slots={target.slots}')
+        told_peer = self.paths.tcp(ANYBODY, name, peer)
+        told_gossip = self.paths.udp(name, gossip)
+        if told_peer != peer:
+            arguments.append(f'--advertise_peer={told_peer}')
+        if told_gossip != gossip:
+            arguments.append(f'--advertise_gossip={told_gossip}')
         arguments += [f'--{k}={v}' for k, v in options.items()]
         running = self.start(name, arguments)
-        self.seeds.append(gossip)
+        self.seeds.append(told_gossip)
         daemon = DaemonHandle(running, entry, peer, admin, gossip, arguments)
         self.daemons.append(daemon)
         return daemon
--- a/cyclamenlift/wire/codec.py
+++ b/cyclamenlift/wire/codec.py
@@ -10,6 +10,7 @@
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.Thrift import TException
+from thrift.Thrift import TType
 from thrift.transport.TTransport import TMemoryBuffer
 
 from cyclamenlift.wire.gen.protocol import ttypes
@@ -21,11 +22,16 @@
 
 LENGTH = struct.Struct('!I')
 MAX_FRAME = 4 * 1024 * 1024
-FIELD_OF = {
-    spec[3][0]: spec[2]
-    for spec in ttypes.Frame.thrift_spec
-    if spec is not None
+# A union of one struct field is the field's type and number, the struct,
+# and a stop byte.
+FIELD_HEAD = struct.Struct('!bh')
+STOP = bytes([TType.STOP])
+FIELDS = [spec for spec in ttypes.Frame.thrift_spec if spec is not None]
+FIELD_OF = {spec[3][0]: spec[2] for spec in FIELDS}
+HEAD_OF = {
+    spec[3][0]: FIELD_HEAD.pack(TType.STRUCT, spec[0]) for spec in FIELDS
 }
+KIND_OF = {HEAD_OF[spec[3][0]]: spec[3][0] for spec in FIELDS}
 
 
 class FrameError(Exception):
@@ -86,19 +92,29 @@
 
 
 def encode_frame(message) -> bytes:
-    """Wrap one message in its frame, with the length in front."""
-    frame = ttypes.Frame()
-    setattr(frame, FIELD_OF[type(message)], message)
-    data = encode_struct(frame)
+    """Wrap one message in its frame, with the length in front.
+
+    These are the bytes of ``Frame(<field>=message)``. To make, write and
+    read an object with a field for each kind of message costs more than the
+    message itself.
+    """
+    data = HEAD_OF[type(message)] + encode_struct(message) + STOP
     return LENGTH.pack(len(data)) + data
 
 
-def unwrap(frame: ttypes.Frame):
-    """Return (field name, message) of the one field that is set."""
-    found = [item for item in vars(frame).items() if item[1] is not None]
-    if len(found) != 1:
-        raise FrameError(f'{len(found)} messages in one frame')
-    return found[0]
+def read_frame(data: bytes, protocol: TBinaryProtocolAccelerated):
+    """Return (field name, message) of the one message in a frame.
+
+    Raises FrameError when there is none or anything follows it.
+    """
+    kind = KIND_OF.get(data[: FIELD_HEAD.size])
+    if kind is None:
+        raise FrameError('no known message in a frame')
+    message = read_struct(kind, data[FIELD_HEAD.size :], protocol)
+    rest = protocol.trans.cstringio_buf.read()
+    if rest != STOP:
+        raise FrameError(f'{len(rest)} bytes after the message of a frame')
+    return FIELD_OF[kind], message
 
 
 class FrameReader:
@@ -128,8 +144,7 @@
             if len(buffer) < end:
                 break
             body = buffer[offset + LENGTH.size : end]
-            frame = read_struct(ttypes.Frame, body, self.protocol)
-            messages.append(unwrap(frame))
+            messages.append(read_frame(body, self.protocol))
             offset = end
         self.buffer = buffer[offset:]
         return messages
--- a/tests/conf/test_settings.py
+++ b/tests/conf/test_settings.py
@@ -47,6 +47,36 @@
     assert found.seeds == ('a:1', 'b:2')
 
 
+@pytest.mark.parametrize(
+    'value, wrong',
+    [
+        ('a:1,b', ['b']),
+        (('a:1', 'b'), ['b']),
+        ('b,a:1,c,d:x', ['b', 'c', 'd:x']),
+    ],
+)
+@pytest.mark.parametrize('from_environment', [False, True])
+def test_each_wrong_address_is_listed_once(
+    monkeypatch, value, wrong, from_environment
+):
+    flags = {**NAMES, 'seeds': value}
+    if from_environment:
+        del flags['seeds']
+        text = value if isinstance(value, str) else ','.join(value)
+        monkeypatch.setenv('CYCLAMENLIFT_SEEDS', text)
+    problems = load_settings(DaemonSettings, flags).failure()
+    assert [p.where for p in problems] == ['seeds'] * len(wrong)
+    for problem, entry in zip(problems, wrong, strict=True):
+        assert repr(entry) in problem.detail
+        assert 'CYCLAMENLIFT_SEEDS' in problem.advice()
+
+
+def test_addresses_in_the_environment_stand_between_commas(monkeypatch):
+    monkeypatch.setenv('CYCLAMENLIFT_SEEDS', 'a:1, b:2')
+    found = load_settings(DaemonSettings, NAMES).unwrap()
+    assert found.seeds == ('a:1', 'b:2')
+
+
 @pytest.mark.parametrize(
     'flags', [{'service': 'prices'}, {'target': '127.0.0.1:1'}]
 )
--- a/tests/membership/test_state.py
+++ b/tests/membership/test_state.py
@@ -144,13 +144,15 @@
     assert one.table.get('b') is None
 
 
-def test_deaths_beyond_the_share_are_held_as_suspicions():
+@pytest.mark.parametrize('accused', ['bcdefg', 'bcdefghij'])
+def test_deaths_beyond_the_share_are_held_as_suspicions(accused):
     one = state(others='bcdefghij')
-    for name in 'bcdefghij':
+    for name in accused:
         one.on_packet(packet('b', [record(name, state=MemberState.DEAD)]), 1)
     dead = [r for r in one.table.entries.values() if r.expires_at is not None]
     assert len(dead) == HOLD_SHARE * 10
     for second in range(2, 3 * TOMBSTONE_PERIODS):
+        one.prober.waiting.clear()
         one.on_period(float(second))
     assert len(one.members()) == 10 - len(dead)
 
--- a/tests/replication/test_storage.py
+++ b/tests/replication/test_storage.py
@@ -170,6 +170,18 @@
     assert 'replace the storage' in problem.advice()
 
 
+def test_no_changed_byte_of_a_whole_record_is_taken(tmp_path):
+    write(tmp_path, entries(1))
+    size = newest_log(tmp_path).stat().st_size
+    write(tmp_path, entries(1, first=2))
+    for offset in range(size):
+        flip(offset)(tmp_path)
+        problem = open_storage(tmp_path, 'a').failure()
+        assert problem.code is ResultCode.STORAGE_DAMAGED, offset
+        flip(offset)(tmp_path)
+    assert terms(recover(tmp_path)) == [(1, 1), (2, 1)]
+
+
 def test_folder_is_for_one_process_of_one_instance(tmp_path):
     first = open_storage(tmp_path, 'a').unwrap()
     in_use = open_storage(tmp_path, 'a').failure()
--- a/tests/runtime/test_path.py
+++ b/tests/runtime/test_path.py
@@ -1,12 +1,18 @@
 """The call path over real sockets: faults of targets and of gates."""
 
+import gc
 import json
 import threading
 
 import pytest
 
+from cyclamenlift.calls.life import Call
+from cyclamenlift.calls.tries import Tries
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.streams import Address
+from cyclamenlift.gate.running import GateCall
+from cyclamenlift.http.exchange import Exchange
+from cyclamenlift.http.target_call import TargetCall
 from cyclamenlift.wire.gen.protocol.ttypes import ClaimEnding
 from cyclamenlift.wire.gen.protocol.ttypes import ClaimVerdict
 from cyclamenlift.wire.gen.protocol.ttypes import Header
@@ -18,6 +24,7 @@
 from tests.runtime.builders import raw
 from tests.runtime.builders import ScriptedTarget
 
+OF_A_CALL = (Call, Tries, GateCall, Exchange, TargetCall)
 BROKEN = raw(b'HTTP/1.1 200 X\r\nContent-Length: 10\r\n\r\nabc')
 DEAD = Address('127.0.0.1', 1)
 
@@ -45,6 +52,24 @@
     assert b'cyclamenlift-timeout-ms' in target.requests[0]
 
 
+@pytest.mark.parametrize(
+    'script',
+    [answer(), answer(b'x' * 400_000), BROKEN, raw(b'')],
+    ids=['whole', 'streamed', 'cut', 'closed'],
+)
+def test_a_call_leaves_nothing_for_the_cyclic_collector(bed, script):
+    path = bed(ScriptedTarget(script))
+    gc.collect()
+    gc.disable()
+    try:
+        path.ask()
+        path.run_until(lambda: not path.gates[0].calls)
+        kept = [o for o in gc.get_objects() if isinstance(o, OF_A_CALL)]
+    finally:
+        gc.enable()
+    assert kept == []
+
+
 @pytest.mark.parametrize(
     ('script', 'code'),
     [
--- /dev/null
+++ b/tests/standins/test_relay.py
@@ -0,0 +1,132 @@
+"""Paths that are cut silently: nothing passes and nothing is closed."""
+
+import socket
+
+import pytest
+
+from cyclamenlift.core.streams import Address
+from cyclamenlift.standins.fleet import wait_until
+from cyclamenlift.standins.paths import RelayPaths
+from cyclamenlift.standins.relay import Direction
+
+HOST = '127.0.0.1'
+QUIET_SECONDS = 0.2
+WAIT_SECONDS = 10.0
+
+
+@pytest.fixture
+def paths():
+    made = RelayPaths(HOST)
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def ends(paths):
+    """Both ends of one relayed connection."""
+    with socket.create_server((HOST, 0)) as server:
+        told = paths.tcp('a', 'b', str(Address(*server.getsockname())))
+        near = socket.create_connection(tuple(Address.parse(told)))
+        far, _ = server.accept()
+    for end in (near, far):
+        end.settimeout(WAIT_SECONDS)
+    yield {Direction.THERE: (near, far), Direction.BACK: (far, near)}
+    near.close()
+    far.close()
+
+
+def is_silent(end: socket.socket) -> bool:
+    """Tell whether neither bytes nor an end arrive for a while."""
+    end.settimeout(QUIET_SECONDS)
+    try:
+        end.recv(100)
+    except TimeoutError:
+        return True
+    finally:
+        end.settimeout(WAIT_SECONDS)
+    return False
+
+
+@pytest.mark.parametrize('cut', list(Direction))
+def test_one_direction_is_cut_and_what_waited_passes_on_healing(
+    paths, ends, cut
+):
+    paths.cut_stream('a', 'b', [cut])
+    for direction, (sender, receiver) in ends.items():
+        sender.sendall(b'x')
+        assert is_silent(receiver) == (direction is cut)
+    ends[cut][0].sendall(b'y')
+    ends[cut][0].close()
+    assert is_silent(ends[cut][1])
+    paths.heal()
+    assert ends[cut][1].recv(1) == b'x'
+    assert ends[cut][1].recv(1) == b'y'
+    assert ends[cut][1].recv(1) == b''
+
+
+def test_new_connection_passes_nothing_until_the_path_is_healed(paths):
+    with socket.create_server((HOST, 0)) as server:
+        told = paths.tcp('a', 'b', str(Address(*server.getsockname())))
+        paths.separate('b')
+        with socket.create_connection(tuple(Address.parse(told))) as near:
+            near.sendall(b'x')
+            server.settimeout(QUIET_SECONDS)
+            with pytest.raises(TimeoutError):
+                server.accept()
+            paths.heal()
+            server.settimeout(WAIT_SECONDS)
+            far, _ = server.accept()
+            with far:
+                assert far.recv(1) == b'x'
+
+
+def test_delay_keeps_the_order(paths, ends):
+    lane = paths.streams['a', 'b'].lanes[Direction.THERE]
+    near, far = ends[Direction.THERE]
+    lane.delay = QUIET_SECONDS
+    near.sendall(b'x')
+    wait_until(lambda: lane.received_bytes == 1, WAIT_SECONDS, 'x is in')
+    lane.delay = 0.0
+    near.sendall(b'y')
+    assert far.recv(1) + far.recv(1) == b'xy'
+
+
+def test_datagrams_are_lost_between_sides_only(paths):
+    socks = {
+        name: socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        for name in 'abc'
+    }
+    told = {}
+    for name, sock in socks.items():
+        sock.bind((HOST, 0))
+        sock.settimeout(WAIT_SECONDS)
+        address = str(Address(*sock.getsockname()))
+        told[name] = tuple(Address.parse(paths.udp(name, address)))
+    paths.separate('a')
+    for sender in 'abc':
+        socks[sender].sendto(sender.encode(), told['c'])
+    assert {socks['c'].recv(9) for _ in range(2)} == {b'b', b'c'}
+    assert is_silent(socks['c'])
+    paths.heal()
+    socks['a'].sendto(b'a', told['c'])
+    assert socks['c'].recv(9) == b'a'
+    for sock in socks.values():
+        sock.close()
+
+
+@pytest.mark.parametrize(
+    ('cuts', 'apart'),
+    [
+        ([], set()),
+        ([(('a',), None)], {'ab', 'ac'}),
+        ([(('a',), {'b'})], {'ab'}),
+        ([(('a', 'b'), None)], {'ac', 'bc'}),
+        ([(('a', 'b'), None), (('a',), {'b'})], {'ab', 'ac', 'bc'}),
+    ],
+)
+def test_cuts_add_up(paths, cuts, apart):
+    for names, others in cuts:
+        paths.separate(*names, others=others)
+    for pair in ('ab', 'ac', 'bc'):
+        assert paths.is_apart(*pair) == (pair in apart)
+        assert paths.is_apart(*reversed(pair)) == (pair in apart)
--- /dev/null
+++ b/tests/system/test_partitions.py
@@ -0,0 +1,290 @@
+"""The brief's promises while paths between real processes are cut silently.
+
+A cut path keeps its connections open and passes nothing, so that only time
+tells the processes. Every run is counted by the stand-in targets.
+"""
+
+import pytest
+
+from cyclamenlift.core.codes import is_not_run
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.standins.fleet import wait_until
+from cyclamenlift.standins.paths import ANYBODY
+from cyclamenlift.standins.relay import Direction
+from tests.system.builders import call
+from tests.system.builders import document
+from tests.system.builders import entry_of
+from tests.system.builders import FAST_GOSSIP
+from tests.system.builders import in_background
+from tests.system.builders import make_fleet
+from tests.system.builders import publish
+from tests.system.builders import runs_of
+from tests.system.builders import WAIT_SECONDS
+from tests.system.partitions import Booker
+from tests.system.partitions import find_leader
+from tests.system.partitions import judge
+from tests.system.partitions import offer
+from tests.system.partitions import offer_until_accepted
+from tests.system.partitions import others_of
+from tests.system.partitions import relayed_fleet
+from tests.system.partitions import shown
+from tests.system.partitions import wait_for_bookings
+from tests.system.partitions import watched_versions
+
+# The smallest frame that starts a look-up is larger than this.
+ONE_CALL_BYTES = 150
+# The poller looks about ten times a second; the follower waits for 3 s.
+FALL_BACK_POLLS = 40
+
+
+@pytest.fixture
+def fleet():
+    with relayed_fleet() as made:
+        yield made
+
+
+def test_cut_off_leader_takes_nothing_and_confirms_nothing(fleet):
+    make_fleet(fleet, 2)
+    publish(fleet, document(), 0, 'c1')
+    old = find_leader(fleet)
+    rest = others_of(fleet, old)
+    entry = entry_of(fleet)
+    with watched_versions(fleet):
+        # The entry reaches the old leader alone, the others reach all.
+        fleet.paths.separate('entry', others=rest)
+        fleet.paths.separate(old.name, others=rest)
+        # These meet a leader that does not yet know that it is cut off.
+        waits = [in_background(shown, old) for _ in range(3)]
+        booking = in_background(
+            call, entry.entry, 'POST', '/bookings', b'{}', 'k1'
+        )
+        refusals = (ResultCode.NOT_LEADER, ResultCode.CHANGE_UNKNOWN)
+        lost = document(deadline_ms=1111)
+        assert offer(old, lost, 1, 'lost') in refusals
+        assert [wait()['confirmed'] for wait in waits] == [False] * 3
+        assert booking()[:2] == (503, ResultCode.NO_MAJORITY)
+        assert runs_of(fleet, 'k1') == 0
+        page = fleet.command('event', 'show', f'--console={old.admin}')
+        assert page.stdout.startswith('# version 1, not confirmed')
+        find_leader(fleet, rest)
+        kept = document(deadline_ms=2222)
+        offer_until_accepted(fleet, rest, kept, 1, 'c2')
+        assert offer(old, lost, 1, 'lost') in refusals
+        seen = shown(old)
+        assert (seen['current_version'], seen['confirmed']) == (1, False)
+        fleet.paths.heal()
+        wait_until(
+            lambda: shown(old)['current_version'] == 2,
+            WAIT_SECONDS,
+            'the old leader has the new version',
+        )
+        assert '2222' in shown(old)['document']
+        leader = find_leader(fleet)
+        assert offer(leader, lost, 1, 'lost') == ResultCode.VERSION_CONFLICT
+        fleet.wait_in_force(2, len(fleet.daemons))
+    code = call(entry.entry, 'POST', '/bookings', b'{}', 'k1')[1]
+    assert code == ResultCode.ANSWERED
+    assert runs_of(fleet, 'k1') == 1
+
+
+@pytest.mark.parametrize('directions', [tuple(Direction), (Direction.BACK,)])
+def test_silently_cut_gate_costs_no_look_up_and_runs_nothing_twice(
+    fleet, directions
+):
+    make_fleet(fleet, 3, path_ms='/bookings=1500')
+    publish(fleet, document(), 0, 'c1')
+    entry = entry_of(fleet).entry
+    assert {call(entry)[0] for _ in range(60)} == {200}
+    booking = in_background(call, entry, 'POST', '/bookings', b'{}', 'k1')
+    victim = wait_until(
+        lambda: [t for t in fleet.targets if t.counters()['runs_by_key']],
+        WAIT_SECONDS,
+        'the booking runs',
+    )[0]
+    name = fleet.daemons[fleet.targets.index(victim)].running.name
+    fleet.paths.cut_stream(ANYBODY, name, directions)
+    found = [call(entry)[:2] for _ in range(60)]
+    log = entry_of(fleet).running.log.read_text()
+    assert set(found) == {(200, ResultCode.ANSWERED)}, log
+    code = booking()[1]
+    assert 3000 <= code < 4000
+    assert not is_not_run(code)
+    assert runs_of(fleet, 'k1') == 1
+    lane = fleet.paths.streams[ANYBODY, name].lanes[Direction.THERE]
+
+    def shunned() -> bool:
+        before = lane.received_bytes
+        assert {call(entry)[0] for _ in range(20)} == {200}
+        return lane.received_bytes - before < ONE_CALL_BYTES
+
+    wait_until(shunned, WAIT_SECONDS, 'the target is shunned')
+    fleet.paths.heal()
+    before = victim.counters()['runs']
+    wait_until(
+        lambda: call(entry)[0] == 200 and victim.counters()['runs'] > before,
+        WAIT_SECONDS,
+        'the target is used again',
+    )
+    resent = call(entry, 'POST', '/bookings', b'{}', 'k1')[1]
+    assert 3000 <= resent < 4000 or resent == ResultCode.ANSWERED_FROM_RECORD
+    assert runs_of(fleet, 'k1') == 1
+
+
+def test_bookings_run_at_most_once_while_leaders_are_cut_off(fleet):
+    make_fleet(fleet, 2)
+    publish(fleet, document(), 0, 'c1')
+    bookers = [Booker(fleet, f'b{n}') for n in range(3)]
+    try:
+        for turn in range(4):
+            old = find_leader(fleet)
+            rest = others_of(fleet, old)
+            # In every other turn the daemons reach the old leader still.
+            fleet.paths.separate(old.name, others=rest if turn % 2 else None)
+            find_leader(fleet, rest)
+            wait_for_bookings(bookers, 5)
+            fleet.paths.heal()
+            wait_until(
+                lambda old=old: old.status()['replica']['leader'] != old.name,
+                WAIT_SECONDS,
+                'the old leader has stepped down',
+            )
+            wait_for_bookings(bookers, 5)
+    finally:
+        for booker in bookers:
+            booker.stop()
+    codes = {k: v for booker in bookers for k, v in booker.codes.items()}
+    assert [f for booker in bookers for f in booker.faults] == []
+    assert judge(fleet, codes) == []
+    assert sum(len(seen) for seen in codes.values()) > len(codes) >= 30
+
+
+def test_daemon_that_reaches_only_a_cut_off_leader_trusts_it_no_further(
+    fleet,
+):
+    make_fleet(fleet, 2)
+    publish(fleet, document(), 0, 'c1')
+    old = find_leader(fleet)
+    rest = others_of(fleet, old)
+    entry = entry_of(fleet)
+    with watched_versions(fleet) as watch:
+        alone = fleet.paths.separate('late')
+        late = fleet.start_daemon('late', 'dc-0', gossip_seconds=FAST_GOSSIP)
+        wait_until(late.status, WAIT_SECONDS, 'the late daemon runs')
+        fleet.paths.separate(old.name, 'entry', 'late')
+        # Two sources that agree would be believed, without confirmation.
+        fleet.paths.separate('late', others={'entry'})
+        # What waited meets a leader that does not know that it is cut off.
+        old_lane = fleet.paths.streams['late', old.name].lanes[Direction.BACK]
+        fleet.paths.heal(alone)
+        find_leader(fleet, rest)
+        kept = document(deadline_ms=2222)
+        offer_until_accepted(fleet, rest, kept, 1, 'c2')
+        wait_until(
+            lambda: all(d.status()['version'] == 2 for d in fleet.daemons[:2]),
+            WAIT_SECONDS,
+            'the other side has the new version',
+        )
+        # Long enough to fall back on the word of several, if it had them.
+        wait_until(
+            lambda: (
+                len(watch.versions.get('late', ())) >= FALL_BACK_POLLS
+                and old_lane.received_bytes > 0
+            ),
+            WAIT_SECONDS,
+            'the late daemon has heard the old leader',
+        )
+        assert late.status()['confirmed'] is False
+        assert late.status()['version'] == 0
+        assert call(late.entry)[1] == ResultCode.NO_CONFIGURATION
+        for number in range(5):
+            assert call(entry.entry)[:2] == (200, ResultCode.ANSWERED)
+            key = f'k{number}'
+            code = call(entry.entry, 'POST', '/bookings', b'{}', key)[1]
+            assert code == ResultCode.NO_MAJORITY
+            assert runs_of(fleet, key) == 0
+        assert entry.status()['version'] == 1
+        fleet.paths.heal()
+        fleet.wait_in_force(2, len(fleet.daemons))
+        wait_until(
+            lambda: late.status()['confirmed'], WAIT_SECONDS, 'confirmed'
+        )
+    code = call(late.entry, 'POST', '/bookings', b'{}', 'k0')[1]
+    assert code == ResultCode.ANSWERED
+    assert runs_of(fleet, 'k0') == 1
+
+
+def test_daemon_cut_off_from_all_serves_look_ups_by_its_own_target(fleet):
+    make_fleet(fleet, 4)
+    publish(fleet, document(), 0, 'c1')
+    lone = fleet.daemons[0]
+    assert {call(lone.entry)[0] for _ in range(20)} == {200}
+    names = {d.running.name for d in fleet.daemons}
+    names.update(c.name for c in fleet.controls)
+    # A path between daemons serves all, so every daemon is cut off alone.
+    for name in names:
+        fleet.paths.separate(name)
+    before = fleet.targets[0].counters()['runs']
+    found = [call(lone.entry)[:2] for _ in range(100)]
+    log = lone.running.log.read_text()
+    assert set(found) == {(200, ResultCode.ANSWERED)}, log
+    assert fleet.targets[0].counters()['runs'] >= before + len(found)
+    code = call(lone.entry, 'POST', '/bookings', b'{}', 'k1')[1]
+    assert code == ResultCode.NO_MAJORITY
+    assert runs_of(fleet, 'k1') == 0
+    fleet.paths.heal()
+
+    def booked() -> bool:
+        answer = call(lone.entry, 'POST', '/bookings', b'{}', 'k1')
+        return answer[0] == 200
+
+    wait_until(booked, WAIT_SECONDS, 'bookings go on')
+    assert runs_of(fleet, 'k1') == 1
+
+
+def test_two_sides_of_a_cut_find_each_other_again(fleet):
+    make_fleet(fleet, 5)
+    publish(fleet, document(), 0, 'c1')
+    small, big = fleet.daemons[:2], fleet.daemons[2:]
+    with watched_versions(fleet):
+        fleet.paths.separate(*(d.running.name for d in small))
+        wait_until(
+            lambda: all(d.status()['suspects'] for d in fleet.daemons),
+            WAIT_SECONDS,
+            'both sides miss the other',
+        )
+        offer_until_accepted(
+            fleet,
+            {c.name for c in fleet.controls},
+            document(deadline_ms=2222),
+            1,
+            'c2',
+        )
+        done = fleet.command('drain', f'--addresses={big[0].admin}')
+        assert done.returncode == 0, done.stdout + done.stderr
+        wait_until(
+            lambda: all(d.status()['version'] == 2 for d in big),
+            WAIT_SECONDS,
+            'the bigger side has the new version',
+        )
+        entry = entry_of(fleet)
+        for _ in range(40):
+            assert call(entry.entry)[:2] == (200, ResultCode.ANSWERED)
+        assert min(d.status()['members'] for d in big) >= len(big)
+        assert {d.status()['version'] for d in small} == {1}
+        assert {call(d.entry)[0] for d in small for _ in range(10)} == {200}
+        fleet.paths.heal()
+        fleet.wait_in_force(2, len(fleet.daemons))
+        wait_until(
+            lambda: not any(d.status()['suspects'] for d in fleet.daemons),
+            WAIT_SECONDS,
+            'nobody is suspected',
+        )
+    drained = fleet.targets[2]
+
+    def is_left_out() -> bool:
+        before = drained.counters()['runs']
+        codes = {call(d.entry)[0] for d in small for _ in range(20)}
+        assert codes == {200}
+        return drained.counters()['runs'] == before
+
+    wait_until(is_left_out, WAIT_SECONDS, 'the drain is known')
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -7,6 +7,7 @@
 
 from cyclamenlift.wire.codec import encode_frame
 from cyclamenlift.wire.codec import encode_struct
+from cyclamenlift.wire.codec import FIELD_OF
 from cyclamenlift.wire.codec import FrameError
 from cyclamenlift.wire.codec import FrameReader
 from cyclamenlift.wire.codec import LENGTH
@@ -52,6 +53,30 @@
         FrameReader().feed(LENGTH.pack(len(body)) + body)
 
 
+@pytest.mark.parametrize('kind', FIELD_OF, ids=lambda kind: kind.__name__)
+def test_a_frame_is_the_union_that_the_wire_file_describes(kind):
+    message = kind()
+    union = encode_struct(Frame(**{FIELD_OF[kind]: message}))
+    data = encode_frame(message)
+    assert data == LENGTH.pack(len(union)) + union
+    assert FrameReader().feed(data) == [(FIELD_OF[kind], message)]
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        encode_struct(Frame(cancel=Cancel(1)))[:-1],
+        encode_struct(Frame(cancel=Cancel(1))) + b'\0',
+        b'\x0c\x7f\xff\0\0',
+        b'\x0b' + encode_struct(Frame(cancel=Cancel(1)))[1:],
+    ],
+    ids=['no stop', 'bytes after the stop', 'unknown field', 'no struct'],
+)
+def test_a_frame_that_is_not_one_whole_message_is_refused(body):
+    with pytest.raises(FrameError):
+        FrameReader().feed(LENGTH.pack(len(body)) + body)
+
+
 @settings(derandomize=True, max_examples=300)
 @given(st.binary(max_size=64))
 def test_random_bytes_never_raise_anything_else(data):
--- /dev/null
+++ b/tools/mutants_calls.py
@@ -0,0 +1,141 @@
+"""Broken rules of the call path: calls, gate, border and links."""
+
+from tools.mutation import Mutant
+
+PATH_TESTS = 'tests/runtime/test_path.py'
+SYSTEM = 'tests/system/test_failures.py'
+BOOKINGS = 'tests/system/test_bookings.py'
+
+CALL_MUTANTS = (
+    Mutant(
+        'unknown tries are forgotten',
+        'cyclamenlift/calls/state.py',
+        'if self.unknown_code is not None:\n            return '
+        'self.unknown_code\n        return self.last_code',
+        'return self.last_code',
+        'tests/calls/test_state.py',
+    ),
+    Mutant(
+        'bookings are tried again after an unknown end',
+        'cyclamenlift/calls/state.py',
+        'if ending.kind is not EndKind.NOT_RUN and not self.idempotent:',
+        'if False:',
+        PATH_TESTS,
+    ),
+    Mutant(
+        'a lost connection counts as not run',
+        'cyclamenlift/calls/attempt.py',
+        'return not self.link.was_up',
+        'return True',
+        PATH_TESTS,
+    ),
+    Mutant(
+        'the target client says unsent for everything',
+        'cyclamenlift/gate/running.py',
+        'if failure.sent:',
+        'if False:',
+        PATH_TESTS,
+    ),
+    Mutant(
+        'the end of a connection makes any answer whole',
+        'cyclamenlift/http/answer_parser.py',
+        'return self.head_ready and self.until_close and not self.problem',
+        'return self.head_ready',
+        'tests/http/test_client.py',
+    ),
+    Mutant(
+        'a keyed call runs without its claim',
+        'cyclamenlift/calls/life.py',
+        'self.keyed.claim()\n            return',
+        'self.keyed.held = True',
+        PATH_TESTS,
+    ),
+    Mutant(
+        'a not-run end keeps the key',
+        'cyclamenlift/calls/keyed.py',
+        'ClaimEnding.RELEASED, None, lambda',
+        'ClaimEnding.UNKNOWN, None, lambda',
+        PATH_TESTS,
+    ),
+    Mutant(
+        'an error of a target is forgotten',
+        'cyclamenlift/calls/life.py',
+        'self.fallback = attempt',
+        'pass',
+        PATH_TESTS,
+    ),
+    Mutant(
+        'overload from deeper is tried again',
+        'cyclamenlift/calls/life.py',
+        'failed and not self.refused_deeper(attempt)',
+        'failed',
+        PATH_TESTS,
+    ),
+    Mutant(
+        'a draining gate takes calls',
+        'cyclamenlift/gate/state.py',
+        'if self.target_state == TargetState.DRAINING:\n            return '
+        'self.refuse',
+        'if False:\n            return self.refuse',
+        'tests/gate/test_state.py ' + SYSTEM + '::'
+        'test_drained_target_gets_no_new_work_within_seconds',
+    ),
+    Mutant(
+        'probes have no budget at the gate',
+        'cyclamenlift/gate/probes.py',
+        'if self.tokens < 1.0:',
+        'if False:',
+        'tests/gate/test_probes.py',
+    ),
+    Mutant(
+        'a stop does not wait for calls',
+        'cyclamenlift/runtime/daemon.py',
+        'if not idle and now < self.stop_deadline:',
+        'if False:',
+        SYSTEM + '::test_graceful_stops_cut_off_no_upload',
+    ),
+    Mutant(
+        'retries have no budget',
+        'cyclamenlift/calls/budgets.py',
+        'if self.balance < 1.0:',
+        'if False:',
+        'tests/calls/test_state.py',
+    ),
+    Mutant(
+        'a late answer may reach another call',
+        'cyclamenlift/calls/tasks.py',
+        'if attempt is None or attempt.link is not link:',
+        'if attempt is None:',
+        'tests/calls/test_tasks.py',
+    ),
+    Mutant(
+        'a lost connection counts as not run, real processes',
+        'cyclamenlift/calls/attempt.py',
+        'return not self.link.was_up',
+        'return True',
+        BOOKINGS,
+    ),
+    Mutant(
+        'the target client says unsent, real processes',
+        'cyclamenlift/gate/running.py',
+        'if failure.sent:',
+        'if False:',
+        BOOKINGS,
+    ),
+    Mutant(
+        'a drain changes nothing at the gate',
+        'cyclamenlift/runtime/daemon.py',
+        'self.gate.drain()',
+        'pass',
+        'tests/system/test_under_load.py::'
+        'test_target_that_drains_twice_under_load_gets_nothing_new',
+    ),
+    Mutant(
+        'a stop leaves at once, under load',
+        'cyclamenlift/runtime/daemon.py',
+        'if not idle and now < self.stop_deadline:',
+        'if False:',
+        'tests/system/test_under_load.py::'
+        'test_daemon_that_stops_under_load_costs_no_answer',
+    ),
+)
