Keep a part of the retry budget for hedges that rescue a call

Cause: on an overloaded machine the SIGSTOP cases of test_under_load ended look-ups with 504. A slow spell lets early hedges use up the retry budget; a call at a frozen process then got none, and was asked only once. Change: early hedges leave ten tokens; a hedge that the budget refuses is tried again at a quarter of the call's time, then with all of the budget. Figures: a path test with 5 tokens left failed before (504) and passes now. Conclusion: shortening a tail no longer costs the rescue of a frozen call.

--- a/cyclamenlift/calls/budgets.py
+++ b/cyclamenlift/calls/budgets.py
@@ -27,9 +27,9 @@
         """Count one first try."""
         self.balance = min(RETRY_CAP, self.balance + self.share)
 
-    def take(self) -> bool:
-        """Spend one retry; False when the budget is used up."""
-        if self.balance < 1.0:
+    def take(self, keep: float = 0.0) -> bool:
+        """Spend one retry; False when not more than ``keep`` is left."""
+        if self.balance - keep < 1.0:
             return False
         self.balance -= 1.0
         return True
--- a/cyclamenlift/calls/state.py
+++ b/cyclamenlift/calls/state.py
@@ -68,13 +68,16 @@
         self.tries += 1
         self.open_tries += 1
 
-    def may_hedge(self) -> bool:
-        """Spend budget on a second try beside the one that is out."""
+    def may_hedge(self, keep: float = 0.0) -> bool:
+        """Spend budget on a second try beside the one that is out.
+
+        ``keep`` is what the hedge must leave for others.
+        """
         if not self.idempotent or self.done or self.open_tries != 1:
             return False
         if self.tries >= self.max_tries:
             return False
-        return self.budget.take()
+        return self.budget.take(keep)
 
     def try_ended(self, ending: Ending, now: float) -> Step:
         """Note the end of one try and say what follows."""
--- a/cyclamenlift/calls/tries.py
+++ b/cyclamenlift/calls/tries.py
@@ -19,6 +19,8 @@
 # A hedge goes out by this share of a call's time, also where too few
 # answers were seen to know when one pays: the first target may be frozen.
 LATEST_HEDGE_SHARE = 0.25
+# Tokens of the retry budget that early hedges leave untouched.
+KEPT_FOR_LATE = 10.0
 
 
 class Tries:
@@ -36,6 +38,7 @@
         self.tried: set[str] = set()
         self.hedged = False
         self.hedge_timer = None
+        self.late_hedge_at = 0.0
 
     # -- commands ---------------------------------------------------------
 
@@ -128,12 +131,25 @@
             return
         if self.hedge_timer is not None:
             return
-        latest = time_left(request.deadline, now) * LATEST_HEDGE_SHARE
+        left = time_left(request.deadline, now)
+        self.late_hedge_at = now + left * LATEST_HEDGE_SHARE
         wait = self.calls.routing.hedge_after(self.service, now)
-        wait = latest if wait is None else min(wait, latest)
-        self.hedge_timer = self.calls.scheduler.at(now + wait, self.on_hedge)
+        early = self.late_hedge_at if wait is None else now + wait
+        due = min(early, self.late_hedge_at)
+        self.hedge_timer = self.calls.scheduler.at(due, self.on_hedge)
 
     def on_hedge(self) -> None:
-        if not self.call.answered and self.call.state.may_hedge():
+        """Send a hedge if the budget has one, else once more when late.
+
+        An early hedge only shortens a tail and leaves a part of the budget
+        to those that rescue a call from a frozen target.
+        """
+        if self.call is None or self.call.answered:
+            return
+        late = self.calls.now() >= self.late_hedge_at
+        if self.call.state.may_hedge(0.0 if late else KEPT_FOR_LATE):
             self.hedged = True
             self.start(hedge=True)
+        elif not late:
+            scheduler = self.calls.scheduler
+            self.hedge_timer = scheduler.at(self.late_hedge_at, self.on_hedge)
--- a/tests/runtime/test_path.py
+++ b/tests/runtime/test_path.py
@@ -305,6 +305,19 @@
     assert {path.ask().body for _ in range(4)} == {b'good'}
 
 
+def test_early_hedges_leave_budget_to_rescue_a_call_when_it_is_late(bed):
+    """A slow spell once used up the budget; then a frozen target cost 504."""
+    frozen = ScriptedTarget(late(5.0, answer(b'late')))
+    path = bed(frozen, ScriptedTarget(answer(b'good')), hedge=True)
+    path.routing.hedge_after = lambda service, now: 0.01
+    budget = path.calls.retry_budget(path.rules.services['prices'])
+    budget.balance = 5.0
+    began = path.loop.scheduler.clock.now()
+    assert {path.ask().body for _ in range(3)} == {b'good'}
+    assert budget.balance < 5.0
+    assert path.loop.scheduler.clock.now() - began >= 0.4
+
+
 def test_caller_that_leaves_frees_the_slot(bed):
     target = ScriptedTarget(late(3.0, answer()))
     path = bed(target)
