--- /dev/null
+++ b/cyclamenlift/core/latency.py
@@ -0,0 +1,46 @@
+"""A histogram of latencies that is cheap to add to."""
+
+from hdrh.histogram import HdrHistogram
+
+MICROSECONDS = 1_000_000
+SIGNIFICANT_DIGITS = 2
+# An HDR histogram of two digits keeps the first eight bits of a value.
+KEPT_BITS = 8
+
+
+class LatencyHistogram:
+    """Counts latencies, in microseconds, for one HDR histogram.
+
+    An HDR histogram takes several microseconds for each value. So a value
+    is first counted in a dictionary, under the lowest value that shares its
+    place in the histogram, and all are handed over when somebody reads. The
+    result is the same, and the dictionary has at most as many keys as the
+    histogram has places.
+
+    >>> latency = LatencyHistogram(60.0)
+    >>> latency.note(0.010)
+    >>> latency.read().get_value_at_percentile(50)
+    10047
+    """
+
+    __slots__ = ('fresh', 'histogram', 'longest')
+
+    def __init__(self, longest_seconds: float):
+        self.longest = int(longest_seconds * MICROSECONDS)
+        self.histogram = HdrHistogram(1, self.longest, SIGNIFICANT_DIGITS)
+        self.fresh: dict[int, int] = {}
+
+    def note(self, seconds: float) -> None:
+        """Count one latency; below zero counts as none."""
+        value = int(seconds * MICROSECONDS) + 1 if seconds > 0.0 else 1
+        surplus = value.bit_length() - KEPT_BITS
+        if surplus > 0:
+            value = value >> surplus << surplus
+        self.fresh[value] = self.fresh.get(value, 0) + 1
+
+    def read(self) -> HdrHistogram:
+        """Return the histogram of all that was noted."""
+        for value, count in self.fresh.items():
+            self.histogram.record_value(value, count)
+        self.fresh.clear()
+        return self.histogram
--- a/cyclamenlift/core/metrics.py
+++ b/cyclamenlift/core/metrics.py
@@ -11,16 +11,16 @@
 import dataclasses
 import enum
 
-from hdrh.histogram import HdrHistogram
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.resources import Resource
 import prometheus_client
 
+from cyclamenlift.core.latency import LatencyHistogram
+
 MICROSECONDS = 1_000_000
-MAX_MICROSECONDS = 600 * MICROSECONDS
-SIGNIFICANT_DIGITS = 2
+LONGEST_SECONDS = 600.0
 QUANTILES = (0.5, 0.99, 0.999)
 THOUSAND = 1000
 
@@ -159,8 +159,8 @@
     return ResultClass(thousands if thousands in CLASS_VALUES else 0)
 
 
-def make_histogram() -> HdrHistogram:
-    return HdrHistogram(1, MAX_MICROSECONDS, SIGNIFICANT_DIGITS)
+def make_histogram() -> LatencyHistogram:
+    return LatencyHistogram(LONGEST_SECONDS)
 
 
 @dataclasses.dataclass(slots=True)
@@ -168,8 +168,10 @@
     """What is counted of one service's calls."""
 
     codes: dict[int, int] = dataclasses.field(default_factory=dict)
-    duration: HdrHistogram = dataclasses.field(default_factory=make_histogram)
-    added: HdrHistogram = dataclasses.field(default_factory=make_histogram)
+    duration: LatencyHistogram = dataclasses.field(
+        default_factory=make_histogram
+    )
+    added: LatencyHistogram = dataclasses.field(default_factory=make_histogram)
 
 
 class Metrics:
@@ -210,10 +212,9 @@
         if figures is None:
             figures = self.calls[service] = CallFigures()
         figures.codes[code] = figures.codes.get(code, 0) + 1
-        figures.duration.record_value(int(seconds * MICROSECONDS) + 1)
+        figures.duration.note(seconds)
         if added_seconds is not None:
-            value = max(0.0, added_seconds)
-            figures.added.record_value(int(value * MICROSECONDS) + 1)
+            figures.added.note(added_seconds)
 
     # -- collection -------------------------------------------------------
 
@@ -269,11 +270,11 @@
         ]
 
     def quantiles(
-        self, choose: Callable[[CallFigures], HdrHistogram]
+        self, choose: Callable[[CallFigures], LatencyHistogram]
     ) -> list[Observation]:
         result = []
         for service, figures in self.calls.items():
-            histogram = choose(figures)
+            histogram = choose(figures).read()
             if not histogram.get_total_count():
                 continue
             for quantile in QUANTILES:
--- a/cyclamenlift/reports/state.py
+++ b/cyclamenlift/reports/state.py
@@ -8,17 +8,14 @@
 
 import dataclasses
 
-from hdrh.histogram import HdrHistogram
-
 from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.latency import LatencyHistogram
 from cyclamenlift.models.rules import EventRules
 from cyclamenlift.models.rules import ServiceRule
 
 BUCKET_SECONDS = 60.0
 BUCKETS = 60
-MICROSECONDS = 1_000_000
-MAX_MICROSECONDS = 3_600 * MICROSECONDS
-SIGNIFICANT_DIGITS = 2
+LONGEST_SECONDS = 3600.0
 FIRST_CALLERS_FAULT = 4000
 LAST_CALLERS_FAULT = 4999
 ANSWERED = (ResultCode.ANSWERED, ResultCode.ANSWERED_FROM_RECORD)
@@ -54,7 +51,7 @@
         self.total = 0
         self.good = 0
         self.minutes: list[Minute] = []
-        self.latency = HdrHistogram(1, MAX_MICROSECONDS, SIGNIFICANT_DIGITS)
+        self.latency = LatencyHistogram(LONGEST_SECONDS)
 
     def record(self, good: bool, seconds: float, number: int) -> None:
         """Count one call that ended in minute ``number``."""
@@ -67,7 +64,7 @@
         if good:
             self.good += 1
             minute.good += 1
-        self.latency.record_value(int(seconds * MICROSECONDS) + 1)
+        self.latency.note(seconds)
 
     def by_age(self, number: int) -> list[list[int]]:
         """Return [total, good] for each minute, the current one first."""
@@ -79,12 +76,13 @@
         return result
 
     def to_snapshot(self, number: int) -> dict[str, object]:
+        latency = self.latency.read()
         return {
             'total': self.total,
             'good': self.good,
             'minutes': self.by_age(number),
-            'p50_us': self.latency.get_value_at_percentile(50),
-            'p99_us': self.latency.get_value_at_percentile(99),
+            'p50_us': latency.get_value_at_percentile(50),
+            'p99_us': latency.get_value_at_percentile(99),
         }
 
 
