Drop a message that nobody sends

Cause: GoAway stood in the wire file; a drain travels with answers and gossip instead, and no code ever sent or took it. Change: the struct and its field are gone, the generated code made again. Figures: wire and path tests pass. Conclusion: the wire file holds what is used.

--- a/cyclamenlift/wire/cyclamenlift.thrift
+++ b/cyclamenlift/wire/cyclamenlift.thrift
@@ -122,10 +122,6 @@
   2: LoadFigures load
 }
 
-struct GoAway {
-  1: string reason
-}
-
 // --- configuration -------------------------------------------------------
 
 struct DocumentRequest {
@@ -283,7 +279,6 @@
   9: Cancelled cancelled,
   10: Probe probe,
   11: ProbeAnswer probe_answer,
-  12: GoAway go_away,
   13: DocumentRequest document_request,
   14: DocumentAnswer document_answer,
   15: ClaimRequest claim_request,
--- a/cyclamenlift/wire/gen/protocol/ttypes.py
+++ b/cyclamenlift/wire/gen/protocol/ttypes.py
@@ -1286,63 +1286,6 @@
         return not (self == other)
 
 
-class GoAway(object):
-    """
-    Attributes:
-     - reason
-
-    """
-
-
-    def __init__(self, reason=None,):
-        self.reason = reason
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('GoAway')
-        if self.reason is not None:
-            oprot.writeFieldBegin('reason', TType.STRING, 1)
-            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, value)
-             for key, value in self.__dict__.items()]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class DocumentRequest(object):
     """
     Attributes:
@@ -2879,7 +2822,6 @@
      - cancelled
      - probe
      - probe_answer
-     - go_away
      - document_request
      - document_answer
      - claim_request
@@ -2896,7 +2838,7 @@
     """
 
 
-    def __init__(self, hello=None, call_start=None, body_chunk=None, credit=None, answer_start=None, refused=None, broken=None, cancel=None, cancelled=None, probe=None, probe_answer=None, go_away=None, document_request=None, document_answer=None, claim_request=None, claim_answer=None, claim_end=None, claim_end_answer=None, vote_request=None, vote_answer=None, append_request=None, append_answer=None, snapshot_chunk=None, snapshot_answer=None,):
+    def __init__(self, hello=None, call_start=None, body_chunk=None, credit=None, answer_start=None, refused=None, broken=None, cancel=None, cancelled=None, probe=None, probe_answer=None, document_request=None, document_answer=None, claim_request=None, claim_answer=None, claim_end=None, claim_end_answer=None, vote_request=None, vote_answer=None, append_request=None, append_answer=None, snapshot_chunk=None, snapshot_answer=None,):
         self.hello = hello
         self.call_start = call_start
         self.body_chunk = body_chunk
@@ -2908,7 +2850,6 @@
         self.cancelled = cancelled
         self.probe = probe
         self.probe_answer = probe_answer
-        self.go_away = go_away
         self.document_request = document_request
         self.document_answer = document_answer
         self.claim_request = claim_request
@@ -2997,12 +2938,6 @@
                     self.probe_answer.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 12:
-                if ftype == TType.STRUCT:
-                    self.go_away = GoAway()
-                    self.go_away.read(iprot)
-                else:
-                    iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.STRUCT:
                     self.document_request = DocumentRequest()
@@ -3129,10 +3064,6 @@
             oprot.writeFieldBegin('probe_answer', TType.STRUCT, 11)
             self.probe_answer.write(oprot)
             oprot.writeFieldEnd()
-        if self.go_away is not None:
-            oprot.writeFieldBegin('go_away', TType.STRUCT, 12)
-            self.go_away.write(oprot)
-            oprot.writeFieldEnd()
         if self.document_request is not None:
             oprot.writeFieldBegin('document_request', TType.STRUCT, 13)
             self.document_request.write(oprot)
@@ -3899,11 +3830,6 @@
     (1, TType.I64, 'probe_id', None, None, ),  # 1
     (2, TType.STRUCT, 'load', [LoadFigures, None], None, ),  # 2
 )
-all_structs.append(GoAway)
-GoAway.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'reason', 'UTF8', None, ),  # 1
-)
 all_structs.append(DocumentRequest)
 DocumentRequest.thrift_spec = (
     None,  # 0
@@ -4052,7 +3978,7 @@
     (9, TType.STRUCT, 'cancelled', [Cancelled, None], None, ),  # 9
     (10, TType.STRUCT, 'probe', [Probe, None], None, ),  # 10
     (11, TType.STRUCT, 'probe_answer', [ProbeAnswer, None], None, ),  # 11
-    (12, TType.STRUCT, 'go_away', [GoAway, None], None, ),  # 12
+    None,  # 12
     (13, TType.STRUCT, 'document_request', [DocumentRequest, None], None, ),  # 13
     (14, TType.STRUCT, 'document_answer', [DocumentAnswer, None], None, ),  # 14
     (15, TType.STRUCT, 'claim_request', [ClaimRequest, None], None, ),  # 15
