--- a/cyclamenlift/cli/admin.py
+++ b/cyclamenlift/cli/admin.py
@@ -9,6 +9,11 @@
 from returns.result import Result
 from returns.result import Success
 
+from cyclamenlift.cli.flags import parse_addresses
+from cyclamenlift.cli.flags import parse_number
+from cyclamenlift.cli.output import complain
+from cyclamenlift.cli.output import complain_all
+from cyclamenlift.cli.registry import ExitStatus
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.core.streams import Address
@@ -100,6 +105,28 @@
     return Success(fallback) if fallback else Failure(problems)
 
 
+def ask_with_number(
+    console: str, number: str, name: str, path: str
+) -> Result[AdminAnswer, ExitStatus]:
+    """Ask for ``path`` followed by a number that was typed.
+
+    ``name`` is the flag that the number came from. A Failure has been
+    written already and holds the command's exit status.
+    """
+    consoles = parse_addresses(console, 'console')
+    parsed = parse_number(number, name)
+    for result in (consoles, parsed):
+        if isinstance(result, Failure):
+            complain(result.failure())
+            return Failure(ExitStatus.WRONG_USE)
+    whole = f'{path}{parsed.unwrap()}'
+    answer = first_answer(consoles.unwrap(), 'GET', whole)
+    if isinstance(answer, Failure):
+        complain_all(answer.failure())
+        return Failure(ExitStatus.FAILED)
+    return answer
+
+
 class SystemSleep:
     """Waiting and the clock of the command line; tests pass their own."""
 
--- a/cyclamenlift/cli/event_history.py
+++ b/cyclamenlift/cli/event_history.py
@@ -5,12 +5,8 @@
 from returns.result import Failure
 from rich.table import Table
 
-from cyclamenlift.cli.admin import first_answer
+from cyclamenlift.cli.admin import ask_with_number
 from cyclamenlift.cli.flags import is_true
-from cyclamenlift.cli.flags import parse_addresses
-from cyclamenlift.cli.flags import parse_number
-from cyclamenlift.cli.output import complain
-from cyclamenlift.cli.output import complain_all
 from cyclamenlift.cli.output import say
 from cyclamenlift.cli.output import say_json
 from cyclamenlift.cli.output import say_table
@@ -25,17 +21,10 @@
     limit: str = '20', console: str = '', json: str = 'False'
 ) -> ExitStatus:
     """List the newest versions: who made them, when, from which base."""
-    consoles = parse_addresses(console, 'console')
-    number = parse_number(limit, 'limit')
-    for result in (consoles, number):
-        if isinstance(result, Failure):
-            complain(result.failure())
-            return ExitStatus.WRONG_USE
-    path = f'/api/history?limit={number.unwrap()}'
-    answer = first_answer(consoles.unwrap(), 'GET', path)
+    path = '/api/history?limit='
+    answer = ask_with_number(console, limit, 'limit', path)
     if isinstance(answer, Failure):
-        complain_all(answer.failure())
-        return ExitStatus.FAILED
+        return answer.failure()
     value = answer.unwrap().value
     if is_true(json):
         say_json(value)
--- a/cyclamenlift/cli/event_show.py
+++ b/cyclamenlift/cli/event_show.py
@@ -5,12 +5,9 @@
 from returns.result import Failure
 import yaml
 
-from cyclamenlift.cli.admin import first_answer
+from cyclamenlift.cli.admin import ask_with_number
 from cyclamenlift.cli.flags import is_true
-from cyclamenlift.cli.flags import parse_addresses
-from cyclamenlift.cli.flags import parse_number
 from cyclamenlift.cli.output import complain
-from cyclamenlift.cli.output import complain_all
 from cyclamenlift.cli.output import say
 from cyclamenlift.cli.output import say_json
 from cyclamenlift.cli.registry import command
@@ -23,17 +20,10 @@
     version: str = '0', console: str = '', json: str = 'False'
 ) -> ExitStatus:
     """Print the event document in force, or one older VERSION, as YAML."""
-    consoles = parse_addresses(console, 'console')
-    number = parse_number(version, 'version')
-    for result in (consoles, number):
-        if isinstance(result, Failure):
-            complain(result.failure())
-            return ExitStatus.WRONG_USE
-    path = f'/api/document?version={number.unwrap()}'
-    answer = first_answer(consoles.unwrap(), 'GET', path)
+    path = '/api/document?version='
+    answer = ask_with_number(console, version, 'version', path)
     if isinstance(answer, Failure):
-        complain_all(answer.failure())
-        return ExitStatus.FAILED
+        return answer.failure()
     report = answer.unwrap()
     if report.code != ResultCode.ANSWERED:
         complain(report.problem())
