--- a/cyclamenlift/calls/intake.py
+++ b/cyclamenlift/calls/intake.py
@@ -6,10 +6,12 @@
 from returns.result import Result
 from returns.result import Success
 
+from cyclamenlift.calls.shares import ShareTurns
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.http.exchange import Exchange
 from cyclamenlift.models.rules import EventRules
+from cyclamenlift.models.rules import RouteRule
 from cyclamenlift.models.rules import ServiceRule
 
 TIMEOUT_HEADER = 'cyclamenlift-timeout-ms'
@@ -28,6 +30,9 @@
     """A checked request; ``key`` is empty for idempotent operations.
 
     ``call_id`` is empty until its caller's or a new one is known.
+    ``objective_deadline`` is when an answer is late. ``route`` is None
+    where the ``Host`` names the service. ``nested`` marks a call that a
+    target makes while it runs another.
     """
 
     rule: ServiceRule
@@ -37,14 +42,75 @@
     key: str
     key_expires_unix_ms: int
     call_id: str
+    max_tries: int = 1
+    objective_deadline: float = 0.0
+    route: RouteRule | None = None
+    nested: bool = False
+
+    @property
+    def rank(self) -> int:
+        """How urgent it is; 0 is the most urgent."""
+        return self.route.rank if self.route else 0
+
+    @property
+    def route_name(self) -> str:
+        return self.route.name if self.route else ''
 
 
 def read_request(
-    exchange: Exchange, rules: EventRules | None, max_depth: int
+    exchange: Exchange,
+    rules: EventRules | None,
+    max_depth: int,
+    turns: ShareTurns,
 ) -> Result[Request, Problem]:
     """Check the head of a request against the event document."""
     if rules is None:
         return fail(ResultCode.NO_CONFIGURATION)
+    if rules.routes is not None:
+        return read_routed(exchange, rules, turns)
+    return read_named(exchange, rules, max_depth)
+
+
+def read_routed(
+    exchange: Exchange, rules: EventRules, turns: ShareTurns
+) -> Result[Request, Problem]:
+    """Check a request that a route sends to a service."""
+    dialect = exchange.dialect
+    route = rules.routes.find(service_name(exchange), exchange.path)
+    if route is None:
+        return fail(ResultCode.NO_ROUTE)
+    call_id = exchange.header(dialect.call_id) or ''
+    if dialect.call_id_required and not call_id:
+        return fail(ResultCode.BAD_REQUEST, dialect.call_id)
+    limits = rules.caller_limits
+    if limits and (exchange.body_length or 0) > limits.max_body_bytes:
+        return fail(ResultCode.BODY_TOO_LARGE)
+    asked = read_number(exchange, dialect.time_left_ms, 0)
+    if asked is None:
+        return fail(ResultCode.BAD_TIMEOUT)
+    seconds = route.timeout_seconds
+    if asked:
+        seconds = min(seconds, asked / MILLISECONDS)
+    return Success(
+        Request(
+            rule=rules.services[turns.next_service(route)],
+            idempotent=route.idempotent,
+            deadline=exchange.received_at + seconds,
+            depth=0,
+            key='',
+            key_expires_unix_ms=0,
+            call_id=call_id[:MAX_CALL_ID],
+            max_tries=route.max_tries,
+            objective_deadline=exchange.received_at + route.objective_seconds,
+            route=route,
+        )
+    )
+
+
+def read_named(
+    exchange: Exchange, rules: EventRules, max_depth: int
+) -> Result[Request, Problem]:
+    """Check a request whose ``Host`` names the service."""
     rule = rules.services.get(service_name(exchange))
     if rule is None:
         return fail(ResultCode.UNKNOWN_SERVICE, service_name(exchange))
@@ -75,6 +141,8 @@
             key='' if idempotent else key,
             key_expires_unix_ms=expires * MILLISECONDS,
             call_id=call_id[:MAX_CALL_ID],
+            max_tries=rule.max_tries,
+            objective_deadline=exchange.received_at + rule.objective_seconds,
         )
     )
 
--- a/cyclamenlift/calls/life.py
+++ b/cyclamenlift/calls/life.py
@@ -47,7 +47,7 @@
         self.service = request.rule.name
         self.state = CallState(
             idempotent=request.idempotent,
-            max_tries=request.rule.max_tries,
+            max_tries=request.max_tries,
             deadline=request.deadline,
             budget=calls.retry_budget(request.rule),
         )
@@ -306,7 +306,7 @@
         self.say(problem)
 
     def say(self, problem: Problem) -> None:
-        headers = problem_headers(problem)
+        headers = problem_headers(problem, self.exchange.dialect)
         if problem.code in OVERLOAD_CODES:
             headers.append((OVERLOAD_HEADER, 'here'))
         status = problem_status(problem)
--- a/cyclamenlift/calls/tasks.py
+++ b/cyclamenlift/calls/tasks.py
@@ -15,8 +15,10 @@
 from cyclamenlift.calls.intake import TIMEOUT_HEADER
 from cyclamenlift.calls.life import as_headers
 from cyclamenlift.calls.life import Call
+from cyclamenlift.calls.shares import ShareTurns
 from cyclamenlift.core.codes import is_not_run
 from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.problems import Problem
 from cyclamenlift.http.exchange import Exchange
 from cyclamenlift.http.headers import end_to_end
 from cyclamenlift.http.headers import HOP_BY_HOP
@@ -39,8 +41,6 @@
     (
         TIMEOUT_HEADER,
         KEY_EXPIRES_HEADER,
-        'cyclamenlift-depth',
-        'cyclamenlift-call-id',
         'content-length',
         'expect',
     )
@@ -60,6 +60,7 @@
         instance: str,
         body_budget: int,
         max_depth: int,
+        own_service: str = '',
     ):
         self.scheduler = scheduler
         self.clock = scheduler.clock
@@ -69,6 +70,8 @@
         self.link_to = link_to
         self.instance = instance
         self.max_depth = max_depth
+        self.own_service = own_service
+        self.turns = ShareTurns(routing.rng)
         self.boot = uuid.uuid4().hex[:12]
         self.numbers = itertools.count(1)
         self.body_budget = BodyBudget(body_budget)
@@ -93,14 +96,17 @@
     def apply_rules(self, rules: EventRules) -> None:
         self.rules = rules
         self.routing.set_rules(rules)
+        if rules.routes is not None:
+            self.turns.keep_only({r.name for r in rules.routes.routes})
 
     def take(self, exchange: Exchange) -> None:
         """Take one request from the HTTP border."""
-        result = read_request(exchange, self.rules, self.max_depth)
+        result = read_request(exchange, self.rules, self.max_depth, self.turns)
         if not isinstance(result, Success):
-            exchange.respond_problem(result.failure())
+            self.refuse(exchange, result.failure())
             return
         request = result.unwrap()
+        request.nested = self.is_nested(exchange)
         if not request.call_id:
             request.call_id = self.new_call_id()
         call = Call(self, exchange, request)
@@ -108,6 +114,18 @@
         call.begin()
         self.send_probes(call.service)
 
+    def refuse(self, exchange: Exchange, problem: Problem) -> None:
+        """Answer a request that never became a call."""
+        exchange.respond_problem(problem)
+        LOG.info(
+            'request_refused',
+            call_id=exchange.header(exchange.dialect.call_id),
+            code=int(problem.code),
+            host=exchange.header('host'),
+            path=exchange.path[:100],
+            config_version=self.rules.version if self.rules else 0,
+        )
+
     def send_probes(self, service: str) -> None:
         """Send the probes that the entry's own share allows now."""
         now = self.now()
@@ -167,7 +185,17 @@
 
     def forwarded_headers(self, exchange: Exchange) -> list[Header]:
         """Return the caller's headers that the target should see."""
-        return as_headers(end_to_end(exchange.headers, NOT_FORWARDED))
+        dialect = exchange.dialect
+        dropped = NOT_FORWARDED | dialect.own_fields
+        headers = end_to_end(exchange.headers, dropped)
+        if dialect.caller_service and self.own_service:
+            headers.append((dialect.caller_service, self.own_service))
+        return as_headers(headers)
+
+    def is_nested(self, exchange: Exchange) -> bool:
+        """Tell whether a target makes this call while it runs another."""
+        depth = exchange.dialect.depth
+        return bool(depth) and exchange.header(depth) is not None
 
     def is_idle(self) -> bool:
         return not self.open_calls
--- a/cyclamenlift/calls/tries.py
+++ b/cyclamenlift/calls/tries.py
@@ -129,8 +129,17 @@
             depth=request.depth,
             trace_id=request.call_id,
             config_version=self.calls.rules.version,
+            rank=request.rank,
+            objective_left_us=self.objective_left(now),
+            nested=request.nested,
+            route_name=request.route_name,
         )
 
+    def objective_left(self, now: float) -> int:
+        """Return the microseconds in which an answer is in time."""
+        left = time_left(self.call.request.objective_deadline, now)
+        return int(left * MICROSECONDS)
+
     def plan_hedge(self, now: float) -> None:
         request = self.call.request
         if not (request.idempotent and request.rule.hedge):
--- a/cyclamenlift/conf/settings.py
+++ b/cyclamenlift/conf/settings.py
@@ -153,6 +153,12 @@
     drain_seconds: float = pydantic.Field(
         300.0, ge=0, le=3600, description='longest wait of a graceful stop'
     )
+    farewell_seconds: float = pydantic.Field(
+        0.0,
+        ge=0,
+        le=3600,
+        description='time that a stopping entry still takes new connections',
+    )
     max_depth: int = pydantic.Field(
         16, ge=1, le=64, description='deepest chain of calls'
     )
@@ -177,6 +183,21 @@
     bootstrap: bool = pydantic.Field(
         False, description='found a new cluster; every instance takes part'
     )
+    wanted_voters: int = pydantic.Field(
+        0,
+        ge=0,
+        le=7,
+        description='let the leader add and replace voters, down to this many',
+    )
+    gossip_listen: OptionalAddress = pydantic.Field(
+        '', description='address for membership, UDP; empty: take no part'
+    )
+    seeds: AddressList = pydantic.Field(
+        (), description='gossip addresses of some other instances'
+    )
+    gossip_seconds: float = pydantic.Field(
+        1.0, ge=0.05, le=60, description='period of the membership protocol'
+    )
     election_ms: int = pydantic.Field(
         500, ge=50, le=60_000, description='least time without a leader'
     )
--- a/cyclamenlift/console/editing.py
+++ b/cyclamenlift/console/editing.py
@@ -24,7 +24,11 @@
     'change_id',
     'operator_name',
     'document_text',
+    'kept_parts',
 )
+# Parts without fields of their own: they travel with the form unchanged.
+# The source is not among them, for an edited document no longer is it.
+KEPT_PARTS = ('routes', 'caller_limits')
 MAX_DIGITS = 18
 
 
@@ -44,6 +48,11 @@
     document_text: str = ''
     problems: tuple[FieldProblem, ...] = ()
 
+    def kept_parts(self) -> str:
+        """Return, as JSON, the parts that the form does not show."""
+        kept = {k: self.value[k] for k in KEPT_PARTS if self.value.get(k)}
+        return json.dumps(kept)
+
     def renew(self) -> None:
         """Make the next sending another change."""
         self.change_id = str(uuid.uuid4())
@@ -110,6 +119,17 @@
         return True
 
 
+def read_kept(text: str) -> dict:
+    """Return the parts that travelled with a form; raises FormError."""
+    try:
+        kept = json.loads(text or '{}')
+    except ValueError as error:
+        raise FormError('the kept parts are no JSON') from error
+    if not isinstance(kept, dict) or not set(kept) <= set(KEPT_PARTS):
+        raise FormError('the kept parts are none of a document')
+    return kept
+
+
 def drop_row(rows: list, number: int) -> None:
     if number < len(rows):
         del rows[number]
@@ -122,7 +142,9 @@
     base = given.get('base_version', '')
     if not (base.isascii() and base.isdigit()) or len(base) > MAX_DIGITS:
         raise FormError('the base version is no whole number')
-    draft = Draft(value_from_fields(rest), int(base))
+    value = value_from_fields(rest)
+    value.update(read_kept(given.get('kept_parts', '')))
+    draft = Draft(value, int(base))
     draft.change_id = given.get('change_id', '')[:128]
     draft.operator_name = given.get('operator_name', '')[:128]
     draft.action = given.get('action', '')
--- a/cyclamenlift/console/views.py
+++ b/cyclamenlift/console/views.py
@@ -44,6 +44,8 @@
     'latency_ms': 'a call counts as good up to here',
     'percent': 'of the calls should be good',
 }
+# Parts of the document that the form shows elsewhere or carries along.
+WITHOUT_FIELDS = ('services', 'routes', 'caller_limits', 'source')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,7 +108,7 @@
         self.shown: set[str] = set()
 
     def build(self) -> FormView:
-        head = self.fields(EventDocument, '', skip=('services',))
+        head = self.fields(EventDocument, '', skip=WITHOUT_FIELDS)
         rows = rows_at(self.value, 'services')
         services = tuple(self.service(n) for n in range(len(rows)))
         left = tuple(p for p in self.problems if p.path not in self.shown)
--- a/cyclamenlift/core/codes.py
+++ b/cyclamenlift/core/codes.py
@@ -29,6 +29,8 @@
     SHUTTING_DOWN = 2009
     NO_CONFIGURATION = 2010
     DEADLINE_NOT_RUN = 2011
+    TARGET_REFUSED = 2012
+    TARGET_REPLACED = 2013
 
     TARGET_BROKE_OFF = 3000
     PEER_LOST = 3001
@@ -53,6 +55,7 @@
     EXPECTATION_FAILED = 4011
     BAD_TIMEOUT = 4012
     TOO_DEEP = 4013
+    NO_ROUTE = 4014
 
     CHANGE_ACCEPTED = 5000
     VERSION_CONFLICT = 5001
@@ -132,6 +135,16 @@
         'the deadline passed before it ran',
         _RETRY,
     ),
+    ResultCode.TARGET_REFUSED: (
+        503,
+        'the target refused the call itself',
+        _RETRY,
+    ),
+    ResultCode.TARGET_REPLACED: (
+        503,
+        'another target has the address by now',
+        _RETRY,
+    ),
     ResultCode.TARGET_BROKE_OFF: (502, 'the target broke off', _ASK),
     ResultCode.PEER_LOST: (502, 'the connection to the gate was lost', _ASK),
     ResultCode.DEADLINE_UNKNOWN: (
@@ -206,6 +219,11 @@
         'the chain of calls is too deep',
         'Look for a loop between services.',
     ),
+    ResultCode.NO_ROUTE: (
+        404,
+        'no route fits the host and path',
+        'Compare host and path with the routes of the document.',
+    ),
     ResultCode.CHANGE_ACCEPTED: (200, 'change accepted', 'Nothing to do.'),
     ResultCode.VERSION_CONFLICT: (
         409,
--- a/cyclamenlift/events/commands.py
+++ b/cyclamenlift/events/commands.py
@@ -1,6 +1,7 @@
 """What operators may change. Console and command line share this path."""
 
 from collections.abc import Callable
+import dataclasses
 
 from returns.result import Failure
 from returns.result import Result
@@ -17,11 +18,25 @@
 from cyclamenlift.events.state import PublishOutcome
 from cyclamenlift.models.document import document_from_text
 from cyclamenlift.models.document import document_to_bytes
+from cyclamenlift.models.document import EventDocument
 from cyclamenlift.wire.codec import encode_struct
 from cyclamenlift.wire.gen.protocol.ttypes import Command
 from cyclamenlift.wire.gen.protocol.ttypes import PublishCommand
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """What identifies a change beside its document.
+
+    ``chosen_version`` 0 lets the log give the next number.
+    """
+
+    change_id: str
+    base_version: int
+    operator_name: str = ''
+    chosen_version: int = 0
+
+
 def publish(
     context: ControlContext,
     publication: Publication,
@@ -37,7 +52,26 @@
     if isinstance(parsed, Failure):
         done(invalid_report(context, parsed.failure()))
         return
-    document = document_to_bytes(parsed.unwrap())
+    publish_document(
+        context,
+        parsed.unwrap(),
+        Change(
+            publication.change_id,
+            publication.base_version,
+            publication.operator_name,
+        ),
+        done,
+    )
+
+
+def publish_document(
+    context: ControlContext,
+    checked: EventDocument,
+    change: Change,
+    done: Callable[[PublishReport], None],
+) -> None:
+    """Publish a document that was validated; see ``publish``."""
+    document = document_to_bytes(checked)
     if len(document) > MAX_CANONICAL_BYTES:
         problem = Problem(ResultCode.DOCUMENT_INVALID, 'the document is large')
         done(invalid_report(context, [problem]))
@@ -46,10 +80,11 @@
         done(not_leader_report(context))
         return
     command = PublishCommand(
-        change_id=publication.change_id,
-        base_version=publication.base_version,
+        change_id=change.change_id,
+        base_version=change.base_version,
         document=document,
-        operator_name=publication.operator_name,
+        operator_name=change.operator_name,
+        chosen_version=change.chosen_version,
     )
 
     def finish(result: Result[bytes, Problem]) -> None:
--- a/cyclamenlift/events/state.py
+++ b/cyclamenlift/events/state.py
@@ -141,8 +141,13 @@
         document: bytes,
         operator_name: str,
         stamp_unix_ms: int,
+        chosen_version: int = 0,
     ) -> PublishOutcome:
-        """Apply one change from the log and return its answer."""
+        """Apply one change from the log and return its answer.
+
+        ``chosen_version`` is the number that its operator gave it, above
+        the one in force; 0 takes the next number.
+        """
         digest = digest_of(document)
         known = self.changes.get(change_id)
         if known is not None:
@@ -151,7 +156,9 @@
             return self.refuse(
                 ResultCode.CHANGE_ID_REUSED, 'another document came first'
             )
-        outcome = self.decide(change_id, base_version, document)
+        outcome = self.decide(
+            change_id, base_version, document, chosen_version
+        )
         if outcome.code == ResultCode.CHANGE_ACCEPTED:
             record = VersionRecord(
                 outcome.version,
@@ -166,7 +173,11 @@
         return outcome
 
     def decide(
-        self, change_id: str, base_version: int, document: bytes
+        self,
+        change_id: str,
+        base_version: int,
+        document: bytes,
+        chosen_version: int = 0,
     ) -> PublishOutcome:
         """Return the first answer to a change; nothing is changed yet."""
         if not 0 < len(change_id) <= MAX_ID_LENGTH:
@@ -182,7 +193,12 @@
                 ResultCode.VERSION_CONFLICT,
                 f'based on {base_version}, current is {self.version}',
             )
-        version = self.version + 1
+        version = chosen_version or self.version + 1
+        if version <= self.version:
+            return self.refuse(
+                ResultCode.DOCUMENT_INVALID,
+                f'version {version} is not above {self.version}',
+            )
         return PublishOutcome(ResultCode.CHANGE_ACCEPTED, version, version)
 
     def refuse(self, code: ResultCode, detail: str) -> PublishOutcome:
@@ -193,7 +209,8 @@
         self.version = record.version
         self.versions.append(record)
         self.documents[record.version] = document
-        self.documents.pop(record.version - DOCUMENTS_KEPT, None)
+        while len(self.documents) > DOCUMENTS_KEPT:
+            del self.documents[next(iter(self.documents))]
         self.rules = rules_from_document(
             document_from_bytes(document), record.version
         )
--- a/cyclamenlift/events/tasks.py
+++ b/cyclamenlift/events/tasks.py
@@ -100,6 +100,17 @@
         self.fall_back_at = self.now() + FALL_BACK_SECONDS
         self.poll()
 
+    def note_control(self, address: Address, live: bool) -> None:
+        """Learn of a control instance, or that one is gone."""
+        if live and address not in self.control:
+            self.control.append(address)
+            LOG.info('control_found', address=str(address))
+            if self.started and not self.confirmed:
+                self.ask(address)
+        elif not live and address in self.control and len(self.control) > 1:
+            self.control.remove(address)
+            LOG.info('control_lost', address=str(address))
+
     def stop(self) -> None:
         """Ask no more; what is in force stays so."""
         self.started = False
@@ -129,12 +140,19 @@
             self.try_fall_back()
             return
         if self.confirmed:
+            self.ask_strangers()
             self.ask(self.rng.choice(self.control))
             return
         for address in self.control:
             self.ask(address)
         self.try_fall_back()
 
+    def ask_strangers(self) -> None:
+        """Ask those without a link, so that all can tell of news."""
+        for address in self.control:
+            if not self.network.is_linked(address):
+                self.ask(address)
+
     def ask(self, address: Address) -> None:
         request = DocumentRequest(next(self.numbers), self.version)
         self.network.send(address, request)
--- a/cyclamenlift/gate/health.py
+++ b/cyclamenlift/gate/health.py
@@ -6,6 +6,9 @@
 
 import typing
 
+from cyclamenlift.gate.registration import Announcement
+from cyclamenlift.http.dialects import parse_load
+from cyclamenlift.http.headers import find_header
 from cyclamenlift.http.target import TargetRequest
 from cyclamenlift.wire.gen.protocol.ttypes import TargetState
 
@@ -36,23 +39,35 @@
         self.timer = None
 
     def start(self) -> None:
-        """Begin asking; without a page the target counts as ready."""
-        if not self.settings.health_path:
+        """Begin asking; without a page the target counts as ready.
+
+        A target that announces itself is ready by its own word; until the
+        document names its page there is nothing to ask.
+        """
+        if not self.path() and not self.gate.dialect.incarnation_asked:
             self.gate.set_target_state(TargetState.READY)
             return
+        self.gate.doubt_hooks.append(self.ask)
         self.ask()
         self.gate.scheduler.every(self.settings.health_seconds, self.ask)
 
+    def path(self) -> str:
+        """Return the health page: the document's or the settings' one."""
+        rule = self.gate.rule
+        if rule is not None and rule.health_path:
+            return rule.health_path
+        return self.settings.health_path
+
     def ask(self) -> None:
         """Send one request, unless one is out or the budget is used up."""
-        if self.call is not None:
+        if self.call is not None or not self.path():
             return
         if self.gate.rule and not self.gate.budget.take(self.gate.now()):
             return
         self.asked += 1
         request = TargetRequest(
             method='GET',
-            path=self.settings.health_path,
+            path=self.path(),
             headers=[('host', self.settings.service)],
             body_length=0,
         )
@@ -72,6 +87,8 @@
         self.call = None
         self.timer.cancel()
         self.failures = 0 if good else self.failures + 1
+        if self.gate.dialect.incarnation_asked and self.gate.is_unknown():
+            return
         if good:
             self.gate.set_target_state(TargetState.READY)
         elif self.failures >= FAILURES_BEFORE_UNHEALTHY:
@@ -79,8 +96,37 @@
 
     # -- listener of the target's answer -----------------------------------
 
-    def on_head(self, status, _headers, _length) -> None:
+    def on_head(self, status, headers, _length) -> None:
         self.status = status
+        self.gate.note_answer_head(headers)
+        self.learn_target(headers)
+
+    def learn_target(self, headers) -> None:
+        """Learn from the page which target runs here.
+
+        A daemon that starts beside a running target need not wait for its
+        next announcement.
+        """
+        dialect = self.gate.dialect
+        if not dialect.incarnation:
+            return
+        name = find_header(headers, dialect.incarnation)
+        load = parse_load(find_header(headers, dialect.load))
+        registration = self.gate.registration
+        if not name or load is None or name == registration.incarnation:
+            if name and name == registration.incarnation:
+                registration.doubted = False
+            return
+        if self.status not in GOOD_STATUS:
+            # It may be leaving, which only its announcement can tell.
+            return
+        self.gate.announce(
+            Announcement(
+                incarnation=name,
+                service=self.gate.service,
+                slots=load.slots,
+            )
+        )
 
     def on_body(self, _data: bytes) -> None:
         """Take no notice of the page itself: only its status counts."""
--- a/cyclamenlift/gate/running.py
+++ b/cyclamenlift/gate/running.py
@@ -8,6 +8,8 @@
 import typing
 
 from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.gate.verdicts import AnswerVerdict
+from cyclamenlift.gate.verdicts import judge_answer
 from cyclamenlift.http.headers import end_to_end
 from cyclamenlift.http.target import TargetRequest
 from cyclamenlift.wire.gen.protocol.ttypes import AnswerStart
@@ -29,6 +31,9 @@
 MILLISECONDS = 1000
 MICROSECONDS = 1_000_000
 SERVER_ERROR = 500
+# When a target that refused for itself may have room again, in seconds:
+# a few answers' time at the usual work of tens of milliseconds.
+TARGET_REFUSED_WAIT = 0.1
 
 
 class GateCall:
@@ -52,6 +57,7 @@
         self.answer: list[bytes] = []
         self.answer_size = 0
         self.streaming = False
+        self.verdict = AnswerVerdict.ANSWER
         self.window = WINDOW
         self.owed_credit = 0
 
@@ -72,6 +78,8 @@
             path=start.path,
             headers=headers,
             body_length=start.body_length,
+            call_id=start.trace_id if self.gate.checks_ids else '',
+            repeatable=start.idempotent,
         )
 
     def take_body(self, data: bytes, last: bool) -> None:
@@ -112,13 +120,19 @@
     # -- from the target --------------------------------------------------
 
     def on_head(self, status, headers, length: int | None) -> None:
+        self.gate.note_answer_head(headers)
+        self.verdict = judge_answer(self.gate.dialect, status, headers)
         self.status = status
+        if self.verdict is not AnswerVerdict.ANSWER:
+            return
         self.headers = [Header(n, v) for n, v in end_to_end(headers)]
         self.length = length
         if length is not None and length > INLINE_ANSWER:
             self.start_streaming()
 
     def on_body(self, data: bytes) -> None:
+        if self.verdict is not AnswerVerdict.ANSWER:
+            return
         if self.streaming:
             self.stream(data)
             return
@@ -129,6 +143,9 @@
 
     def on_end(self) -> None:
         seconds = self.gate.now() - self.started_at
+        if self.verdict is not AnswerVerdict.ANSWER:
+            self.end_without_answer()
+            return
         self.gate.release(self, seconds, self.status >= SERVER_ERROR)
         if self.streaming:
             self.link.send(BodyChunk(self.start.call_id, b'', True))
@@ -136,6 +153,20 @@
         body = b''.join(self.answer)
         self.link.send(self.head(body, True, seconds))
 
+    def end_without_answer(self) -> None:
+        """Tell the entry of an answer that is none to pass on."""
+        self.gate.release(self, None, True)
+        if self.verdict is AnswerVerdict.UNPROVEN:
+            detail = f'status {self.status} without proof'
+            self.tell_broken(ResultCode.BAD_TARGET_ANSWER, detail)
+            return
+        code = ResultCode.TARGET_REFUSED
+        if self.verdict is AnswerVerdict.REPLACED:
+            code = ResultCode.TARGET_REPLACED
+            self.gate.doubt_target()
+        detail = f'status {self.status}, says it did not run'
+        self.tell_refused(code, detail, TARGET_REFUSED_WAIT)
+
     def on_drained(self) -> None:
         if self.owed_credit:
             self.link.send(Credit(self.start.call_id, self.owed_credit))
--- a/cyclamenlift/gate/state.py
+++ b/cyclamenlift/gate/state.py
@@ -13,10 +13,14 @@
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.gate.estimates import ErrorShare
 from cyclamenlift.gate.estimates import ServiceTime
+from cyclamenlift.http.dialects import TargetLoad
 from cyclamenlift.wire.gen.protocol.ttypes import LoadFigures
 from cyclamenlift.wire.gen.protocol.ttypes import TargetState
 
 MIN_RETRY_AFTER = 0.005
+# A target's neighbours come and go in about half a second; a figure on its
+# pace that is older tells nothing.
+PACE_SECONDS = 0.5
 
 
 class Verdict(enum.Enum):
@@ -65,6 +69,8 @@
         self.target_state = TargetState.STARTING
         self.service_time = ServiceTime()
         self.errors = ErrorShare()
+        self.target_load: TargetLoad | None = None
+        self.target_load_at = 0.0
 
     # -- commands ---------------------------------------------------------
 
@@ -122,6 +128,25 @@
         self.queue.clear()
         return waiting
 
+    def renew(self, cold: bool) -> None:
+        """Begin with a new incarnation, whatever the one before did."""
+        self.target_state = TargetState.STARTING
+        self.target_load = None
+        if cold:
+            self.errors = ErrorShare()
+
+    def note_target_load(self, load: TargetLoad, now: float) -> None:
+        """Take over what the target itself told of its load."""
+        self.target_load = load
+        self.target_load_at = now
+
+    def pace_percent(self, now: float) -> int:
+        """Return how long work takes now, 100 as usual, 0 unknown."""
+        load = self.target_load
+        if load is None or now - self.target_load_at > PACE_SECONDS:
+            return 0
+        return load.pace_percent
+
     def set_target_state(self, state: TargetState) -> None:
         """Note what the target is; a drain is not taken back by health."""
         if self.target_state != TargetState.DRAINING:
@@ -150,4 +175,5 @@
             latency_us=int(self.service_time.mean * 1_000_000),
             error_permille=int(self.errors.share(now) * 1000),
             state=self.target_state,
+            pace_percent=self.pace_percent(now),
         )
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -7,10 +7,17 @@
 
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.gate.probes import ProbeBudget
+from cyclamenlift.gate.registration import Announced
+from cyclamenlift.gate.registration import Announcement
+from cyclamenlift.gate.registration import Registration
 from cyclamenlift.gate.running import GateCall
 from cyclamenlift.gate.state import GateState
 from cyclamenlift.gate.state import Turn
 from cyclamenlift.gate.state import Verdict
+from cyclamenlift.http.dialects import DEFAULT_DIALECT
+from cyclamenlift.http.dialects import Dialect
+from cyclamenlift.http.dialects import parse_load
+from cyclamenlift.http.headers import find_header
 from cyclamenlift.models.rules import EventRules
 from cyclamenlift.models.rules import ServiceRule
 from cyclamenlift.wire.gen.protocol.ttypes import BodyChunk
@@ -31,18 +38,30 @@
 class Gate:
     """Owns the calls inside one target and the budget for measuring it."""
 
-    def __init__(self, scheduler, client, service: str, slots: int):
+    def __init__(
+        self,
+        scheduler,
+        client,
+        service: str,
+        slots: int,
+        dialect: Dialect = DEFAULT_DIALECT,
+    ):
         self.scheduler = scheduler
         self.clock = scheduler.clock
         self.now: Callable[[], float] = scheduler.clock.now
         self.client = client
         self.service = service
+        self.dialect = dialect
+        self.checks_ids = dialect.call_id_repeated
         self.state = GateState(slots)
+        self.registration = Registration()
         self.budget = ProbeBudget()
         self.calls: dict[Hashable, GateCall] = {}
         self.rule: ServiceRule | None = None
         self.idle_hooks: list[Callable[[], None]] = []
         self.state_hooks: list[Callable[[TargetState], None]] = []
+        self.slots_hooks: list[Callable[[int], None]] = []
+        self.doubt_hooks: list[Callable[[], None]] = []
         self.refused = 0
 
     def subscribe(self, network) -> None:
@@ -85,6 +104,77 @@
         if self.state.target_state != before:
             self.tell_state()
 
+    def announce(self, announcement: Announcement) -> Announced:
+        """Take what the target tells of itself."""
+        before = self.registration.incarnation
+        draining = self.registration.draining
+        outcome = self.registration.announce(announcement, self.now())
+        if outcome is Announced.STALE:
+            self.log_registration(announcement, outcome)
+            return outcome
+        if outcome is Announced.NEW:
+            self.begin_incarnation(announcement, before)
+        if announcement.slots and announcement.slots != self.state.slots:
+            self.set_slots(announcement.slots)
+        if announcement.draining and not draining:
+            self.log_registration(announcement, outcome)
+            self.drain()
+        return outcome
+
+    def begin_incarnation(
+        self, announcement: Announcement, before: str
+    ) -> None:
+        """Let calls in to a target that has just made itself known."""
+        self.log_registration(announcement, Announced.NEW)
+        self.state.renew(announcement.warm_up_seconds > 0.0)
+        if before:
+            self.client.drop_idle()
+        if not announcement.draining:
+            self.set_target_state(TargetState.READY)
+
+    def log_registration(
+        self, announcement: Announcement, outcome: Announced
+    ) -> None:
+        LOG.info(
+            'target_announced',
+            outcome=outcome.value,
+            incarnation=announcement.incarnation,
+            sequence=announcement.sequence,
+            draining=announcement.draining,
+            slots=announcement.slots,
+            current=self.registration.incarnation,
+        )
+
+    def target_leaves(self, incarnation: str) -> None:
+        """Take no new call for a target that says that it goes."""
+        known = self.registration.leave(incarnation)
+        LOG.info('target_leaves', incarnation=incarnation, current=known)
+        if known:
+            self.drain()
+
+    def doubt_target(self) -> None:
+        """Note that another target answered at the address."""
+        LOG.warning(
+            'target_doubted', incarnation=self.registration.incarnation
+        )
+        self.registration.doubt(self.registration.incarnation)
+        for hook in self.doubt_hooks:
+            hook()
+
+    def set_slots(self, slots: int) -> None:
+        """Take over how many calls the target runs at once."""
+        self.state.slots = slots
+        for hook in self.slots_hooks:
+            hook(slots)
+
+    def note_answer_head(self, headers) -> None:
+        """Take over the load that rides on an answer of the target."""
+        if self.dialect.load:
+            text = find_header(headers, self.dialect.load)
+            load = parse_load(text)
+            if load is not None:
+                self.state.note_target_load(load, self.now())
+
     def release(
         self, call: GateCall, seconds: float | None, failed: bool
     ) -> None:
@@ -102,14 +192,23 @@
     def is_idle(self) -> bool:
         return self.state.is_idle()
 
+    def is_unknown(self) -> bool:
+        """Tell whether it is not known which target runs here."""
+        registration = self.registration
+        return registration.current is None or registration.doubted
+
     def call_headers(self, call: GateCall) -> list[tuple[str, str]]:
         """Return the headers that tell the target depth and time left."""
         left = max(1, int((call.deadline - self.now()) * MILLISECONDS))
-        return [
-            ('cyclamenlift-timeout-ms', str(left)),
-            ('cyclamenlift-depth', str(call.start.depth)),
-            ('cyclamenlift-call-id', call.start.trace_id),
-        ]
+        dialect = self.dialect
+        headers = [(dialect.time_left_ms, str(left))]
+        if dialect.depth:
+            headers.append((dialect.depth, str(call.start.depth)))
+        headers.append((dialect.call_id, call.start.trace_id))
+        incarnation = self.registration.incarnation
+        if dialect.incarnation_asked and incarnation:
+            headers.append((dialect.incarnation_asked, incarnation))
+        return headers
 
     # -- messages ---------------------------------------------------------
 
@@ -119,6 +218,9 @@
         if start.service_name != self.service:
             call.tell_refused(ResultCode.NO_TARGET, 'another service')
             return
+        if self.dialect.incarnation_asked and self.is_unknown():
+            call.tell_refused(ResultCode.NO_TARGET, 'no target known yet')
+            return
         admission = self.state.admit(call.key, call.deadline, now)
         if admission.verdict is Verdict.REFUSED:
             call.tell_refused(admission.code, '', admission.retry_after)
--- a/cyclamenlift/http/answer_parser.py
+++ b/cyclamenlift/http/answer_parser.py
@@ -4,6 +4,7 @@
 from httptools import HttpParserUpgrade
 from httptools import HttpResponseParser
 
+from cyclamenlift.http.headers import find_header
 from cyclamenlift.http.headers import Headers
 from cyclamenlift.http.limits import ClientLimits
 
@@ -28,8 +29,10 @@
 
     __slots__ = (
         'bodiless',
+        'call_id',
         'chunks',
         'complete',
+        'foreign',
         'head_bytes',
         'head_ready',
         'headers',
@@ -51,6 +54,7 @@
         self.limits = limits
         self.parser = HttpResponseParser(self)
         self.method = ''
+        self.call_id = ''
         self.bodiless = False
         self.reset_answer()
 
@@ -63,6 +67,7 @@
         self.quiet_bytes = 0
         self.head_ready = False
         self.interim = False
+        self.foreign = False
         self.keep_alive = False
         self.until_close = False
         self.complete = False
@@ -70,8 +75,12 @@
         self.stray = False
         self.problem = ''
 
-    def expect_answer(self, method: str) -> None:
-        """Prepare for the answer to a request with this method."""
+    def expect_answer(self, method: str, call_id: str = '') -> None:
+        """Prepare for the answer to a request with this method.
+
+        ``call_id`` is the name that the answer must repeat, if any.
+        """
+        self.call_id = call_id
         if self.method == 'HEAD':
             # The library waits for the body that a HEAD answer announces.
             self.parser = HttpResponseParser(self)
@@ -143,6 +152,9 @@
                 raise AnswerRefused('it switched to another protocol')
             return
         self.measure()
+        if self.is_foreign():
+            self.drop_foreign()
+            return
         self.head_ready = True
         if self.method == 'HEAD':
             self.complete = True
@@ -151,15 +163,36 @@
         if self.complete:
             raise AnswerRefused('bytes after the answer')
         self.progress = True
-        self.chunks.append(data)
+        if not self.foreign:
+            self.chunks.append(data)
 
     def on_message_complete(self) -> None:
         self.progress = True
-        if not self.interim:
+        if self.foreign:
+            self.reset_answer()
+        elif not self.interim:
             self.complete = True
 
     # -- rules of a head --------------------------------------------------
 
+    def is_foreign(self) -> bool:
+        """Tell whether the answer repeats the name of another call.
+
+        An answer without any name is taken: the target may have failed
+        before it read one.
+        """
+        field = self.limits.call_id_field
+        if not field or not self.call_id:
+            return False
+        repeated = find_header(self.headers, field)
+        return repeated is not None and repeated != self.call_id
+
+    def drop_foreign(self) -> None:
+        """Read over an answer to another call; ours may follow it."""
+        if self.until_close:
+            raise AnswerRefused('it answers another call')
+        self.foreign = True
+
     def measure(self) -> None:
         """Find how long the body is and how the answer ends."""
         length = None
--- a/cyclamenlift/http/client.py
+++ b/cyclamenlift/http/client.py
@@ -10,6 +10,7 @@
 from cyclamenlift.core.streams import StreamOwner
 from cyclamenlift.core.tasks import Timer
 from cyclamenlift.http.answer_parser import AnswerParser
+from cyclamenlift.http.headers import Headers
 from cyclamenlift.http.limits import ClientLimits
 from cyclamenlift.http.target import TargetFailure
 from cyclamenlift.http.target import TargetListener
@@ -22,10 +23,12 @@
 class TargetConnection:
     """State of one connection in the pool."""
 
-    __slots__ = ('call', 'parser', 'timer')
+    __slots__ = ('call', 'idle_deadline', 'idle_since', 'parser', 'timer')
 
     def __init__(self, limits: ClientLimits, call: TargetCall | None):
         self.call = call
+        self.idle_since = 0.0
+        self.idle_deadline = float('inf')
         self.parser = AnswerParser(limits)
         self.timer: Timer | None = None
 
@@ -67,6 +70,12 @@
         self.keep_warm = True
         self.top_up()
 
+    def drop_idle(self) -> None:
+        """Close what is kept open to a target that is gone."""
+        for stream in self.idle:
+            stream.close()
+        self.idle.clear()
+
     def close_all(self) -> None:
         """Close every connection; calls under way hear nothing more."""
         self.keep_warm = False
@@ -80,15 +89,42 @@
         """Give the call a connection, or let it wait for one."""
         while self.idle:
             stream = self.idle.pop()
-            if is_quiet(stream):
-                self.start(call, stream)
-                return
+            if self.is_usable(stream) and is_quiet(stream):
+                if self.is_fresh_enough(stream, call):
+                    self.start(call, stream)
+                    return
+                # The last one was used latest: the others are older still.
+                self.idle.append(stream)
+                break
             stream.close()
         if len(self.streams) < self.limits.max_connections:
             self.open(call)
         else:
             self.waiting.append(call)
 
+    def is_usable(self, stream: Stream) -> bool:
+        """Tell whether the target should still keep an idle connection."""
+        return self.now() < stream.context.idle_deadline
+
+    def is_fresh_enough(self, stream: Stream, call: TargetCall) -> bool:
+        if call.request.repeatable:
+            return True
+        idle = self.now() - stream.context.idle_since
+        return idle <= self.limits.fresh_seconds
+
+    def now(self) -> float:
+        return self.root.scheduler.clock.now()
+
+    def note_idle(self, stream: Stream) -> None:
+        """Note since when and until when a connection may stay idle."""
+        connection = stream.context
+        connection.idle_since = self.now()
+        stated = keep_alive_seconds(connection.parser.headers)
+        kept = self.limits.idle_seconds
+        if stated is not None:
+            kept = min(kept, stated - self.limits.idle_margin_seconds)
+        connection.idle_deadline = connection.idle_since + kept
+
     def open(self, call: TargetCall | None) -> None:
         """Open a connection, for a call or for the pool."""
         stream = self.connect_to(self.address)
@@ -105,7 +141,8 @@
         """Begin a call on an established connection."""
         call.stream = stream
         stream.context.call = call
-        stream.context.parser.expect_answer(call.request.method)
+        request = call.request
+        stream.context.parser.expect_answer(request.method, request.call_id)
         if call.paused:
             stream.pause_reading()
         self.push(call)
@@ -133,6 +170,7 @@
         """Put a clean connection back, or to the next call's use."""
         stream.context.call = None
         stream.resume_reading()
+        self.note_idle(stream)
         if not self.waiting:
             self.idle.append(stream)
         elif is_quiet(stream):
@@ -287,6 +325,22 @@
     return False
 
 
+def keep_alive_seconds(headers: Headers) -> int | None:
+    """Return the idle time that a target states, None if it states none.
+
+    >>> keep_alive_seconds([('keep-alive', 'timeout=5, max=100')])
+    5
+    """
+    for name, value in headers:
+        if name != 'keep-alive':
+            continue
+        for part in value.split(','):
+            key, _, number = part.partition('=')
+            if key.strip().lower() == 'timeout' and number.strip().isdigit():
+                return int(number)
+    return None
+
+
 def stop_timer(connection: TargetConnection) -> None:
     if connection.timer is not None:
         connection.timer.cancel()
--- a/cyclamenlift/http/connection.py
+++ b/cyclamenlift/http/connection.py
@@ -210,7 +210,7 @@
         request = exchange.request
         if not request.complete and not self.ends_soon(exchange):
             request.keep_alive = False
-        if not request.keep_alive or self.server.draining:
+        if not request.keep_alive or self.server.closing:
             request.keep_alive = False
             return [CLOSE]
         if not request.minor_version:
--- a/cyclamenlift/http/ending.py
+++ b/cyclamenlift/http/ending.py
@@ -48,7 +48,9 @@
         body = problem_body(problem)
         framing = [CLOSE, ('Content-Length', str(len(body)))]
         head = answer_head(
-            problem_status(problem), problem_headers(problem), framing
+            problem_status(problem),
+            problem_headers(problem, self.server.dialect),
+            framing,
         )
         self.stream.write(head + body)
         self.linger()
--- a/cyclamenlift/http/exchange.py
+++ b/cyclamenlift/http/exchange.py
@@ -8,6 +8,7 @@
 
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.core.streams import Address
+from cyclamenlift.http.dialects import Dialect
 from cyclamenlift.http.headers import Headers
 from cyclamenlift.http.request_parser import IncomingRequest
 from cyclamenlift.http.response import answer_head
@@ -106,6 +107,11 @@
         """Return the first field of this lower-case name."""
         return self.first_fields.get(name)
 
+    @property
+    def dialect(self) -> Dialect:
+        """The dialect of the border that the request came through."""
+        return self.connection.server.dialect
+
     @property
     def pending(self) -> int:
         """Bytes of the answer that the kernel has not taken."""
@@ -197,7 +203,7 @@
         """Answer with the numbered error and its JSON body."""
         self.respond(
             problem_status(problem),
-            problem_headers(problem),
+            problem_headers(problem, self.dialect),
             problem_body(problem),
         )
 
--- a/cyclamenlift/http/limits.py
+++ b/cyclamenlift/http/limits.py
@@ -33,6 +33,12 @@
 
     ``unsized_answers`` admits answers that end with the connection: a cut
     one can't be told from a whole one, so they are refused by default.
+    ``call_id_field`` is the header in which the target repeats the name of
+    a call; an answer to another name is dropped. ``idle_seconds`` is how
+    long a connection is used again when the target states no time, and
+    ``idle_margin_seconds`` what is taken off a time that it states, for a
+    request on its way. ``fresh_seconds`` bounds the idle time before a
+    request that may not run twice.
     """
 
     max_connections: int = 260
@@ -42,3 +48,7 @@
     max_header_bytes: int = 64 * KIBIBYTE
     max_headers: int = 200
     unsized_answers: bool = False
+    call_id_field: str = ''
+    idle_seconds: float = 60.0
+    idle_margin_seconds: float = 1.0
+    fresh_seconds: float = 2.0
--- a/cyclamenlift/http/response.py
+++ b/cyclamenlift/http/response.py
@@ -7,6 +7,8 @@
 from cyclamenlift.core.codes import is_not_run
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.problems import Problem
+from cyclamenlift.http.dialects import DEFAULT_DIALECT
+from cyclamenlift.http.dialects import Dialect
 from cyclamenlift.http.headers import FRAMING
 from cyclamenlift.http.headers import Headers
 from cyclamenlift.http.headers import render_head
@@ -93,10 +95,13 @@
     return json.dumps(value).encode()
 
 
-def problem_headers(problem: Problem) -> Headers:
+def problem_headers(
+    problem: Problem, dialect: Dialect = DEFAULT_DIALECT
+) -> Headers:
     """Return the header fields of an answer that reports a problem.
 
-    ``Retry-After`` is in whole seconds, as HTTP wants.
+    ``Retry-After`` is in whole seconds, as HTTP wants, unless the dialect
+    has fractions.
 
     >>> problem_headers(Problem(ResultCode.DRAINING, retry_after_ms=1500))[2:]
     [('Retry-After', '2'), ('Cyclamenlift-Retry-After-Ms', '1500')]
@@ -107,8 +112,10 @@
     ]
     wait = retry_after_ms(problem)
     if wait:
-        seconds = -(-wait // MILLISECONDS)
-        headers.append(('Retry-After', str(seconds)))
+        seconds = str(-(-wait // MILLISECONDS))
+        if dialect.fractional_retry:
+            seconds = f'{wait / MILLISECONDS:.3f}'
+        headers.append(('Retry-After', seconds))
         headers.append(('Cyclamenlift-Retry-After-Ms', str(wait)))
     return headers
 
--- a/cyclamenlift/http/server.py
+++ b/cyclamenlift/http/server.py
@@ -9,6 +9,8 @@
 from cyclamenlift.core.streams import Stream
 from cyclamenlift.core.streams import StreamOwner
 from cyclamenlift.http.connection import CallerConnection
+from cyclamenlift.http.dialects import DEFAULT_DIALECT
+from cyclamenlift.http.dialects import Dialect
 from cyclamenlift.http.exchange import Exchange
 from cyclamenlift.http.limits import HttpLimits
 
@@ -28,11 +30,14 @@
         limits: HttpLimits,
         take: Callable[[Exchange], None],
         channel: str,
+        dialect: Dialect = DEFAULT_DIALECT,
     ):
         super().__init__(poller, channel)
         self.limits = limits
+        self.dialect = dialect
         self.take = take
         self.draining = False
+        self.closing = False
 
     def now(self) -> float:
         """Return the monotonic time of the loop's clock."""
@@ -44,6 +49,13 @@
         streams = self.streams.values()
         return sum(1 for stream in streams if stream.context.busy)
 
+    def begin_closing(self) -> None:
+        """Let each connection end with its next answer.
+
+        New ones are still taken, since callers learn of a stop late.
+        """
+        self.closing = True
+
     def begin_drain(self) -> None:
         """Take no new connections and end the idle ones.
 
@@ -53,6 +65,7 @@
         if self.draining:
             return
         self.draining = True
+        self.closing = True
         for listener in list(self.listeners):
             self.accept_from(listener)
         self.stop_listening()
--- a/cyclamenlift/http/target.py
+++ b/cyclamenlift/http/target.py
@@ -13,12 +13,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetRequest:
-    """A request to the target; ``body_length`` None means chunked."""
+    """A request to the target; ``body_length`` None means chunked.
+
+    ``call_id`` is the name that the answer must repeat, if not empty.
+    ``repeatable`` False asks for a connection that was used a moment ago
+    or a new one: on an old one the target may just have hung up, and then
+    nobody knows whether it ran.
+    """
 
     method: str
     path: str
     headers: Headers
     body_length: int | None = 0
+    call_id: str = ''
+    repeatable: bool = True
 
     def head(self) -> bytes:
         """Return the head; raise HeaderError if it could forge another.
--- a/cyclamenlift/membership/records.py
+++ b/cyclamenlift/membership/records.py
@@ -13,6 +13,7 @@
 from cyclamenlift.core.streams import Address
 from cyclamenlift.wire.codec import encode_packet
 from cyclamenlift.wire.gen.protocol.ttypes import MemberRecord
+from cyclamenlift.wire.gen.protocol.ttypes import MemberRole
 from cyclamenlift.wire.gen.protocol.ttypes import MemberState
 from cyclamenlift.wire.gen.protocol.ttypes import TargetState
 
@@ -25,6 +26,7 @@
 GONE_STATES = (MemberState.DEAD, MemberState.LEFT)
 STATES = tuple(MemberState)
 TARGET_STATES = tuple(TargetState)
+ROLES = tuple(MemberRole)
 
 
 def precedence(record: MemberRecord) -> tuple[int, int]:
@@ -91,6 +93,7 @@
         and record.target_state in TARGET_STATES
         and is_number(record.config_version, MAX_VERSION)
         and is_text(record.target_name)
+        and record.role in (None, *ROLES)
     )
 
 
--- a/cyclamenlift/membership/settings.py
+++ b/cyclamenlift/membership/settings.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from cyclamenlift.core.streams import Address
+from cyclamenlift.wire.gen.protocol.ttypes import MemberRole
 from cyclamenlift.wire.gen.protocol.ttypes import TargetState
 
 
@@ -27,3 +28,4 @@
     target_name: str = ''
     target_state: TargetState = TargetState.READY
     config_version: int = 0
+    role: MemberRole = MemberRole.DAEMON
--- a/cyclamenlift/membership/state.py
+++ b/cyclamenlift/membership/state.py
@@ -113,6 +113,7 @@
             target_state=settings.target_state,
             config_version=settings.config_version,
             target_name=settings.target_name,
+            role=settings.role,
         )
 
     # -- queries ----------------------------------------------------------
@@ -237,6 +238,7 @@
         target_state: TargetState | None,
         config_version: int | None,
         now: float,
+        slots: int | None = None,
     ) -> list[Outgoing]:
         """Tell the others of a change of this instance."""
         own = self.own
@@ -248,11 +250,14 @@
         if newer:
             own = revise(own, config_version=config_version)
             self.table.put(own)
-        moved = target_state is not None and target_state != own.target_state
+        state = own.target_state if target_state is None else target_state
+        room = own.slots if slots is None else slots
+        moved = (state, room) != (own.target_state, own.slots)
         if moved:
             own = revise(
                 own,
-                target_state=target_state,
+                target_state=state,
+                slots=room,
                 incarnation=own.incarnation + 1,
             )
             self.store(own, now)
--- a/cyclamenlift/membership/tasks.py
+++ b/cyclamenlift/membership/tasks.py
@@ -119,11 +119,14 @@
         self,
         target_state: TargetState | None = None,
         config_version: int | None = None,
+        slots: int | None = None,
     ) -> None:
-        """Tell the others of our target's state or of our configuration."""
+        """Tell the others of our target or of our configuration."""
         if self.state is not None:
             now = self.loop.scheduler.clock.now()
-            self.finish(self.state.announce(target_state, config_version, now))
+            self.finish(
+                self.state.announce(target_state, config_version, now, slots)
+            )
 
     def leave(self) -> None:
         """Tell the others that this instance goes; ``stop`` comes next."""
--- a/cyclamenlift/models/document.py
+++ b/cyclamenlift/models/document.py
@@ -19,6 +19,9 @@
 
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.problems import Problem
+from cyclamenlift.models.routes import CallerLimitsModel
+from cyclamenlift.models.routes import RouteModel
+from cyclamenlift.models.routes import StrictModel
 
 MAX_DOCUMENT_BYTES = 1024 * 1024
 NAME_PATTERN = r'^[a-z0-9][a-z0-9.-]{0,62}$'
@@ -26,16 +29,15 @@
 
 Name = Annotated[str, pydantic.Field(pattern=NAME_PATTERN)]
 Policy = Literal[
-    'hot_cold', 'random', 'round_robin', 'least_calls', 'power_of_two'
+    'hot_cold',
+    'expected_finish',
+    'random',
+    'round_robin',
+    'least_calls',
+    'power_of_two',
 ]
 
 
-class StrictModel(pydantic.BaseModel):
-    """A model that refuses fields it does not know."""
-
-    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
-
-
 class OperationModel(StrictModel):
     """One kind of call of a service, matched by method and path.
 
@@ -143,6 +145,12 @@
     objective: ObjectiveModel = pydantic.Field(
         ObjectiveModel(), description='the service-level objective'
     )
+    health_path: str = pydantic.Field(
+        '', description="health page; empty: as the daemon's settings say"
+    )
+    max_connections: int = pydantic.Field(
+        0, ge=0, le=60_000, description='connections a target takes; 0: any'
+    )
 
 
 class EventDocument(StrictModel):
@@ -158,6 +166,17 @@
     services: tuple[ServiceModel, ...] = pydantic.Field(
         min_length=1, max_length=500, description='the services that take part'
     )
+    routes: tuple[RouteModel, ...] = pydantic.Field(
+        (),
+        max_length=10_000,
+        description='where requests go; none: Host names the service',
+    )
+    caller_limits: CallerLimitsModel | None = pydantic.Field(
+        None, description="limits of callers; none: the daemon's settings"
+    )
+    source: str = pydantic.Field(
+        '', description='the text it was made from, kept as it was sent'
+    )
 
     @pydantic.field_validator('starts_at', 'ends_at')
     @classmethod
@@ -174,6 +193,14 @@
         twice = sorted({name for name in names if names.count(name) > 1})
         if twice:
             raise ValueError(f'service named twice: {", ".join(twice)}')
+        known = set(names)
+        for route in self.routes:
+            for share in route.shares:
+                if share.service not in known:
+                    raise ValueError(
+                        f'route {route.name!r} names the unknown service '
+                        f'{share.service!r}'
+                    )
         return self
 
 
--- a/cyclamenlift/models/rules.py
+++ b/cyclamenlift/models/rules.py
@@ -5,6 +5,8 @@
 
 from cyclamenlift.models.document import EventDocument
 from cyclamenlift.models.document import ServiceModel
+from cyclamenlift.models.routes import CallerLimitsModel
+from cyclamenlift.models.routes import RouteModel
 
 SAFE_METHODS = ('GET', 'HEAD', 'OPTIONS')
 MILLISECONDS = 1000.0
@@ -48,6 +50,8 @@
     operations: tuple[OperationRule, ...]
     objective_seconds: float
     objective_share: float
+    health_path: str = ''
+    max_connections: int = 0
 
     def is_idempotent(self, method: str, path: str) -> bool:
         """Tell whether a call may run twice without harm."""
@@ -64,15 +68,90 @@
         return any(fnmatch.fnmatchcase(name, glob) for glob in self.targets)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteShare:
+    """The part of a route's requests that one service gets."""
+
+    service: str
+    weight: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteRule:
+    """Where the requests of one host and path prefix go; times in s.
+
+    Requests that are not ``idempotent`` run at most once for each attempt
+    of a caller. ``rank`` 0 is the most urgent.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    shares: tuple[RouteShare, ...]
+    idempotent: bool
+    timeout_seconds: float
+    objective_seconds: float
+    max_tries: int
+    rank: int
+
+
+class RouteTable:
+    """Finds the route of a request: its host, then the longest prefix.
+
+    Prefixes end with a slash, so only the parts of a path up to a slash
+    can be one: a look-up takes a step for each slash, however many routes
+    there are.
+    """
+
+    def __init__(self, routes: tuple[RouteRule, ...]):
+        self.routes = routes
+        self.hosts: dict[str, dict[str, RouteRule]] = {}
+        for route in routes:
+            prefixes = self.hosts.setdefault(route.host.lower(), {})
+            prefixes[route.path_prefix] = route
+
+    def find(self, host: str, path: str) -> RouteRule | None:
+        """Return the route of a lower-case host and a path with query."""
+        prefixes = self.hosts.get(host)
+        if prefixes is None:
+            return None
+        bare = path.partition('?')[0]
+        end = len(bare)
+        while end:
+            end = bare.rfind('/', 0, end) + 1
+            if not end:
+                return None
+            route = prefixes.get(bare[:end])
+            if route is not None:
+                return route
+            end -= 1
+        return None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What one caller may send and how long it may take; bytes and s."""
+
+    max_header_bytes: int
+    max_body_bytes: int
+    head_seconds: float
+    idle_seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EventRules:
-    """The document in force, with its version."""
+    """The document in force, with its version.
+
+    ``routes`` is None where the ``Host`` names the service itself.
+    """
 
     version: int
     event: str
     starts_unix_ms: int
     ends_unix_ms: int
     services: dict[str, ServiceRule]
+    routes: RouteTable | None = None
+    caller_limits: CallerLimits | None = None
 
 
 def rules_from_document(document: EventDocument, version: int) -> EventRules:
@@ -83,6 +162,42 @@
         starts_unix_ms=int(document.starts_at.timestamp() * MILLISECONDS),
         ends_unix_ms=int(document.ends_at.timestamp() * MILLISECONDS),
         services={s.name: rule_of(s) for s in document.services},
+        routes=route_table(document.routes),
+        caller_limits=limits_of(document.caller_limits),
+    )
+
+
+def route_table(routes: tuple[RouteModel, ...]) -> RouteTable | None:
+    """Return the look-up of a document's routes, None without any."""
+    if not routes:
+        return None
+    return RouteTable(tuple(route_of(route) for route in routes))
+
+
+def route_of(route: RouteModel) -> RouteRule:
+    """Return the inside form of one route."""
+    return RouteRule(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.path_prefix,
+        shares=tuple(RouteShare(s.service, s.weight) for s in route.shares),
+        idempotent=route.repetition == 'idempotent',
+        timeout_seconds=route.timeout_ms / MILLISECONDS,
+        objective_seconds=route.objective_ms / MILLISECONDS,
+        max_tries=route.max_tries,
+        rank=route.rank,
+    )
+
+
+def limits_of(limits: CallerLimitsModel | None) -> CallerLimits | None:
+    """Return the inside form of the callers' limits."""
+    if limits is None:
+        return None
+    return CallerLimits(
+        max_header_bytes=limits.max_header_bytes,
+        max_body_bytes=limits.max_body_bytes,
+        head_seconds=limits.head_ms / MILLISECONDS,
+        idle_seconds=limits.idle_ms / MILLISECONDS,
     )
 
 
@@ -110,4 +225,6 @@
         ),
         objective_seconds=service.objective.latency_ms / MILLISECONDS,
         objective_share=service.objective.percent / 100.0,
+        health_path=service.health_path,
+        max_connections=service.max_connections,
     )
--- /dev/null
+++ b/cyclamenlift/platform/documents.py
@@ -0,0 +1,250 @@
+"""Operators' configurations, read into event documents and back.
+
+The text of a configuration is kept inside the event document, so that it
+is read back as it was sent; a partial change is made on that text.
+"""
+
+import json
+
+import pydantic
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.problems import Problem
+from cyclamenlift.models.document import document_from_value
+from cyclamenlift.models.document import EventDocument
+from cyclamenlift.platform.durations import milliseconds
+
+# The platform's operators set no event; theirs is always under way.
+EVENT_NAME = 'platform'
+EVENT_STARTS = '2000-01-01T00:00:00Z'
+EVENT_ENDS = '9999-01-01T00:00:00Z'
+REPETITION_OF_KIND = {
+    'idempotent': 'idempotent',
+    'non_idempotent': 'once_per_attempt',
+    'upload': 'once_per_attempt',
+}
+MOST_VERSION = 2**53
+
+
+class WireModel(pydantic.BaseModel):
+    """A part of a configuration; fields that are not known are kept out."""
+
+    model_config = pydantic.ConfigDict(extra='ignore', frozen=True)
+
+
+class WireShare(WireModel):
+    """One service of a route with its weight."""
+
+    service: str
+    weight: int = pydantic.Field(ge=0)
+
+
+class WireRoute(WireModel):
+    """One entry of ``path_rules``."""
+
+    name: str
+    path_prefix: str
+    kind: str
+    timeout: str
+    target_latency: str
+    priority: int = 0
+    attempts: int = 1
+    service: str = ''
+    weighted_services: tuple[WireShare, ...] = ()
+
+
+class WireHost(WireModel):
+    """The routes of one host."""
+
+    host: str
+    path_rules: tuple[WireRoute, ...] = ()
+
+
+class WireService(WireModel):
+    """A service; its ``name`` is what targets announce."""
+
+    name: str
+    health_path: str = ''
+    max_conns: int = 0
+
+
+class WireLimits(WireModel):
+    """What callers may send; ``header_timeout`` bounds the head only."""
+
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout: str
+    idle_timeout: str
+
+
+class WireConfiguration(WireModel):
+    """A complete configuration."""
+
+    version: int = pydantic.Field(gt=0, lt=MOST_VERSION)
+    services: tuple[WireService, ...]
+    virtual_hosts: tuple[WireHost, ...]
+    limits: WireLimits
+
+
+class WirePatch(WireModel):
+    """A partial change: ``upsert`` holds items, ``remove`` holds names."""
+
+    version: int = pydantic.Field(gt=0, lt=MOST_VERSION)
+    upsert: dict = {}
+    remove: dict = {}
+
+
+def read_version(body: bytes) -> Result[int, Problem]:
+    """Return the version that a change chose for itself."""
+    try:
+        value = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        return invalid(f'no JSON: {error}')
+    version = value.get('version') if isinstance(value, dict) else None
+    if isinstance(version, bool) or not isinstance(version, int):
+        return invalid('it has no version')
+    if not 0 < version < MOST_VERSION:
+        return invalid(f'version {version} is out of range')
+    return Success(version)
+
+
+def read_configuration(body: bytes | str) -> Result[EventDocument, Problem]:
+    """Read a complete configuration into an event document."""
+    try:
+        wire = WireConfiguration.model_validate_json(body)
+        value = document_value(wire)
+    except (ValueError, RecursionError) as error:
+        return invalid(str(error))
+    text = body if isinstance(body, str) else body.decode()
+    read = document_from_value({**value, 'source': text})
+    if isinstance(read, Failure):
+        problem = read.failure()[0]
+        return invalid(f'{problem.where}: {problem.detail}')
+    return read
+
+
+def document_value(wire: WireConfiguration) -> dict:
+    """Return the fields of the event document; ValueError if it is none."""
+    limits = wire.limits
+    return {
+        'event': EVENT_NAME,
+        'starts_at': EVENT_STARTS,
+        'ends_at': EVENT_ENDS,
+        'services': [service_value(service) for service in wire.services],
+        'routes': [
+            route_value(host.host, route)
+            for host in wire.virtual_hosts
+            for route in host.path_rules
+        ],
+        'caller_limits': {
+            'max_header_bytes': limits.max_header_bytes,
+            'max_body_bytes': limits.max_body_bytes,
+            'head_ms': milliseconds(limits.header_timeout),
+            'idle_ms': milliseconds(limits.idle_timeout),
+        },
+    }
+
+
+def service_value(service: WireService) -> dict:
+    return {
+        'name': service.name,
+        'policy': 'expected_finish',
+        'health_path': service.health_path,
+        'max_connections': service.max_conns,
+    }
+
+
+def route_value(host: str, route: WireRoute) -> dict:
+    """Return the fields of one route; ValueError for an unknown kind."""
+    if route.kind not in REPETITION_OF_KIND:
+        raise ValueError(f'route {route.name!r}: kind {route.kind!r}')
+    shares = [
+        {'service': share.service, 'weight': share.weight}
+        for share in route.weighted_services
+    ]
+    if not shares:
+        shares = [{'service': route.service, 'weight': 1}]
+    return {
+        'name': route.name,
+        'host': host,
+        'path_prefix': route.path_prefix,
+        'shares': shares,
+        'repetition': REPETITION_OF_KIND[route.kind],
+        'timeout_ms': milliseconds(route.timeout),
+        'objective_ms': milliseconds(route.target_latency),
+        'max_tries': route.attempts,
+        'rank': route.priority,
+    }
+
+
+def edit_document(
+    document: EventDocument, body: bytes
+) -> Result[EventDocument, Problem]:
+    """Return the document with a partial change made on its source."""
+    try:
+        patch = WirePatch.model_validate_json(body)
+        value = json.loads(document.source)
+        remove_named(value, patch.remove)
+        upsert(value, patch.upsert)
+        value['version'] = patch.version
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        return invalid(f'the change can not be read: {error!r}')
+    return read_configuration(json.dumps(value))
+
+
+def remove_named(value: dict, names: dict) -> None:
+    """Remove services and routes by their names."""
+    services = set(names.get('services', ()))
+    routes = set(names.get('routes', ()))
+    value['services'] = [
+        s for s in value['services'] if s['name'] not in services
+    ]
+    for host in value['virtual_hosts']:
+        host['path_rules'] = [
+            r for r in host['path_rules'] if r['name'] not in routes
+        ]
+    value['virtual_hosts'] = [
+        host for host in value['virtual_hosts'] if host['path_rules']
+    ]
+
+
+def upsert(value: dict, items: dict) -> None:
+    """Add items, or put them in the place of those of the same name."""
+    for service in items.get('services', ()):
+        put_named(value['services'], service)
+    for host in items.get('virtual_hosts', ()):
+        for route in host['path_rules']:
+            put_route(value['virtual_hosts'], host['host'], route)
+    if 'limits' in items:
+        value['limits'] = items['limits']
+
+
+def put_route(hosts: list[dict], name: str, route: dict) -> None:
+    """Put a route under its host; it leaves another host it stood under."""
+    for host in hosts:
+        if host['host'] != name:
+            host['path_rules'] = [
+                r for r in host['path_rules'] if r['name'] != route['name']
+            ]
+    home = next((h for h in hosts if h['host'] == name), None)
+    if home is None:
+        home = {'host': name, 'path_rules': []}
+        hosts.append(home)
+    put_named(home['path_rules'], route)
+    hosts[:] = [host for host in hosts if host['path_rules']]
+
+
+def put_named(items: list[dict], item: dict) -> None:
+    for position, known in enumerate(items):
+        if known['name'] == item['name']:
+            items[position] = item
+            return
+    items.append(item)
+
+
+def invalid(detail: str) -> Failure:
+    text = ' '.join(detail.split())[:300]
+    return Failure(Problem(ResultCode.DOCUMENT_INVALID, text))
--- /dev/null
+++ b/cyclamenlift/platform/durations.py
@@ -0,0 +1,27 @@
+"""Times of the platform: a number and its unit, ``ms`` or ``s``."""
+
+import re
+
+PATTERN = re.compile(r'(\d+(?:\.\d+)?)(ms|s)')
+MILLISECONDS_OF = {'ms': 1.0, 's': 1000.0}
+
+
+def milliseconds(text: object) -> float:
+    """Return a time in milliseconds; raise ValueError when it is none.
+
+    >>> milliseconds('2.5s'), milliseconds('1500ms')
+    (2500.0, 1500.0)
+    """
+    found = PATTERN.fullmatch(text) if isinstance(text, str) else None
+    if found is None:
+        raise ValueError(f'{str(text)[:40]!r} is no time such as 1500ms')
+    return float(found[1]) * MILLISECONDS_OF[found[2]]
+
+
+def seconds(text: object) -> float:
+    """Return a time in seconds.
+
+    >>> seconds('1500ms')
+    1.5
+    """
+    return milliseconds(text) / 1000.0
--- /dev/null
+++ b/cyclamenlift/platform/programs.py
@@ -0,0 +1,101 @@
+"""The two programs on the platform: the product's, with the adapter on."""
+
+import random
+
+from returns.result import Failure
+import structlog
+
+from cyclamenlift.conf.settings import ControlSettings
+from cyclamenlift.conf.settings import DaemonSettings
+from cyclamenlift.core.logs import configure_logs
+from cyclamenlift.core.memory import keep_start_up_objects
+from cyclamenlift.core.problems import Problem
+from cyclamenlift.core.streams import Address
+from cyclamenlift.http.limits import HttpLimits
+from cyclamenlift.http.server import HttpServer
+from cyclamenlift.platform.dialect import PLATFORM_DIALECT
+from cyclamenlift.platform.settings import Fields
+from cyclamenlift.platform.settings import read_fields
+from cyclamenlift.platform.settings import read_settings
+
+EXIT_SETTINGS = 2
+EXIT_FAILED = 1
+LOG = structlog.get_logger('platform')
+
+
+def listen(root, address: str, take, channel: str) -> HttpServer:
+    """Serve small requests of the platform on one address."""
+    server = HttpServer(root.poller, HttpLimits(), take, channel)
+    server.register(root)
+    server.listen(Address.parse(address))
+    return server
+
+
+def run_daemon() -> int:
+    """Run a daemon; return its exit status."""
+    from cyclamenlift.platform.readiness import Readiness
+    from cyclamenlift.platform.targets import TargetCheckIns
+    from cyclamenlift.runtime.daemon import DaemonNode
+
+    prepared = prepare(DaemonSettings)
+    if prepared is None:
+        return EXIT_SETTINGS
+    fields, settings = prepared
+    node = DaemonNode(settings, random.Random(), PLATFORM_DIALECT)
+    ready = Readiness(node.is_ready)
+    listen(node.loop, fields['listen.ready'], ready.take, 'ready')
+    check_ins = TargetCheckIns(node.gate, settings.service)
+    listen(node.loop, fields['listen.control'], check_ins.take, 'targets')
+    node.start_parts()
+    keep_start_up_objects()
+    node.loop.run()
+    return 0
+
+
+def run_control() -> int:
+    """Run a control instance; return its exit status."""
+    from cyclamenlift.platform.operators import OperatorCalls
+    from cyclamenlift.runtime.control import ControlNode
+    from cyclamenlift.runtime.peers import read_list
+
+    prepared = prepare(ControlSettings)
+    if prepared is None:
+        return EXIT_SETTINGS
+    fields, settings = prepared
+    peers, problems = read_list(settings.peers)
+    if problems:
+        return complain(problems)
+    node = ControlNode(settings, peers, random.Random())
+    started = node.start_parts()
+    if isinstance(started, Failure):
+        complain([started.failure()])
+        return EXIT_FAILED
+    address = Address.parse(fields['listen.control'])
+    calls = OperatorCalls(node.context, address.port)
+    listen(node.loop, str(address), calls.take, 'operators')
+    keep_start_up_objects()
+    node.loop.run()
+    return 0
+
+
+def prepare(kind: type) -> tuple[Fields, object] | None:
+    """Read the settings and set up logs; None after telling what is wrong."""
+    found = read_fields()
+    if isinstance(found, Failure):
+        complain([found.failure()])
+        return None
+    fields = found.unwrap()
+    settings = read_settings(kind, fields)
+    if isinstance(settings, Failure):
+        complain(settings.failure())
+        return None
+    checked = settings.unwrap()
+    configure_logs(checked.log_format, checked.log_level, checked.instance)
+    return fields, checked
+
+
+def complain(problems: list[Problem]) -> int:
+    """Write every problem of the settings; return the exit status."""
+    for problem in problems:
+        LOG.error('settings_refused', problem=problem.line())
+    return EXIT_SETTINGS
--- /dev/null
+++ b/cyclamenlift/platform/readiness.py
@@ -0,0 +1,28 @@
+"""The platform's question whether callers may be sent to a daemon."""
+
+from collections.abc import Callable
+
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.problems import Problem
+from cyclamenlift.http.exchange import Exchange
+from cyclamenlift.platform.requests import answer
+from cyclamenlift.platform.requests import refuse
+
+READY_PATH = '/v1/ready'
+
+
+class Readiness:
+    """Answers 200 while ``is_ready`` says so, else 503."""
+
+    def __init__(self, is_ready: Callable[[], bool]):
+        self.is_ready = is_ready
+
+    def take(self, exchange: Exchange) -> None:
+        """Take one request on the readiness address."""
+        if exchange.path.partition('?')[0] != READY_PATH:
+            problem = Problem(ResultCode.NOT_FOUND, exchange.path[:100])
+            refuse(exchange, 404, problem)
+        elif self.is_ready():
+            answer(exchange, 200)
+        else:
+            refuse(exchange, 503, Problem(ResultCode.NO_CONFIGURATION))
--- /dev/null
+++ b/cyclamenlift/platform/requests.py
@@ -0,0 +1,55 @@
+"""Small requests to the adapter: read whole, then answered as JSON."""
+
+from collections.abc import Callable
+import json
+
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.problems import Problem
+from cyclamenlift.http.exchange import Exchange
+
+JSON_TYPE = ('Content-Type', 'application/json')
+
+
+def read_whole(
+    exchange: Exchange, most: int, done: Callable[[bytes], None]
+) -> None:
+    """Gather a body of at most ``most`` bytes, then call ``done`` once."""
+    parts: list[bytes] = []
+
+    def on_body(data: bytes, last: bool) -> None:
+        parts.append(data)
+        if sum(map(len, parts)) > most:
+            refuse_size(exchange, most)
+        elif last:
+            done(b''.join(parts))
+
+    exchange.on_broken = exchange.respond_problem
+    if (exchange.body_length or 0) > most:
+        refuse_size(exchange, most)
+    else:
+        exchange.read_body(on_body)
+
+
+def refuse_size(exchange: Exchange, most: int) -> None:
+    detail = f'over {most} bytes'
+    exchange.respond_problem(Problem(ResultCode.BODY_TOO_LARGE, detail))
+
+
+def answer(
+    exchange: Exchange,
+    status: int,
+    value: object = None,
+    headers: tuple[tuple[str, str], ...] = (),
+) -> None:
+    """Answer with a status and a JSON value, ``{}`` by default."""
+    body = json.dumps({} if value is None else value).encode()
+    exchange.respond(status, [JSON_TYPE, *headers], body)
+
+
+def refuse(exchange: Exchange, status: int, problem: Problem) -> None:
+    """Answer with a status of the platform and our numbered error."""
+    value = {
+        'error': problem.line(),
+        'code': int(problem.code),
+    }
+    answer(exchange, status, value)
--- /dev/null
+++ b/cyclamenlift/platform/settings.py
@@ -0,0 +1,134 @@
+"""The platform's settings file, read into the product's own settings."""
+
+from collections.abc import Mapping
+import os
+import pathlib
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from cyclamenlift.conf.settings import CommonSettings
+from cyclamenlift.conf.settings import ControlSettings
+from cyclamenlift.conf.settings import DaemonSettings
+from cyclamenlift.conf.settings import load_settings
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.problems import Problem
+from cyclamenlift.core.streams import Address
+from cyclamenlift.platform.durations import seconds
+
+PATH_VARIABLE = 'CYCLAMENLIFT_BOOT'
+# Where the deploy file says that metrics are fetched.
+METRICS_PORT = 9464
+# A process is ended ``grace`` after it was told to stop; it leaves that
+# much earlier by itself, in seconds.
+GRACE_MARGIN_SECONDS = 0.7
+# Callers stay away after two readiness checks, one a second, have failed.
+READINESS_SECONDS = 2.2
+Fields = Mapping[str, str]
+
+
+def read_fields() -> Result[Fields, Problem]:
+    """Return the lines of the settings file, ``a.b=value`` each."""
+    path = os.environ.get(PATH_VARIABLE, '')
+    try:
+        text = pathlib.Path(path).read_text()
+    except (OSError, ValueError) as error:
+        detail = f'{path!r}: {error}'
+        return Failure(
+            Problem(ResultCode.SETTING_MISSING, detail, PATH_VARIABLE)
+        )
+    return Success(parse_fields(text))
+
+
+def parse_fields(text: str) -> Fields:
+    """Read lines of ``name=value``; others are left out.
+
+    >>> parse_fields('ip=10.0.0.1\\n# a word\\n')
+    {'ip': '10.0.0.1'}
+    """
+    fields = {}
+    for line in text.splitlines():
+        name, mark, value = line.partition('=')
+        if mark and not line.lstrip().startswith('#'):
+            fields[name.strip()] = value.strip()
+    return fields
+
+
+def bounds_of(fields: Fields) -> Fields:
+    """Return the bounds of the contract by name, as texts."""
+    parts = fields.get('bounds', '').split(',')
+    pairs = (part.partition('=') for part in parts if '=' in part)
+    return {name: value for name, _, value in pairs}
+
+
+def internal_address(fields: Fields, host: str) -> str:
+    """Return where a daemon or control instance is reached by its own."""
+    port = fields.get('internal_ports', '').partition(',')[0]
+    return f'{host}:{port}'
+
+
+def seed_hosts(fields: Fields) -> list[str]:
+    """Return the hosts of the seeds; their ports are the operators'."""
+    seeds = [s for s in fields.get('seeds', '').split(',') if s]
+    return [Address.parse(seed).host for seed in seeds]
+
+
+def common_values(fields: Fields) -> dict[str, object]:
+    """Return the settings that daemons and control share."""
+    host = fields.get('ip', '')
+    own = internal_address(fields, host)
+    peers = [internal_address(fields, seed) for seed in seed_hosts(fields)]
+    return {
+        # Control instances are found by host, so all are named by it.
+        'instance': host,
+        'data_centre': fields.get('zone', ''),
+        'peer_listen': own,
+        'gossip_listen': own,
+        'admin_listen': f'{host}:{METRICS_PORT}',
+        'seeds': tuple(peers),
+    }
+
+
+def daemon_values(fields: Fields) -> dict[str, object]:
+    """Return the settings of a daemon beside its target."""
+    bounds = bounds_of(fields)
+    grace = seconds(bounds.get('grace', '6s'))
+    values = common_values(fields)
+    return {
+        **values,
+        'control': values['seeds'],
+        'entry_listen': fields.get('listen.outbound', ''),
+        'service': fields.get('service', ''),
+        'target': fields.get('app_addr', ''),
+        'warm_connections': 0,
+        'drain_seconds': max(0.5, grace - GRACE_MARGIN_SECONDS),
+        'farewell_seconds': min(READINESS_SECONDS, grace / 2),
+    }
+
+
+def control_values(fields: Fields) -> dict[str, object]:
+    """Return the settings of a control instance."""
+    seeds = seed_hosts(fields)
+    losses = int(fields.get('fault_tolerance.machines') or 1)
+    return {
+        **common_values(fields),
+        'data': f'{fields.get("data_dir", "")}/replica',
+        'peers': tuple(
+            f'{seed}={internal_address(fields, seed)}' for seed in seeds
+        ),
+        'bootstrap': fields.get('bootstrap') == 'true',
+        'wanted_voters': 2 * losses + 1,
+    }
+
+
+def read_settings(
+    kind: type[CommonSettings], fields: Fields
+) -> Result[CommonSettings, list[Problem]]:
+    """Return checked settings of one kind of process, or every problem."""
+    make = {DaemonSettings: daemon_values, ControlSettings: control_values}
+    try:
+        values = make[kind](fields)
+    except ValueError as error:
+        return Failure([Problem(ResultCode.SETTING_INVALID, str(error))])
+    return load_settings(kind, values)
--- a/cyclamenlift/replication/following.py
+++ b/cyclamenlift/replication/following.py
@@ -77,6 +77,7 @@
         raise InvariantError(f'entry {index} is committed')
     state.log.truncate_from(index)
     state.voters.truncate_from(index)
+    state.refresh_peers()
 
 
 def send_ack(
--- a/cyclamenlift/replication/handling.py
+++ b/cyclamenlift/replication/handling.py
@@ -24,8 +24,9 @@
 
 @EFFECTS.register('Send')
 def send(replica: 'Replica', effect: Send) -> None:
-    address = replica.settings.peers[effect.to]
-    replica.network.send(address, effect.message)
+    address = replica.address_of(effect.to)
+    if address is not None:
+        replica.network.send(address, effect.message)
 
 
 @EFFECTS.register('Apply')
--- a/cyclamenlift/replication/installing.py
+++ b/cyclamenlift/replication/installing.py
@@ -66,6 +66,7 @@
         state.log.reset(snapshot.index, snapshot.term, ticket)
         state.voters.reset(None)
     state.voters.restart_from(snapshot.configuration)
+    state.refresh_peers()
     state.snapshot = snapshot
     state.commit_index = snapshot.index
     state.last_stamp = max(state.last_stamp, snapshot.stamp_unix_ms)
--- a/cyclamenlift/replication/leading.py
+++ b/cyclamenlift/replication/leading.py
@@ -1,6 +1,7 @@
 """What a leader does: send entries, count answers, check its majority."""
 
 from cyclamenlift.replication.commits import advance_commit
+from cyclamenlift.replication.growth import change_voters
 from cyclamenlift.replication.log import KIND_NO_OP
 from cyclamenlift.replication.progress import Leadership
 from cyclamenlift.replication.progress import Progress
@@ -40,7 +41,12 @@
         },
     )
     if state.voters.latest is None:
-        state.append_configuration(Configuration(0, dict(votes)))
+        founding = Configuration(
+            0,
+            dict(votes),
+            addresses={n: a for n, a in state.addresses.items() if n in votes},
+        )
+        state.append_configuration(founding)
     else:
         state.append([state.make_entry(KIND_NO_OP, b'')])
     start_round(state, now)
@@ -54,6 +60,7 @@
     if now >= state.leadership.heartbeat_at:
         start_round(state, now)
         confirm_reads(state)
+        change_voters(state, now)
 
 
 def has_contact(state: ReplicaState, now: float) -> bool:
--- a/cyclamenlift/replication/progress.py
+++ b/cyclamenlift/replication/progress.py
@@ -115,6 +115,14 @@
         for read in self.reads:
             read.round_id = read.round_id or self.round_id
 
+    def follow_peers(self, peers: tuple[str, ...], next_index: int) -> None:
+        """Keep progress for just these instances."""
+        for peer in peers:
+            if peer not in self.progress:
+                self.progress[peer] = Progress(next_index=next_index)
+        for name in set(self.progress) - set(peers):
+            del self.progress[name]
+
     def note_answer(self, progress: Progress, round_id: int) -> None:
         """Note that an instance answered a round.
 
--- a/cyclamenlift/replication/snapshots.py
+++ b/cyclamenlift/replication/snapshots.py
@@ -44,6 +44,7 @@
             'stamp_unix_ms': self.stamp_unix_ms,
             'configuration_index': configuration.index if configuration else 0,
             'storage_ids': configuration.storage_ids if configuration else {},
+            'addresses': configuration.addresses if configuration else {},
         }
 
     @classmethod
@@ -58,7 +59,9 @@
         header = json.loads(body[:header_length])
         storage_ids = header['storage_ids']
         configuration = Configuration(
-            header['configuration_index'], storage_ids
+            header['configuration_index'],
+            storage_ids,
+            addresses=header.get('addresses', {}),
         )
         return cls(
             index=header['index'],
--- a/cyclamenlift/replication/state.py
+++ b/cyclamenlift/replication/state.py
@@ -28,11 +28,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
-    """Times in seconds, sizes in entries and bytes."""
+    """Times in seconds, sizes in entries and bytes.
+
+    ``wanted_voters`` above 0 lets the leader change the voters itself.
+    """
 
     election: float
     heartbeat: float
     snapshot_entries: int
+    wanted_voters: int = 0
     batch_entries: int = MAX_BATCH_ENTRIES
     batch_bytes: int = MAX_BATCH_BYTES
     chunk_bytes: int = 256 * 1024
@@ -82,9 +86,13 @@
         recovered: Recovered,
         rng: random.Random,
         now: float,
+        founder: bool = True,
+        addresses: dict[str, str] | None = None,
     ):
         self.instance = instance
-        self.peers = peers
+        # The instances of the settings, until they are known to be gone.
+        self.noted: set[str] = set(peers)
+        self.addresses = dict(addresses or {})
         self.bootstrap = bootstrap
         self.limits = limits
         self.rng = rng
@@ -95,11 +103,13 @@
         self.role = Role.FOLLOWER
         self.leader = ''
         self.outbox = Outbox()
-        self.voters = Voters((instance, *peers))
+        self.leadership: Leadership | None = None
+        founders = (instance, *peers) if founder else peers
+        self.voters = Voters(founders)
+        self.peers: tuple[str, ...] = peers
         self.snapshot = recovered.snapshot
         self.snapshot_writes: dict[int, Snapshot] = {}
         self.campaign: Campaign | None = None
-        self.leadership: Leadership | None = None
         self.incoming: IncomingSnapshot | None = None
         self.leader_heard_at = float('-inf')
         self.election_deadline = 0.0
@@ -116,6 +126,7 @@
         self.voters.reset(snapshot.configuration if snapshot else None)
         for entry in recovered.entries:
             self.note_entry(entry)
+        self.refresh_peers()
 
     def note_entry(self, entry: LogEntry) -> None:
         """Keep what the log says beside commands: voters and time."""
@@ -123,6 +134,7 @@
         if entry.kind == KIND_CONFIGURATION:
             configuration = Configuration.decode(entry.index, entry.command)
             self.voters.note_appended(configuration)
+            self.refresh_peers()
 
     # -- queries ----------------------------------------------------------
 
@@ -139,7 +151,7 @@
         to that entry. An empty log votes only with ``bootstrap``.
         """
         if self.voters.latest is None:
-            return self.bootstrap
+            return self.bootstrap and self.instance in self.voters.names
         return self.voters.names_storage(self.instance, self.storage_id)
 
     @property
@@ -161,6 +173,30 @@
 
     # -- commands ---------------------------------------------------------
 
+    def refresh_peers(self) -> None:
+        """Work out whom to talk to: those that count, and learners."""
+        for configuration in self.voters.active:
+            for name, address in configuration.addresses.items():
+                self.addresses.setdefault(name, address)
+        names = self.voters.known_names() | self.noted
+        names.discard(self.instance)
+        self.peers = tuple(sorted(names))
+        if self.leadership is not None:
+            self.leadership.follow_peers(self.peers, self.log.last_index + 1)
+
+    def note_peer(self, name: str, address: str) -> None:
+        """Learn of an instance that may be added to the voters."""
+        if name == self.instance:
+            return
+        self.noted.add(name)
+        self.addresses[name] = address
+        self.refresh_peers()
+
+    def forget_peer(self, name: str) -> None:
+        """Learn that an instance is gone; one that counts stays known."""
+        self.noted.discard(name)
+        self.refresh_peers()
+
     def postpone_election(self, now: float) -> None:
         """Draw the next deadline, so that two rarely stand at once."""
         wait = self.limits.election * (1.0 + self.rng.random())
--- a/cyclamenlift/replication/tasks.py
+++ b/cyclamenlift/replication/tasks.py
@@ -12,6 +12,7 @@
 from cyclamenlift.core.clock import MILLISECONDS
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.problems import Problem
+from cyclamenlift.core.streams import Address
 from cyclamenlift.replication.commands import append_commands
 from cyclamenlift.replication.commands import replace_storage
 from cyclamenlift.replication.handling import EFFECTS
@@ -107,14 +108,38 @@
         """Return what this replica knows."""
         return make_status(
             self.settings.instance,
-            tuple(self.settings.peers),
+            self.state.peers if self.active else (),
             self.state if self.active else None,
             self.applied_index,
             self.now(),
         )
 
+    def address_of(self, instance: str) -> Address | None:
+        """Return where an instance is reached, None while unknown."""
+        known = self.settings.peers.get(instance)
+        if known is not None:
+            return known
+        text = self.state.addresses.get(instance)
+        return Address.parse(text) if text else None
+
+    def first_addresses(self) -> dict[str, str]:
+        settings = self.settings
+        found = {name: str(place) for name, place in settings.peers.items()}
+        if settings.own_address:
+            found[settings.instance] = settings.own_address
+        return found
+
     # -- commands ---------------------------------------------------------
 
+    def note_peer(self, instance: str, address: Address, live: bool) -> None:
+        """Learn of another instance that could vote, or that it is gone."""
+        if not self.active:
+            return
+        if live:
+            self.state.note_peer(instance, str(address))
+        else:
+            self.state.forget_peer(instance)
+
     def start(self) -> Result[None, Problem]:
         """Open the folder and take part; a Failure names what is wrong."""
         settings = self.settings
@@ -130,6 +155,8 @@
             recovered=storage.recovered,
             rng=self.rng,
             now=self.now(),
+            founder=settings.founder,
+            addresses=self.first_addresses(),
         )
         if storage.recovered.snapshot is not None:
             restore_machine(self, storage.recovered.snapshot)
@@ -329,4 +356,5 @@
         election=settings.election_ms / MILLISECONDS,
         heartbeat=settings.heartbeat_ms / MILLISECONDS,
         snapshot_entries=settings.snapshot_entries,
+        wanted_voters=settings.wanted_voters,
     )
--- a/cyclamenlift/replication/voters.py
+++ b/cyclamenlift/replication/voters.py
@@ -28,11 +28,14 @@
     """The storage id that counts for each instance, since ``index``.
 
     ``final`` says that those before it do not count any more.
+    ``addresses`` tells where an instance is reached, ``host:port``, so
+    that one that was added is found after a restart of all.
     """
 
     index: int
     storage_ids: dict[str, str]
     final: bool = True
+    addresses: dict[str, str] = dataclasses.field(default_factory=dict)
 
     def has_majority(self, present: Mapping[str, str]) -> bool:
         """Tell whether ``present`` (instance to storage id) is a majority.
@@ -53,14 +56,36 @@
         """Return a copy, not yet in the log, with one storage replaced."""
         storage_ids = dict(self.storage_ids)
         storage_ids[instance] = storage_id
-        return Configuration(0, storage_ids, final=False)
+        return Configuration(0, storage_ids, False, self.addresses)
+
+    def joined(
+        self, instance: str, storage_id: str, address: str
+    ) -> 'Configuration':
+        """Return a copy, not yet in the log, with one voter more."""
+        storage_ids = dict(self.storage_ids)
+        storage_ids[instance] = storage_id
+        addresses = dict(self.addresses)
+        addresses[instance] = address
+        return Configuration(0, storage_ids, False, addresses)
+
+    def without(self, instance: str) -> 'Configuration':
+        """Return a copy, not yet in the log, with one voter less."""
+        storage_ids = dict(self.storage_ids)
+        storage_ids.pop(instance, None)
+        addresses = dict(self.addresses)
+        addresses.pop(instance, None)
+        return Configuration(0, storage_ids, False, addresses)
 
     def finished(self) -> 'Configuration':
         """Return the same voters, with those before them forgotten."""
         return dataclasses.replace(self, final=True)
 
     def encode(self) -> bytes:
-        fields = {'final': self.final, 'storage_ids': self.storage_ids}
+        fields = {
+            'addresses': self.addresses,
+            'final': self.final,
+            'storage_ids': self.storage_ids,
+        }
         return json.dumps(fields, sort_keys=True).encode()
 
     @classmethod
@@ -68,7 +93,12 @@
         """Read a configuration; raise ConfigurationError on bad bytes."""
         try:
             fields = json.loads(data)
-            return cls(index, fields['storage_ids'], fields['final'])
+            return cls(
+                index,
+                fields['storage_ids'],
+                fields['final'],
+                fields.get('addresses', {}),
+            )
         except (ValueError, TypeError, KeyError) as error:
             raise ConfigurationError(repr(error)) from error
 
@@ -107,6 +137,12 @@
     def latest(self) -> Configuration | None:
         return self.history[-1] if self.history else None
 
+    def known_names(self) -> set[str]:
+        """Return all that count, or shall found the cluster."""
+        if not self.history:
+            return set(self.names)
+        return {n for c in self.active for n in c.storage_ids}
+
     @property
     def active(self) -> list[Configuration]:
         """Return the last final configuration and those after it."""
--- a/cyclamenlift/routing/policies.py
+++ b/cyclamenlift/routing/policies.py
@@ -143,3 +143,8 @@
     cost += group.distance(candidate)
     cost += typical * ERROR_COST * estimate.errors(now)
     return cost + typical * NEAR_EQUAL * group.rng.random()
+
+
+@POLICIES.register('expected_finish')
+class ExpectedFinishPolicy(HotColdPolicy):
+    """The earliest expected answer, by what the gates told last."""
--- a/cyclamenlift/runtime/control.py
+++ b/cyclamenlift/runtime/control.py
@@ -23,6 +23,9 @@
 from cyclamenlift.events.server import DocumentServer
 from cyclamenlift.http.web import WebServer
 from cyclamenlift.ledger.server import ClaimServer
+from cyclamenlift.membership.records import is_live
+from cyclamenlift.membership.settings import MembershipSettings
+from cyclamenlift.membership.tasks import Membership
 from cyclamenlift.replication.settings import ReplicaSettings
 from cyclamenlift.replication.tasks import Replica
 from cyclamenlift.runtime.control_api import ControlApi
@@ -30,6 +33,8 @@
 from cyclamenlift.runtime.control_metrics import MetricsPage
 from cyclamenlift.runtime.machine import ControlMachine
 from cyclamenlift.runtime.peers import parse_peers
+from cyclamenlift.wire.gen.protocol.ttypes import MemberRecord
+from cyclamenlift.wire.gen.protocol.ttypes import MemberRole
 from cyclamenlift.wire.tasks import PeerNetwork
 
 EXIT_FAILED = 1
@@ -68,6 +73,7 @@
             self.machine.ledger,
         )
         self.metrics = ControlMetrics(self.context, self.claims)
+        self.membership = self.make_membership()
         self.stopping = False
         self.stop_deadline = 0.0
 
@@ -98,11 +104,55 @@
             heartbeat_ms=settings.heartbeat_ms,
             snapshot_entries=settings.snapshot_entries,
             bootstrap=settings.bootstrap,
+            founder=settings.instance in peers,
+            own_address=settings.peer_listen,
+            wanted_voters=settings.wanted_voters,
         )
         return Replica(
             self.loop, self.network, replica_settings, self.machine, self.rng
         )
 
+    def make_membership(self) -> Membership | None:
+        """Return this instance's part in membership, None without one."""
+        settings = self.settings
+        if not settings.gossip_listen:
+            return None
+        return Membership(
+            self.loop,
+            MembershipSettings(
+                instance=settings.instance,
+                data_centre=settings.data_centre,
+                cluster=settings.cluster,
+                listen=Address.parse(settings.gossip_listen),
+                seeds=tuple(Address.parse(seed) for seed in settings.seeds),
+                period=settings.gossip_seconds,
+                peer_address=settings.peer_listen,
+                target_name=settings.instance,
+                role=MemberRole.CONTROL,
+            ),
+            self.rng,
+        )
+
+    def start_membership(self) -> None:
+        """Tell the others of this instance and learn of them."""
+        if self.membership is None:
+            return
+        self.membership.subscribe(self.on_member)
+        self.machine.subscribe_version(
+            lambda version: self.membership.announce(config_version=version)
+        )
+        self.membership.start()
+        self.membership.announce(config_version=self.machine.events.version)
+
+    def on_member(self, record: MemberRecord) -> None:
+        """Tell the replica of another control instance."""
+        if record.role != MemberRole.CONTROL:
+            return
+        if record.instance == self.settings.instance:
+            return
+        address = Address.parse(record.peer_address)
+        self.replica.note_peer(record.instance, address, is_live(record))
+
     def make_claim_server(self) -> ClaimServer:
         return ClaimServer(
             self.network,
@@ -143,6 +193,7 @@
                 MetricsPage(self.metrics),
             ],
         )
+        self.start_membership()
         LOG.info(
             'control_started',
             peer=str(self.peer_address),
@@ -171,6 +222,9 @@
         self.finish_stop()
 
     def finish_stop(self) -> None:
+        if self.membership is not None:
+            self.membership.leave()
+            self.membership.stop()
         self.replica.stop()
         self.network.close_all()
         self.admin.http.close_all()
--- a/cyclamenlift/runtime/daemon.py
+++ b/cyclamenlift/runtime/daemon.py
@@ -1,5 +1,6 @@
 """The daemon beside a target: entry and gate in one process."""
 
+import dataclasses
 import random
 import signal
 
@@ -19,13 +20,17 @@
 from cyclamenlift.gate.tasks import Gate
 from cyclamenlift.gate.tasks import refuse_call
 from cyclamenlift.http.client import TargetClient
+from cyclamenlift.http.dialects import DEFAULT_DIALECT
+from cyclamenlift.http.dialects import Dialect
 from cyclamenlift.http.limits import ClientLimits
 from cyclamenlift.http.limits import HttpLimits
 from cyclamenlift.http.server import HttpServer
 from cyclamenlift.http.web import WebServer
 from cyclamenlift.ledger.tasks import ClaimClient
+from cyclamenlift.membership.records import is_live
 from cyclamenlift.membership.settings import MembershipSettings
 from cyclamenlift.membership.tasks import Membership
+from cyclamenlift.models.rules import CallerLimits
 from cyclamenlift.models.rules import EventRules
 from cyclamenlift.routing.state import RoutingState
 from cyclamenlift.runtime.admin import ApiPages
@@ -36,6 +41,7 @@
 from cyclamenlift.wire.gen.protocol.ttypes import CallStart
 from cyclamenlift.wire.gen.protocol.ttypes import Credit
 from cyclamenlift.wire.gen.protocol.ttypes import MemberRecord
+from cyclamenlift.wire.gen.protocol.ttypes import MemberRole
 from cyclamenlift.wire.gen.protocol.ttypes import TargetState
 from cyclamenlift.wire.tasks import PeerNetwork
 
@@ -51,9 +57,15 @@
 
     channel = 'daemon'
 
-    def __init__(self, settings: DaemonSettings, rng: random.Random):
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        rng: random.Random,
+        dialect: Dialect = DEFAULT_DIALECT,
+    ):
         super().__init__(channel='daemon')
         self.settings = settings
+        self.dialect = dialect
         self.rng = rng
         self.loop = build_root()
         self.register(self.loop)
@@ -106,6 +118,7 @@
             instance=self.settings.instance,
             body_budget=self.settings.body_budget_bytes,
             max_depth=self.settings.max_depth,
+            own_service=self.settings.service,
         )
 
     def make_gate(self) -> Gate:
@@ -113,6 +126,10 @@
         limits = ClientLimits(
             max_connections=settings.target_connections,
             warm_connections=settings.warm_connections,
+            unsized_answers=bool(self.dialect.proof),
+            call_id_field=(
+                self.dialect.call_id if self.dialect.call_id_repeated else ''
+            ),
         )
         client = TargetClient(
             self.loop.poller,
@@ -120,7 +137,13 @@
             limits,
             channel='target',
         ).register(self.loop)
-        gate = Gate(self.scheduler, client, settings.service, settings.slots)
+        gate = Gate(
+            self.scheduler,
+            client,
+            settings.service,
+            settings.slots,
+            self.dialect,
+        )
         self.health = HealthCheck(gate, client, settings)
         return gate
 
@@ -133,7 +156,11 @@
             idle_seconds=settings.idle_seconds,
         )
         server = HttpServer(
-            self.loop.poller, limits, self.calls.take, channel='entry'
+            self.loop.poller,
+            limits,
+            self.calls.take,
+            channel='entry',
+            dialect=self.dialect,
         )
         return server.register(self.loop)
 
@@ -173,6 +200,7 @@
             gate_end.subscribe(BodyChunk, self.gate.on_body_chunk)
             gate_end.subscribe(Credit, self.gate.on_credit)
             self.gate.state_hooks.append(self.on_target_state)
+            self.gate.slots_hooks.append(self.on_slots)
         self.network.subscribe(BodyChunk, self.on_body_chunk)
         self.network.subscribe(Credit, self.on_credit)
 
@@ -222,16 +250,38 @@
 
     def on_rules(self, rules: EventRules) -> None:
         self.calls.apply_rules(rules)
+        if rules.caller_limits is not None:
+            self.entry.limits = limit_callers(
+                self.entry.limits, rules.caller_limits
+            )
         if self.gate is not None:
             self.gate.apply_rules(rules)
         self.membership.announce(config_version=rules.version)
 
     def on_member(self, record: MemberRecord) -> None:
+        if record.role == MemberRole.CONTROL:
+            self.on_control_instance(record)
+            return
         self.routing.note_member(record, self.scheduler.clock.now())
 
+    def on_control_instance(self, record: MemberRecord) -> None:
+        """Ask a control instance that became known, or no longer."""
+        try:
+            address = Address.parse(record.peer_address)
+        except ValueError:
+            return
+        self.follower.note_control(address, is_live(record))
+
+    def on_slots(self, slots: int) -> None:
+        self.membership.announce(slots=slots)
+
     def on_target_state(self, state: TargetState) -> None:
         self.membership.announce(target_state=state)
 
+    def is_ready(self) -> bool:
+        """Tell whether callers may be sent here."""
+        return self.follower.rules is not None and not self.stopping
+
     # -- drain and stop -----------------------------------------------------
 
     def drain(self) -> None:
@@ -248,6 +298,15 @@
         self.stop_deadline = now + self.settings.drain_seconds
         LOG.info('stop_began', open_calls=len(self.calls.open_calls))
         self.drain()
+        self.entry.begin_closing()
+        farewell = self.settings.farewell_seconds
+        if farewell:
+            self.scheduler.after(farewell, self.stop_entry)
+        else:
+            self.stop_entry()
+
+    def stop_entry(self) -> None:
+        """Take no new connections: callers have had time to learn."""
         self.entry.begin_drain()
         self.scheduler.after(FAREWELL_SECONDS, self.check_idle)
 
@@ -277,6 +336,17 @@
             self.begin_stop()
 
 
+def limit_callers(limits: HttpLimits, wanted: CallerLimits) -> HttpLimits:
+    """Return the limits of the border with those of the document."""
+    return dataclasses.replace(
+        limits,
+        max_header_bytes=wanted.max_header_bytes,
+        max_body_bytes=wanted.max_body_bytes,
+        head_seconds=wanted.head_seconds,
+        idle_seconds=wanted.idle_seconds,
+    )
+
+
 def run(settings: DaemonSettings) -> int:
     """Run a daemon until it is told to stop; return the exit status."""
     configure_logs(settings.log_format, settings.log_level, settings.instance)
--- a/cyclamenlift/runtime/machine.py
+++ b/cyclamenlift/runtime/machine.py
@@ -81,6 +81,7 @@
             command.document or b'',
             command.operator_name or '',
             stamp_unix_ms,
+            command.chosen_version or 0,
         )
         if self.events.version != before:
             self.tell_version()
--- a/cyclamenlift/wire/cyclamenlift.thrift
+++ b/cyclamenlift/wire/cyclamenlift.thrift
@@ -21,6 +21,11 @@
   LEFT = 3
 }
 
+enum MemberRole {
+  DAEMON = 0,
+  CONTROL = 1
+}
+
 // First frame in both directions on each peer connection.
 struct Hello {
   1: string instance,
@@ -41,7 +46,9 @@
   3: i32 slots,
   4: i32 latency_us,
   5: i32 error_permille,
-  6: TargetState state
+  6: TargetState state,
+  // How long work takes there now, in percent of the usual; 0: not told.
+  7: i32 pace_percent
 }
 
 // Entry to gate. A body that fits is carried whole (body_complete).
@@ -58,7 +65,14 @@
   10: bool idempotent,
   11: i32 depth,
   12: string trace_id,
-  13: i64 config_version
+  13: i64 config_version,
+  // 0 is the most urgent.
+  14: i32 rank,
+  // Time left until the answer is late by the route's objective.
+  15: i64 objective_left_us,
+  // Made by a target while it runs another call.
+  16: bool nested,
+  17: string route_name
 }
 
 struct BodyChunk {
@@ -306,7 +320,8 @@
   8: i32 slots,
   9: TargetState target_state,
   10: i64 config_version,
-  11: string target_name
+  11: string target_name,
+  12: MemberRole role
 }
 
 enum GossipKind {
@@ -337,7 +352,9 @@
   1: string change_id,
   2: i64 base_version,
   3: binary document,
-  4: string operator_name
+  4: string operator_name,
+  // The number that the operator chose for the version; 0: the next one.
+  5: i64 chosen_version
 }
 
 struct ReplaceStorageCommand {
--- a/cyclamenlift/wire/gen/protocol/ttypes.py
+++ b/cyclamenlift/wire/gen/protocol/ttypes.py
@@ -33,6 +33,12 @@
 
 
 
+class MemberRole(IntEnum):
+    DAEMON = 0
+    CONTROL = 1
+
+
+
 class ClaimVerdict(IntEnum):
     GRANTED = 0
     IN_PROGRESS = 1
@@ -227,17 +233,19 @@
      - latency_us
      - error_permille
      - state
+     - pace_percent
 
     """
 
 
-    def __init__(self, in_flight=None, queued=None, slots=None, latency_us=None, error_permille=None, state=None,):
+    def __init__(self, in_flight=None, queued=None, slots=None, latency_us=None, error_permille=None, state=None, pace_percent=None,):
         self.in_flight = in_flight
         self.queued = queued
         self.slots = slots
         self.latency_us = latency_us
         self.error_permille = error_permille
         self.state = state
+        self.pace_percent = pace_percent
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -278,6 +286,11 @@
                     self.state = TargetState(iprot.readI32()).name
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.pace_percent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -312,6 +325,10 @@
             oprot.writeFieldBegin('state', TType.I32, 6)
             oprot.writeI32(TargetState[self.state].value)
             oprot.writeFieldEnd()
+        if self.pace_percent is not None:
+            oprot.writeFieldBegin('pace_percent', TType.I32, 7)
+            oprot.writeI32(self.pace_percent)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -346,11 +363,15 @@
      - depth
      - trace_id
      - config_version
+     - rank
+     - objective_left_us
+     - nested
+     - route_name
 
     """
 
 
-    def __init__(self, call_id=None, service_name=None, method=None, path=None, headers=None, time_left_us=None, body_length=None, body=None, body_complete=None, idempotent=None, depth=None, trace_id=None, config_version=None,):
+    def __init__(self, call_id=None, service_name=None, method=None, path=None, headers=None, time_left_us=None, body_length=None, body=None, body_complete=None, idempotent=None, depth=None, trace_id=None, config_version=None, rank=None, objective_left_us=None, nested=None, route_name=None,):
         self.call_id = call_id
         self.service_name = service_name
         self.method = method
@@ -364,6 +385,10 @@
         self.depth = depth
         self.trace_id = trace_id
         self.config_version = config_version
+        self.rank = rank
+        self.objective_left_us = objective_left_us
+        self.nested = nested
+        self.route_name = route_name
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -445,6 +470,26 @@
                     self.config_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I32:
+                    self.rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I64:
+                    self.objective_left_us = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.BOOL:
+                    self.nested = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRING:
+                    self.route_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -510,6 +555,22 @@
             oprot.writeFieldBegin('config_version', TType.I64, 13)
             oprot.writeI64(self.config_version)
             oprot.writeFieldEnd()
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.I32, 14)
+            oprot.writeI32(self.rank)
+            oprot.writeFieldEnd()
+        if self.objective_left_us is not None:
+            oprot.writeFieldBegin('objective_left_us', TType.I64, 15)
+            oprot.writeI64(self.objective_left_us)
+            oprot.writeFieldEnd()
+        if self.nested is not None:
+            oprot.writeFieldBegin('nested', TType.BOOL, 16)
+            oprot.writeBool(self.nested)
+            oprot.writeFieldEnd()
+        if self.route_name is not None:
+            oprot.writeFieldBegin('route_name', TType.STRING, 17)
+            oprot.writeString(self.route_name.encode('utf-8') if sys.version_info[0] == 2 else self.route_name)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3144,11 +3205,12 @@
      - target_state
      - config_version
      - target_name
+     - role
 
     """
 
 
-    def __init__(self, instance=None, incarnation=None, state=None, data_centre=None, gossip_address=None, peer_address=None, service_name=None, slots=None, target_state=None, config_version=None, target_name=None,):
+    def __init__(self, instance=None, incarnation=None, state=None, data_centre=None, gossip_address=None, peer_address=None, service_name=None, slots=None, target_state=None, config_version=None, target_name=None, role=None,):
         self.instance = instance
         self.incarnation = incarnation
         self.state = state
@@ -3160,6 +3222,7 @@
         self.target_state = target_state
         self.config_version = config_version
         self.target_name = target_name
+        self.role = role
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3225,6 +3288,11 @@
                     self.target_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I32:
+                    self.role = MemberRole(iprot.readI32()).name
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3279,6 +3347,10 @@
             oprot.writeFieldBegin('target_name', TType.STRING, 11)
             oprot.writeString(self.target_name.encode('utf-8') if sys.version_info[0] == 2 else self.target_name)
             oprot.writeFieldEnd()
+        if self.role is not None:
+            oprot.writeFieldBegin('role', TType.I32, 12)
+            oprot.writeI32(MemberRole[self.role].value)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3480,15 +3552,17 @@
      - base_version
      - document
      - operator_name
+     - chosen_version
 
     """
 
 
-    def __init__(self, change_id=None, base_version=None, document=None, operator_name=None,):
+    def __init__(self, change_id=None, base_version=None, document=None, operator_name=None, chosen_version=None,):
         self.change_id = change_id
         self.base_version = base_version
         self.document = document
         self.operator_name = operator_name
+        self.chosen_version = chosen_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3519,6 +3593,11 @@
                     self.operator_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.chosen_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3545,6 +3624,10 @@
             oprot.writeFieldBegin('operator_name', TType.STRING, 4)
             oprot.writeString(self.operator_name.encode('utf-8') if sys.version_info[0] == 2 else self.operator_name)
             oprot.writeFieldEnd()
+        if self.chosen_version is not None:
+            oprot.writeFieldBegin('chosen_version', TType.I64, 5)
+            oprot.writeI64(self.chosen_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3746,6 +3829,7 @@
     (4, TType.I32, 'latency_us', None, None, ),  # 4
     (5, TType.I32, 'error_permille', None, None, ),  # 5
     (6, TType.I32, 'state', None, None, ),  # 6
+    (7, TType.I32, 'pace_percent', None, None, ),  # 7
 )
 all_structs.append(CallStart)
 CallStart.thrift_spec = (
@@ -3763,6 +3847,10 @@
     (11, TType.I32, 'depth', None, None, ),  # 11
     (12, TType.STRING, 'trace_id', 'UTF8', None, ),  # 12
     (13, TType.I64, 'config_version', None, None, ),  # 13
+    (14, TType.I32, 'rank', None, None, ),  # 14
+    (15, TType.I64, 'objective_left_us', None, None, ),  # 15
+    (16, TType.BOOL, 'nested', None, None, ),  # 16
+    (17, TType.STRING, 'route_name', 'UTF8', None, ),  # 17
 )
 all_structs.append(BodyChunk)
 BodyChunk.thrift_spec = (
@@ -4006,6 +4094,7 @@
     (9, TType.I32, 'target_state', None, None, ),  # 9
     (10, TType.I64, 'config_version', None, None, ),  # 10
     (11, TType.STRING, 'target_name', 'UTF8', None, ),  # 11
+    (12, TType.I32, 'role', None, None, ),  # 12
 )
 all_structs.append(GossipPacket)
 GossipPacket.thrift_spec = (
@@ -4029,6 +4118,7 @@
     (2, TType.I64, 'base_version', None, None, ),  # 2
     (3, TType.STRING, 'document', 'BINARY', None, ),  # 3
     (4, TType.STRING, 'operator_name', 'UTF8', None, ),  # 4
+    (5, TType.I64, 'chosen_version', None, None, ),  # 5
 )
 all_structs.append(ReplaceStorageCommand)
 ReplaceStorageCommand.thrift_spec = (
--- a/cyclamenlift/wire/tasks.py
+++ b/cyclamenlift/wire/tasks.py
@@ -119,6 +119,11 @@
         )
         return link
 
+    def is_linked(self, address: Address) -> bool:
+        """Tell whether a link to ``address`` is open."""
+        link = self.outgoing.get(address)
+        return link is not None and not link.closed
+
     def send(self, address: Address, message) -> bool:
         """Send one message to the peer at ``address``."""
         return self.link_to(address).send(message)
--- a/tests/ledger/builders.py
+++ b/tests/ledger/builders.py
@@ -131,6 +131,9 @@
         self.sent.append((address, message))
         return True
 
+    def is_linked(self, address) -> bool:
+        return address in self.links
+
     def deliver(self, address, message) -> None:
         """Let a message of the peer at ``address`` arrive."""
         link = self.links.get(address) or FakeLink(address, str(address))
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -19,6 +19,9 @@
 from cyclamenlift.models.document import ObjectiveModel
 from cyclamenlift.models.document import OperationModel
 from cyclamenlift.models.document import ServiceModel
+from cyclamenlift.models.routes import CallerLimitsModel
+from cyclamenlift.models.routes import RouteModel
+from cyclamenlift.models.routes import ShareModel
 
 DOCS = pathlib.Path(__file__).parents[1] / 'docs'
 MADE = 'This page is made by `python -m tools.reference`.\n'
@@ -96,6 +99,9 @@
         ('services[]', ServiceModel),
         ('services[].operations[]', OperationModel),
         ('services[].objective', ObjectiveModel),
+        ('routes[]', RouteModel),
+        ('routes[].shares[]', ShareModel),
+        ('caller_limits', CallerLimitsModel),
     ):
         parts.append(f'\n## {title}\n\n| field | default | limits ')
         parts.append('| meaning |\n|---|---|---|---|\n')
