--- a/cyclamenlift/calls/budgets.py
+++ b/cyclamenlift/calls/budgets.py
@@ -1,7 +1,11 @@
 """Limits on repetition and on kept bodies."""
 
+from collections.abc import Callable
+
 RETRY_RESERVE = 20.0
 RETRY_CAP = 100.0
+# An entry must be able to save up one whole retry, however many share.
+LEAST_CAP = 1.2
 
 
 class RetryBudget:
@@ -35,6 +39,67 @@
         return True
 
 
+class SharedRetryBudget:
+    """This entry's part of a budget that all entries share.
+
+    In any window the fleet may send ``share`` of a service's first tries
+    once more, and ``slack`` further ones. Each entry earns the share of its
+    own first tries and has an even part of the slack: half of it saved up
+    at most, the other half earned anew over a window. So what all entries
+    spend within any window stays within the budget, whatever each sees.
+
+    ``debit`` takes what could not be refused, so the balance may fall
+    below zero; then nothing is spent until it is earned back.
+    """
+
+    def __init__(
+        self,
+        share: float,
+        slack: float,
+        window: float,
+        now: Callable[[], float],
+    ):
+        self.now = now
+        self.share = share
+        self.slack = slack
+        self.window = window
+        self.members = 1
+        self.balance = self.cap()
+        self.filled_at = now()
+
+    def set_members(self, members: int) -> None:
+        """Share the slack among this many entries from now on."""
+        self.members = max(1, members)
+        self.balance = min(self.balance, self.cap())
+
+    def cap(self) -> float:
+        """Return the most that may be saved up."""
+        return max(LEAST_CAP, self.slack / self.members / 2.0)
+
+    def fill(self) -> None:
+        now = self.now()
+        gained = (now - self.filled_at) * self.cap() / self.window
+        self.filled_at = now
+        self.balance = min(self.cap(), self.balance + gained)
+
+    def earn(self) -> None:
+        """Count one first try."""
+        self.fill()
+        self.balance = min(self.cap(), self.balance + self.share)
+
+    def take(self, keep: float = 0.0) -> bool:
+        """Spend one; False when not more than ``keep`` is left."""
+        self.fill()
+        if self.balance - keep < 1.0:
+            return False
+        self.balance -= 1.0
+        return True
+
+    def debit(self, amount: float) -> None:
+        """Count repeats that happened without asking."""
+        self.balance -= amount
+
+
 class BodyBudget:
     """Bytes of request bodies that this entry keeps at once.
 
--- a/cyclamenlift/calls/life.py
+++ b/cyclamenlift/calls/life.py
@@ -32,6 +32,7 @@
     from cyclamenlift.calls.tasks import Calls
 
 MICROSECONDS = 1_000_000
+MILLISECONDS = 1000
 SERVER_ERROR = 500
 OVERLOAD_HEADER = 'cyclamenlift-overloaded'
 OVERLOAD_CODES = frozenset((ResultCode.OVERLOADED, ResultCode.QUEUE_DEADLINE))
@@ -50,6 +51,7 @@
             max_tries=request.max_tries,
             deadline=request.deadline,
             budget=calls.retry_budget(request.rule),
+            gate_refusals_free=request.route is not None,
         )
         self.body: list[bytes] = []
         self.body_size = 0
@@ -62,6 +64,7 @@
         self.answered = False
         self.status = 0
         self.service_seconds: float | None = None
+        self.trail: list[str] = []
         self.caller_gone = False
         self.timer = calls.scheduler.at(request.deadline, self.on_deadline)
 
@@ -119,7 +122,9 @@
         routing to know first.
         """
         self.tries.forget(attempt)
-        step = self.state.try_ended(ending, self.calls.now())
+        now = self.calls.now()
+        self.note_trail(attempt, ending, now)
+        step = self.state.try_ended(ending, now)
         if step is Step.ANSWER:
             self.answer_whole(attempt)
         self.tries.tell_routing(attempt, outcome)
@@ -128,6 +133,14 @@
         elif step is Step.GIVE_UP:
             self.finish_failed()
 
+    def note_trail(self, attempt: Try, ending: Ending, now: float) -> None:
+        """Keep how a try ended, for the line that explains the call."""
+        milliseconds = int((now - attempt.started_at) * MILLISECONDS)
+        self.trail.append(
+            f'{attempt.instance} {ending.kind.value} {int(ending.code)} '
+            f'{milliseconds}ms {ending.detail}'.rstrip()
+        )
+
     def end_unsent(self, attempt: Try) -> None:
         code = ResultCode.TARGET_UNREACHABLE
         ending = Ending(EndKind.NOT_RUN, code)
@@ -135,20 +148,30 @@
 
     def on_refused(self, attempt: Try, refused: Refused) -> None:
         code = ResultCode(refused.code)
+        if code == ResultCode.TARGET_SLOW:
+            # Its new pace is known now; it may still be the best of all.
+            self.tries.tried.discard(attempt.instance)
         draining = code == ResultCode.DRAINING
         outcome = (
             Outcome.REFUSED_DRAINING if draining else Outcome.REFUSED_OVERLOAD
         )
         if code == ResultCode.TARGET_UNREACHABLE:
             outcome = Outcome.LOST
-        ending = Ending(EndKind.NOT_RUN, code, refused.retry_after_ms)
+        elif code == ResultCode.TARGET_SLOW:
+            outcome = Outcome.CANCELLED
+        ending = Ending(
+            EndKind.NOT_RUN,
+            code,
+            refused.retry_after_ms,
+            refused.detail or '',
+        )
         self.end_try(attempt, outcome, ending)
 
     def on_broken(self, attempt: Try, broken: Broken) -> None:
         code = ResultCode(broken.code)
         timed_out = code == ResultCode.DEADLINE_UNKNOWN
         outcome = Outcome.TIMEOUT if timed_out else Outcome.LOST
-        self.end_unknown(attempt, outcome, code)
+        self.end_unknown(attempt, outcome, code, broken.detail or '')
 
     def on_cancelled(self, attempt: Try, cancelled: Cancelled) -> None:
         """A cancellation was confirmed for a call that still matters."""
@@ -167,13 +190,18 @@
         self.end_unknown(attempt, Outcome.LOST, ResultCode.PEER_LOST)
 
     def end_unknown(
-        self, attempt: Try, outcome: Outcome, code: ResultCode
+        self,
+        attempt: Try,
+        outcome: Outcome,
+        code: ResultCode,
+        detail: str = '',
     ) -> None:
         if self.relay is not None and self.relay.attempt is attempt:
             self.tries.drop(attempt, outcome)
             self.break_off()
             return
-        self.end_try(attempt, outcome, Ending(EndKind.UNKNOWN, code))
+        ending = Ending(EndKind.UNKNOWN, code, detail=detail)
+        self.end_try(attempt, outcome, ending)
 
     # -- answers ----------------------------------------------------------
 
--- a/cyclamenlift/calls/state.py
+++ b/cyclamenlift/calls/state.py
@@ -15,10 +15,10 @@
 class EndKind(enum.Enum):
     """How one try ended."""
 
-    ANSWERED = enum.auto()
-    TARGET_ERROR = enum.auto()
-    NOT_RUN = enum.auto()
-    UNKNOWN = enum.auto()
+    ANSWERED = 'answered'
+    TARGET_ERROR = 'target_error'
+    NOT_RUN = 'not_run'
+    UNKNOWN = 'unknown'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,6 +28,7 @@
     kind: EndKind
     code: ResultCode = ResultCode.ANSWERED
     retry_after_ms: int = 0
+    detail: str = ''
 
 
 class Step(enum.Enum):
@@ -42,6 +43,17 @@
 # These refusals move a call elsewhere without adding load to a service in
 # trouble, so they do not count against the retry budget.
 FREE_CODES = frozenset((ResultCode.DRAINING, ResultCode.TARGET_UNREACHABLE))
+# Refusals of a gate: nothing reached its target, so the call was not sent
+# to it. Only proofs of the gate itself are here, not those of the target.
+GATE_CODES = FREE_CODES | {
+    ResultCode.NO_TARGET,
+    ResultCode.OVERLOADED,
+    ResultCode.QUEUE_DEADLINE,
+    ResultCode.TARGET_SLOW,
+}
+# Gates that one call may ask, whatever its tries: enough to find the one
+# with room among a few dozen at a cost of a millisecond each.
+MOST_ASKED = 8
 
 
 @dataclasses.dataclass(slots=True)
@@ -61,10 +73,13 @@
     last_code: ResultCode = ResultCode.NO_TARGET
     retry_after_ms: int = 0
     done: bool = False
+    gate_refusals_free: bool = False
+    asked: int = 0
 
     def try_started(self) -> None:
-        if self.tries == 0:
+        if self.asked == 0:
             self.budget.earn()
+        self.asked += 1
         self.tries += 1
         self.open_tries += 1
 
@@ -77,7 +92,9 @@
         """
         if not self.idempotent or self.done or not self.open_tries:
             return False
-        used = self.open_tries if rescue else self.tries
+        used = self.tries
+        if rescue and not self.gate_refusals_free:
+            used = self.open_tries
         if used >= self.max_tries or (self.open_tries > 1 and not rescue):
             return False
         return self.budget.take(keep)
@@ -90,6 +107,8 @@
         self.retry_after_ms = max(self.retry_after_ms, ending.retry_after_ms)
         if ending.kind is EndKind.ANSWERED:
             return Step.ANSWER
+        if self.is_free(ending):
+            self.tries -= 1
         if ending.kind is not EndKind.TARGET_ERROR:
             self.note_code(ending)
         if self.open_tries > 0:
@@ -110,10 +129,20 @@
             return False
         if ending.kind is not EndKind.NOT_RUN and not self.idempotent:
             return False
+        if self.is_free(ending):
+            return self.asked < MOST_ASKED
         if ending.kind is EndKind.NOT_RUN and ending.code in FREE_CODES:
             return True
         return self.budget.take()
 
+    def is_free(self, ending: Ending) -> bool:
+        """Tell whether a try ended without reaching a target."""
+        return (
+            self.gate_refusals_free
+            and ending.kind is EndKind.NOT_RUN
+            and ending.code in GATE_CODES
+        )
+
     def final_code(self) -> ResultCode:
         """Return the code of a call that is given up."""
         if self.unknown_code is not None:
--- a/cyclamenlift/calls/tasks.py
+++ b/cyclamenlift/calls/tasks.py
@@ -10,12 +10,14 @@
 from cyclamenlift.calls.attempt import Try
 from cyclamenlift.calls.budgets import BodyBudget
 from cyclamenlift.calls.budgets import RetryBudget
+from cyclamenlift.calls.budgets import SharedRetryBudget
 from cyclamenlift.calls.intake import KEY_EXPIRES_HEADER
 from cyclamenlift.calls.intake import read_request
 from cyclamenlift.calls.intake import TIMEOUT_HEADER
 from cyclamenlift.calls.life import as_headers
 from cyclamenlift.calls.life import Call
 from cyclamenlift.calls.shares import ShareTurns
+from cyclamenlift.calls.tries import SLOW_PACE
 from cyclamenlift.core.codes import is_not_run
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.problems import Problem
@@ -30,11 +32,15 @@
 from cyclamenlift.wire.gen.protocol.ttypes import Cancelled
 from cyclamenlift.wire.gen.protocol.ttypes import Credit
 from cyclamenlift.wire.gen.protocol.ttypes import Header
+from cyclamenlift.wire.gen.protocol.ttypes import LoadFigures
+from cyclamenlift.wire.gen.protocol.ttypes import LoadNews
 from cyclamenlift.wire.gen.protocol.ttypes import Probe
 from cyclamenlift.wire.gen.protocol.ttypes import ProbeAnswer
 from cyclamenlift.wire.gen.protocol.ttypes import Refused
 
 LOG = structlog.get_logger('calls')
+MICROSECONDS = 1_000_000
+MILLISECONDS = 1000
 GOOD_CODES = (ResultCode.ANSWERED, ResultCode.ANSWERED_FROM_RECORD)
 # The entry answers these itself; the target learns them from the gate.
 OWN_HEADERS = frozenset(
@@ -75,12 +81,17 @@
         self.boot = uuid.uuid4().hex[:12]
         self.numbers = itertools.count(1)
         self.body_budget = BodyBudget(body_budget)
-        self.retry_budgets: dict[str, RetryBudget] = {}
+        self.retry_budgets: dict[str, RetryBudget | SharedRetryBudget] = {}
+        self.make_budget: Callable[[], SharedRetryBudget] | None = None
+        self.entries = 1
         self.rules: EventRules | None = None
         self.tries: dict[int, Call] = {}
         self.open_calls: set[Call] = set()
         self.probes: dict[int, tuple[str, str]] = {}
         self.finished_hooks: list[Callable[[Call, ResultCode], None]] = []
+        # The share of the local target's running calls that are repeats.
+        self.repeated_share: Callable[[], float] = lambda: 0.0
+        self.local_host = ''
 
     def subscribe(self, network) -> None:
         """Take the messages of gates from the peer network."""
@@ -89,6 +100,7 @@
         network.subscribe(Broken, self.on_broken)
         network.subscribe(Cancelled, self.on_cancelled)
         network.subscribe(ProbeAnswer, self.on_probe_answer)
+        network.subscribe(LoadNews, self.on_load_news)
         network.subscribe_lost(self.on_link_lost)
 
     # -- commands ---------------------------------------------------------
@@ -111,9 +123,23 @@
             request.call_id = self.new_call_id()
         call = Call(self, exchange, request)
         self.open_calls.add(call)
+        if request.nested:
+            self.note_nested(call, self.repeated_share())
         call.begin()
         self.send_probes(call.service)
 
+    def note_entries(self, entries: int) -> None:
+        """Share the retry budgets with this many entries, this one too."""
+        self.entries = entries
+        if self.make_budget is not None:
+            for budget in self.retry_budgets.values():
+                budget.set_members(entries)
+
+    def note_nested(self, call: Call, repeats: float) -> None:
+        """Count a nested call as a repeat, as far as its parents are."""
+        if self.make_budget is not None and repeats:
+            call.state.budget.debit(repeats)
+
     def refuse(self, exchange: Exchange, problem: Problem) -> None:
         """Answer a request that never became a call."""
         exchange.respond_problem(problem)
@@ -152,13 +178,21 @@
         An unknown outcome is always written; refusals come in crowds and
         are written for those who debug.
         """
-        write = LOG.debug if is_not_run(code) else LOG.info
+        write = LOG.info
+        if is_not_run(code) and call.request.route is None:
+            write = LOG.debug
         write(
             'call_not_answered',
             call_id=call.request.call_id,
             service=call.service,
             code=int(code),
-            tried=sorted(call.tries.tried),
+            route=call.request.route_name,
+            status=call.status,
+            milliseconds=int(
+                (self.now() - call.exchange.received_at) * MILLISECONDS
+            ),
+            config_version=self.rules.version if self.rules else 0,
+            trail=call.trail,
             hedged=call.tries.hedged,
             budget=round(call.state.budget.balance, 1),
         )
@@ -178,9 +212,17 @@
     def retry_budget(self, rule: ServiceRule) -> RetryBudget:
         budget = self.retry_budgets.get(rule.name)
         if budget is None:
-            budget = RetryBudget(rule.retry_share)
+            budget = self.new_budget(rule)
             self.retry_budgets[rule.name] = budget
-        budget.share = rule.retry_share
+        if self.make_budget is None:
+            budget.share = rule.retry_share
+        return budget
+
+    def new_budget(self, rule: ServiceRule) -> RetryBudget | SharedRetryBudget:
+        if self.make_budget is None:
+            return RetryBudget(rule.retry_share)
+        budget = self.make_budget()
+        budget.set_members(self.entries)
         return budget
 
     def forwarded_headers(self, exchange: Exchange) -> list[Header]:
@@ -195,7 +237,9 @@
     def is_nested(self, exchange: Exchange) -> bool:
         """Tell whether a target makes this call while it runs another."""
         depth = exchange.dialect.depth
-        return bool(depth) and exchange.header(depth) is not None
+        if depth:
+            return exchange.header(depth) is not None
+        return exchange.remote.host == self.local_host
 
     def is_idle(self) -> bool:
         return not self.open_calls
@@ -216,6 +260,41 @@
             return None
         return call, attempt
 
+    def note_work(self, call: Call, answer: AnswerStart) -> None:
+        """Learn how long a route's calls take where nothing is slow."""
+        route = call.request.route_name
+        if not route or answer.load is None or not answer.body_complete:
+            return
+        self.routing.work.note(
+            route,
+            answer.service_time_us / MICROSECONDS,
+            answer.load.pace_percent or 0,
+            len(answer.body or b''),
+        )
+
+    def on_load_news(self, link, news: LoadNews) -> None:
+        """Take over a change of load that a gate told unasked."""
+        if link.hello is not None and news.load is not None:
+            self.note_news(link.hello.instance, news.load)
+
+    def note_news(self, instance: str, load: LoadFigures) -> None:
+        record = self.routing.records.get(instance)
+        if record is None:
+            return
+        self.routing.note_load(record.service_name, instance, load, self.now())
+        if (load.pace_percent or 0) >= SLOW_PACE:
+            self.hedge_away_from(instance)
+
+    def hedge_away_from(self, instance: str) -> None:
+        """Look again at the calls under way at a target that turned slow."""
+        slowed = [
+            call
+            for call in self.open_calls
+            if any(t.instance == instance for t in call.tries.open.values())
+        ]
+        for call in slowed:
+            call.tries.on_target_slow(instance)
+
     def note_load(self, call: Call, attempt: Try, load) -> None:
         if load is not None:
             self.routing.note_load(
@@ -226,6 +305,7 @@
         found = self.find(link, answer.call_id)
         if found is not None:
             call, attempt = found
+            self.note_work(call, answer)
             call.on_answer_start(attempt, answer)
             self.note_load(call, attempt, answer.load)
 
--- a/cyclamenlift/calls/tries.py
+++ b/cyclamenlift/calls/tries.py
@@ -4,6 +4,8 @@
 
 from cyclamenlift.calls.attempt import Try
 from cyclamenlift.core.clock import time_left
+from cyclamenlift.routing.finish import slowed
+from cyclamenlift.routing.messages import Choice
 from cyclamenlift.routing.messages import Outcome
 from cyclamenlift.wire.gen.protocol.ttypes import CallStart
 from cyclamenlift.wire.gen.protocol.ttypes import Cancel
@@ -22,6 +24,12 @@
 # Tokens of the retry budget that early hedges leave untouched.
 KEPT_FOR_LATE = 10.0
 LEAST_WAIT = 0.005
+# A gate whose target is slower than this, in percent of the usual, and
+# slower than was known, sends a call back while it has other choices.
+SLOW_PACE = 200
+SLOW_ASKED = 3
+# The pace of a slow spell, in percent, as measured on the sites.
+SLOW_PACE_LIKELY = 700
 
 
 class Tries:
@@ -53,20 +61,25 @@
         excluded = frozenset(self.tried)
         if rescue:
             excluded = frozenset(t.instance for t in self.open.values())
-        choice = self.calls.routing.choose(self.service, now, excluded)
+        need = self.calls.routing.need(
+            call.request.route_name, len(call.whole_body)
+        )
+        choice = self.calls.routing.choose(self.service, now, excluded, need)
         if choice is None or (hedge and choice.hot and not rescue):
             if not self.open:
                 call.finish_failed()
             return
         link = self.calls.link_to(choice)
         number = self.calls.next_number()
+        message = self.start_message(now)
+        message.most_pace_percent = self.most_pace(choice)
         attempt = Try(number, choice.instance, link, now, hedge)
         self.tried.add(choice.instance)
         self.open[number] = attempt
         self.calls.tries[number] = call
         call.state.try_started()
         self.calls.routing.call_started(self.service, choice.instance, now)
-        if not attempt.send(self.start_message(now), call.whole_body):
+        if not attempt.send(message, call.whole_body):
             call.end_unsent(attempt)
         elif not call.answered:
             self.plan_hedge(now)
@@ -133,8 +146,20 @@
             objective_left_us=self.objective_left(now),
             nested=request.nested,
             route_name=request.route_name,
+            repeated=call_was_sent(self.call),
         )
 
+    def most_pace(self, choice: Choice) -> int:
+        """Return the pace beyond which the gate shall send the call back.
+
+        The figures here may be old; the gate's are not. After a few gates
+        were asked the call takes what it gets.
+        """
+        state = self.call.state
+        if not state.gate_refusals_free or state.asked >= SLOW_ASKED:
+            return 0
+        return max(SLOW_PACE, choice.pace_percent)
+
     def objective_left(self, now: float) -> int:
         """Return the microseconds in which an answer is in time."""
         left = time_left(self.call.request.objective_deadline, now)
@@ -153,6 +178,35 @@
         due = min(early, self.late_hedge_at)
         self.hedge_timer = self.calls.scheduler.at(due, self.on_hedge)
 
+    def on_target_slow(self, instance: str) -> None:
+        """Send the call elsewhere too, if that should be answered sooner.
+
+        Only a call that runs at no other target and may run twice.
+        """
+        call = self.call
+        if call is None or call.answered or len(self.open) != 1:
+            return
+        request = call.request
+        if not (request.idempotent and request.rule.hedge):
+            return
+        attempt = next(iter(self.open.values()))
+        if attempt.answering:
+            return
+        now = self.calls.now()
+        need = self.calls.routing.need(
+            request.route_name, len(call.whole_body)
+        )
+        choice = self.calls.routing.choose(
+            self.service, now, frozenset((instance,)), need
+        )
+        done = now - attempt.started_at
+        left = slowed(max(0.0, need.work - done), SLOW_PACE_LIKELY, 0.0)
+        if choice is None or choice.hot or choice.seconds >= left:
+            return
+        if call.state.may_hedge():
+            self.hedged = True
+            self.start(hedge=True)
+
     def on_hedge(self) -> None:
         """Send a hedge if the budget has one, and look again when late.
 
@@ -172,3 +226,8 @@
         if self.call.state.may_hedge(keep, rescue):
             self.hedged = True
             self.start(hedge=True, rescue=rescue)
+
+
+def call_was_sent(call: 'Call') -> bool:
+    """Tell whether a target may have had the call before this try."""
+    return call.state.tries > 0
--- a/cyclamenlift/conf/settings.py
+++ b/cyclamenlift/conf/settings.py
@@ -130,7 +130,10 @@
         '', description='health page of the target; empty: none'
     )
     health_seconds: float = pydantic.Field(
-        1.0, ge=0.1, le=60, description='time between two health requests'
+        1.0, ge=0.01, le=60, description='time between two health requests'
+    )
+    health_timeout_seconds: float = pydantic.Field(
+        1.0, ge=0.01, le=60, description='time for a health answer'
     )
     gossip_seconds: float = pydantic.Field(
         1.0, ge=0.05, le=60, description='period of the membership protocol'
@@ -150,6 +153,12 @@
     idle_seconds: float = pydantic.Field(
         60.0, gt=0, le=3600, description='time an idle caller stays connected'
     )
+    pipelined_requests: int = pydantic.Field(
+        8,
+        ge=1,
+        le=1_000,
+        description='safe requests of one connection worked on at once',
+    )
     drain_seconds: float = pydantic.Field(
         300.0, ge=0, le=3600, description='longest wait of a graceful stop'
     )
@@ -159,6 +168,18 @@
         le=3600,
         description='time that a stopping entry still takes new connections',
     )
+    retry_slack: float = pydantic.Field(
+        0.0,
+        ge=0,
+        description='retries that all entries share in a window beyond the '
+        'share of first tries; 0: each entry has a budget of its own',
+    )
+    retry_share: float = pydantic.Field(
+        0.2, ge=0, le=1, description='retries as a share of first tries'
+    )
+    retry_window_seconds: float = pydantic.Field(
+        10.0, gt=0, le=600, description='window of the shared retry budget'
+    )
     max_depth: int = pydantic.Field(
         16, ge=1, le=64, description='deepest chain of calls'
     )
--- a/cyclamenlift/core/codes.py
+++ b/cyclamenlift/core/codes.py
@@ -31,6 +31,7 @@
     DEADLINE_NOT_RUN = 2011
     TARGET_REFUSED = 2012
     TARGET_REPLACED = 2013
+    TARGET_SLOW = 2014
 
     TARGET_BROKE_OFF = 3000
     PEER_LOST = 3001
@@ -145,6 +146,11 @@
         'another target has the address by now',
         _RETRY,
     ),
+    ResultCode.TARGET_SLOW: (
+        503,
+        'the target is slower now than the entry knew',
+        _RETRY,
+    ),
     ResultCode.TARGET_BROKE_OFF: (502, 'the target broke off', _ASK),
     ResultCode.PEER_LOST: (502, 'the connection to the gate was lost', _ASK),
     ResultCode.DEADLINE_UNKNOWN: (
--- a/cyclamenlift/gate/health.py
+++ b/cyclamenlift/gate/health.py
@@ -18,6 +18,8 @@
     from cyclamenlift.http.client import TargetClient
 
 FAILURES_BEFORE_UNHEALTHY = 2
+# How often health is asked for at least, in seconds.
+HEALTH_ITSELF_SECONDS = 1.0
 GOOD_STATUS = range(200, 400)
 
 
@@ -35,6 +37,7 @@
         self.settings = settings
         self.failures = 0
         self.asked = 0
+        self.asked_at = 0.0
         self.call = None
         self.timer = None
 
@@ -51,6 +54,20 @@
         self.ask()
         self.gate.scheduler.every(self.settings.health_seconds, self.ask)
 
+    def heard_lately(self) -> bool:
+        """Tell whether an answer told of the load, so none need be asked.
+
+        The page is still asked once a second, for health itself.
+        """
+        gate = self.gate
+        now = gate.now()
+        if not gate.dialect.load or gate.is_unknown():
+            return False
+        if now - self.asked_at >= HEALTH_ITSELF_SECONDS:
+            return False
+        age = now - gate.state.target_load_at
+        return age < self.settings.health_seconds
+
     def path(self) -> str:
         """Return the health page: the document's or the settings' one."""
         rule = self.gate.rule
@@ -62,9 +79,12 @@
         """Send one request, unless one is out or the budget is used up."""
         if self.call is not None or not self.path():
             return
+        if self.heard_lately():
+            return
         if self.gate.rule and not self.gate.budget.take(self.gate.now()):
             return
         self.asked += 1
+        self.asked_at = self.gate.now()
         request = TargetRequest(
             method='GET',
             path=self.path(),
@@ -72,7 +92,7 @@
             body_length=0,
         )
         self.timer = self.gate.scheduler.after(
-            self.settings.health_seconds, self.on_timeout
+            self.settings.health_timeout_seconds, self.on_timeout
         )
         self.status = 0
         self.call = self.client.request(request, self)
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Hashable
+import dataclasses
 
 import structlog
 
@@ -26,6 +27,7 @@
 from cyclamenlift.wire.gen.protocol.ttypes import Cancelled
 from cyclamenlift.wire.gen.protocol.ttypes import Credit
 from cyclamenlift.wire.gen.protocol.ttypes import LoadFigures
+from cyclamenlift.wire.gen.protocol.ttypes import LoadNews
 from cyclamenlift.wire.gen.protocol.ttypes import Probe
 from cyclamenlift.wire.gen.protocol.ttypes import ProbeAnswer
 from cyclamenlift.wire.gen.protocol.ttypes import Refused
@@ -33,6 +35,19 @@
 
 LOG = structlog.get_logger('gate')
 MILLISECONDS = 1000
+# Entries that called within this time, in seconds, are told of a change of
+# pace: a busy entry calls each service several times a second.
+NEWS_SECONDS = 3.0
+# A pace is told when it has changed by more than this factor.
+PACE_STEP = 1.3
+
+
+@dataclasses.dataclass(slots=True)
+class GateUser:
+    """An entry's link and when it last sent a call."""
+
+    link: object
+    called_at: float
 
 
 class Gate:
@@ -55,6 +70,9 @@
         self.checks_ids = dialect.call_id_repeated
         self.state = GateState(slots)
         self.registration = Registration()
+        self.users: dict[int, GateUser] = {}
+        self.told_pace = 0
+        self.news_hooks: list[Callable[[LoadFigures], None]] = []
         self.budget = ProbeBudget()
         self.calls: dict[Hashable, GateCall] = {}
         self.rule: ServiceRule | None = None
@@ -173,7 +191,30 @@
             text = find_header(headers, self.dialect.load)
             load = parse_load(text)
             if load is not None:
-                self.state.note_target_load(load, self.now())
+                now = self.now()
+                self.state.note_target_load(load, now)
+                self.tell_news(now)
+
+    def tell_news(self, now: float) -> None:
+        """Tell entries that used this gate lately that its pace changed."""
+        pace = self.state.pace_percent(now)
+        if not pace or is_same_pace(pace, self.told_pace):
+            return
+        self.told_pace = pace
+        LOG.debug('pace_changed', pace_percent=pace)
+        news = LoadNews(self.figures())
+        for number, user in list(self.users.items()):
+            if now - user.called_at > NEWS_SECONDS:
+                del self.users[number]
+            else:
+                user.link.send(news)
+        for hook in self.news_hooks:
+            hook(news.load)
+
+    def is_too_slow(self, start: CallStart, now: float) -> bool:
+        """Tell whether an entry would rather have its call back."""
+        most = start.most_pace_percent or 0
+        return 0 < most < self.state.pace_percent(now)
 
     def release(
         self, call: GateCall, seconds: float | None, failed: bool
@@ -192,6 +233,14 @@
     def is_idle(self) -> bool:
         return self.state.is_idle()
 
+    def repeated_share(self) -> float:
+        """Return which share of the running calls are repeats."""
+        running = [c for c in self.calls.values() if c.target_call]
+        if not running:
+            return 0.0
+        repeated = sum(1 for call in running if call.start.repeated)
+        return repeated / len(running)
+
     def is_unknown(self) -> bool:
         """Tell whether it is not known which target runs here."""
         registration = self.registration
@@ -221,6 +270,10 @@
         if self.dialect.incarnation_asked and self.is_unknown():
             call.tell_refused(ResultCode.NO_TARGET, 'no target known yet')
             return
+        self.users[link.number] = GateUser(link, now)
+        if self.is_too_slow(start, now):
+            call.tell_refused(ResultCode.TARGET_SLOW)
+            return
         admission = self.state.admit(call.key, call.deadline, now)
         if admission.verdict is Verdict.REFUSED:
             call.tell_refused(admission.code, '', admission.retry_after)
@@ -262,6 +315,7 @@
         A call that may not be repeated and has begun runs on: cutting it
         would leave a booking half done for nobody's gain.
         """
+        self.users.pop(link.number, None)
         for key, call in list(self.calls.items()):
             if key[0] != link.number:
                 continue
@@ -316,6 +370,16 @@
             hook(self.state.target_state)
 
 
+def is_same_pace(pace: int, told: int) -> bool:
+    """Tell whether a pace differs too little to be told.
+
+    >>> is_same_pace(100, 110), is_same_pace(700, 100)
+    (True, False)
+    """
+    low, high = sorted((pace, told))
+    return high <= PACE_STEP * low
+
+
 def refuse_call(link, start: CallStart, code: ResultCode) -> None:
     """Refuse a call where there is no gate at all."""
     link.send(Refused(start.call_id, int(code), 'no target here', 0, None))
--- a/cyclamenlift/http/connection.py
+++ b/cyclamenlift/http/connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING
 
 from cyclamenlift.core.codes import ResultCode
@@ -17,23 +18,27 @@
 from cyclamenlift.http.response import CONTINUE
 
 if TYPE_CHECKING:
+    from cyclamenlift.http.request_parser import IncomingRequest
     from cyclamenlift.http.server import HttpServer
 
 MAX_UNREAD_BODY = 64 * 1024
 MAX_PENDING = 256 * 1024
 NO_FIELDS: Headers = []
+SAFE_METHODS = frozenset(('GET', 'HEAD'))
 
 
 class CallerConnection(EndingConnection):
     """Takes the requests of one connection one after the other.
 
     Requests that come early stay in the parser's queue and the socket is
-    read no further until the one before has its answer.
+    read no further until the one before has its answer. Safe ones without
+    a body may be taken ahead of their turn; their answers wait for it.
     """
 
     __slots__ = (
         'active',
         'advancing',
+        'ahead',
         'body_seconds_left',
         'head_deadline_set',
         'parser',
@@ -43,6 +48,7 @@
         super().__init__(server, stream)
         self.parser = RequestParser(server.limits)
         self.active: Exchange | None = None
+        self.ahead: deque[Exchange] = deque()
         self.advancing = False
         self.head_deadline_set = False
         self.body_seconds_left: float | None = None
@@ -97,6 +103,10 @@
 
     def step_to_next(self) -> bool:
         """Take the next request, unless too much output is waiting."""
+        if self.ahead:
+            self.active = self.ahead.popleft()
+            self.active.take_turn()
+            return True
         if self.parser.queue:
             if self.stream.pending > MAX_PENDING:
                 return False
@@ -125,8 +135,38 @@
         self.active = Exchange(self, request, now)
         self.server.take(self.active)
 
+    def take_ahead(self) -> None:
+        """Take requests that need not wait for the answers before them."""
+        most = self.server.limits.max_pipelined - 1
+        last = self.ahead[-1] if self.ahead else self.active
+        while (
+            self.parser.queue
+            and len(self.ahead) < most
+            and last.request.complete
+            and last.request.keep_alive
+            and is_plain(self.parser.queue[0])
+        ):
+            request = self.parser.queue.popleft()
+            last = Exchange(self, request, self.server.now(), early=True)
+            self.ahead.append(last)
+            self.server.take(last)
+            if not self.stream.open:
+                return
+
+    def drop_ahead(self) -> None:
+        """Let go of requests whose answers will never be sent."""
+        while self.ahead:
+            exchange = self.ahead.popleft()
+            exchange.state = AnswerState.DONE
+            if exchange.on_gone is not None:
+                exchange.on_gone()
+
     def settle(self) -> None:
         """After all steps: choose whether to read on, and until when."""
+        if self.active is not None and not self.active.done:
+            self.take_ahead()
+        if not self.stream.open or self.lingering:
+            return
         exchange = self.active
         if exchange is None:
             if self.parser.in_head and not self.head_deadline_set:
@@ -210,7 +250,7 @@
         request = exchange.request
         if not request.complete and not self.ends_soon(exchange):
             request.keep_alive = False
-        if not request.keep_alive or self.server.closing:
+        if not request.keep_alive or (self.server.closing and not self.ahead):
             request.keep_alive = False
             return [CLOSE]
         if not request.minor_version:
@@ -231,6 +271,7 @@
         exchange.on_body = None
         if not exchange.request.keep_alive:
             self.active = None
+            self.drop_ahead()
             self.linger()
             return
         if not exchange.request.complete:
@@ -275,6 +316,7 @@
     def reset(self) -> None:
         """Close with a reset: the answer must not look whole."""
         self.active = None
+        self.drop_ahead()
         super().reset()
 
     def fail(self) -> None:
@@ -305,9 +347,15 @@
         self.parser.stopped = True
         self.parser.queue.clear()
         self.deadline.cancel()
+        self.drop_ahead()
         if exchange is None or exchange.done:
             return
         exchange.state = AnswerState.DONE
         exchange.on_body = None
         if exchange.on_gone is not None:
             exchange.on_gone()
+
+
+def is_plain(request: IncomingRequest) -> bool:
+    """Tell whether a request may be worked on ahead of its turn."""
+    return request.complete and request.method in SAFE_METHODS
--- a/cyclamenlift/http/exchange.py
+++ b/cyclamenlift/http/exchange.py
@@ -59,6 +59,7 @@
         'first_fields',
         'handed_over',
         'headers',
+        'held',
         'left',
         'method',
         'on_body',
@@ -79,6 +80,7 @@
         connection: CallerConnection,
         request: IncomingRequest,
         received_at: float,
+        early: bool = False,
     ):
         self.connection = connection
         self.request = request
@@ -100,6 +102,8 @@
         self.left: int | None = None
         self.chunked = False
         self.without_body = False
+        # What was answered before its turn came; None once it has come.
+        self.held: list[Callable[[], None]] | None = [] if early else None
 
     # -- queries ----------------------------------------------------------
 
@@ -168,6 +172,21 @@
 
     # -- the answer -------------------------------------------------------
 
+    def take_turn(self) -> None:
+        """Send what was answered while earlier answers were due."""
+        held = self.held or []
+        self.held = None
+        for send in held:
+            send()
+
+    def hold(self, send: Callable[[], None]) -> bool:
+        """Keep a piece of the answer until its turn; False if it is now."""
+        if self.held is None:
+            return False
+        if not self.done:
+            self.held.append(send)
+        return True
+
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Send the whole answer in one write.
 
@@ -177,6 +196,8 @@
         """
         if self.state is not AnswerState.NONE:
             return
+        if self.hold(lambda: self.respond(status, headers, body)):
+            return
         framing = self.connection.closing_fields(self)
         if has_no_body(self.method, status):
             framing = framing + self.stated_length(status, headers, body)
@@ -215,6 +236,8 @@
         """
         if self.state is not AnswerState.NONE:
             return
+        if self.hold(lambda: self.start(status, headers, length)):
+            return
         self.without_body = has_no_body(self.method, status)
         framing = self.connection.closing_fields(self)
         if self.without_body:
@@ -237,6 +260,8 @@
 
         More bytes than the declared length abort the answer.
         """
+        if self.hold(lambda: self.send(data)):
+            return
         if self.state is not AnswerState.STREAMING or not data:
             return
         if self.without_body:
@@ -252,6 +277,8 @@
 
     def finish(self) -> None:
         """End a streamed answer; one that is too short is aborted."""
+        if self.hold(self.finish):
+            return
         if self.state is not AnswerState.STREAMING:
             return
         if self.left and not self.without_body:
@@ -264,6 +291,8 @@
 
     def abort(self) -> None:
         """Reset the connection, so that a part can't pass for the whole."""
+        if self.hold(self.abort):
+            return
         if self.state is not AnswerState.DONE:
             self.state = AnswerState.DONE
             self.connection.reset()
--- a/cyclamenlift/http/limits.py
+++ b/cyclamenlift/http/limits.py
@@ -12,7 +12,9 @@
     ``max_header_bytes`` counts the request target and all header fields.
     ``max_connections`` of 0 means no limit. ``linger_seconds`` is how long
     the input of a closing connection is still read, so that a reset does
-    not destroy the answer on its way.
+    not destroy the answer on its way. ``max_pipelined`` is how many safe
+    requests of one connection are worked on at once; their answers still
+    go out in the order of the requests.
     """
 
     max_header_bytes: int = 16 * KIBIBYTE
@@ -25,6 +27,7 @@
     linger_seconds: float = 2.0
     drain_grace_seconds: float = 1.0
     max_connections: int = 0
+    max_pipelined: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cyclamenlift/platform/settings.py
+++ b/cyclamenlift/platform/settings.py
@@ -25,6 +25,9 @@
 GRACE_MARGIN_SECONDS = 0.7
 # Callers stay away after two readiness checks, one a second, have failed.
 READINESS_SECONDS = 2.2
+# How old the figure of a target's load may grow before it is asked for, in
+# seconds: a sixth of a slow spell of its machine (0.5 s as measured).
+LOAD_SECONDS = 0.08
 Fields = Mapping[str, str]
 
 
@@ -102,7 +105,11 @@
         'service': fields.get('service', ''),
         'target': fields.get('app_addr', ''),
         'warm_connections': 0,
+        'health_seconds': LOAD_SECONDS,
         'drain_seconds': max(0.5, grace - GRACE_MARGIN_SECONDS),
+        'retry_share': bounds.get('retry_budget_ratio', '0.2'),
+        'retry_slack': bounds.get('budget_slack', '0'),
+        'retry_window_seconds': seconds(bounds.get('budget_window', '10s')),
         'farewell_seconds': min(READINESS_SECONDS, grace / 2),
     }
 
--- a/cyclamenlift/routing/estimates.py
+++ b/cyclamenlift/routing/estimates.py
@@ -48,6 +48,8 @@
         'load_deadline',
         'others',
         'others_mean',
+        'pace',
+        'pace_at',
         'refused_deadline',
         'starts',
     )
@@ -59,6 +61,8 @@
         self.others_mean = 0.0
         self.gate_latency = 0.0
         self.answered_at = 0.0
+        self.pace = 0
+        self.pace_at = 0.0
         self.load_at = 0.0
         self.load_deadline = 0.0
         self.latency = 0.0
@@ -104,6 +108,8 @@
             self.others_mean += MEAN_WEIGHT * change
         self.load_at = now
         self.load_deadline = now + LOAD_SECONDS
+        self.pace = figures.pace_percent or 0
+        self.pace_at = now
         self.gate_latency = (figures.latency_us or 0) / MICROSECONDS
         if figures.error_permille:
             level = min(1.0, figures.error_permille / PERMILLE)
--- a/cyclamenlift/routing/messages.py
+++ b/cyclamenlift/routing/messages.py
@@ -23,16 +23,36 @@
     CANCELLED = 'cancelled'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Need:
+    """What is known of the call that wants a target.
+
+    ``work`` is its usual work in seconds, ``kilobytes`` what goes there
+    and back.
+    """
+
+    route: str = ''
+    work: float = 0.1
+    kilobytes: float = 1.0
+
+
+NO_NEED = Need()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Choice:
     """The instance whose gate takes the call.
 
     ``hot`` says that its slots look taken: a hedge must not go there.
+    ``seconds`` is when an answer is expected, 0 if that is not worked out;
+    ``pace_percent`` is the pace that this rests on, 0 if unknown.
     """
 
     instance: str
     address: Address
     hot: bool
+    seconds: float = 0.0
+    pace_percent: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cyclamenlift/routing/policies.py
+++ b/cyclamenlift/routing/policies.py
@@ -8,12 +8,20 @@
 from typing import Protocol
 
 from cyclamenlift.core.registry import Registry
+from cyclamenlift.routing.finish import distance_cost
+from cyclamenlift.routing.finish import queueing
+from cyclamenlift.routing.finish import slowed
 from cyclamenlift.routing.group import Candidate
 from cyclamenlift.routing.group import Group
+from cyclamenlift.routing.messages import Need
+from cyclamenlift.routing.messages import NO_NEED
 
 HOT_SHARE = 0.8
 SAMPLE_NEAR = 3
 SAMPLE_FAR = 2
+# Targets that are weighed for one call: all of a small service; in a large
+# one the best of a dozen is about as good and costs less to find.
+SAMPLE_FINISH = 12
 ERROR_COST = 20.0
 NEAR_EQUAL = 0.05
 REFUSING_LOAD = 1.5
@@ -26,7 +34,11 @@
     """Picks among at least one candidate."""
 
     def pick(
-        self, group: Group, usable: list[Candidate], now: float
+        self,
+        group: Group,
+        usable: list[Candidate],
+        now: float,
+        need: Need = NO_NEED,
     ) -> Candidate:
         """Return one of ``usable``, which is never empty."""
 
@@ -38,7 +50,7 @@
 class RandomPolicy:
     """Any candidate, whatever its load."""
 
-    def pick(self, group, usable, now):
+    def pick(self, group, usable, now, need=NO_NEED):
         return group.rng.choice(usable)
 
 
@@ -46,7 +58,7 @@
 class RoundRobinPolicy:
     """One after the other."""
 
-    def pick(self, group, usable, now):
+    def pick(self, group, usable, now, need=NO_NEED):
         group.turn += 1
         return usable[group.turn % len(usable)]
 
@@ -55,7 +67,7 @@
 class LeastCallsPolicy:
     """The fewest own calls in flight, of all candidates."""
 
-    def pick(self, group, usable, now):
+    def pick(self, group, usable, now, need=NO_NEED):
         rng = group.rng
         return min(usable, key=lambda c: (c.estimate.in_flight, rng.random()))
 
@@ -64,7 +76,7 @@
 class PowerOfTwoPolicy:
     """Two random candidates, the one with fewer own calls in flight."""
 
-    def pick(self, group, usable, now):
+    def pick(self, group, usable, now, need=NO_NEED):
         rng = group.rng
         sample = sample_of(rng, usable, 2)
         return min(sample, key=lambda c: (c.estimate.in_flight, rng.random()))
@@ -80,7 +92,7 @@
     design note says what was changed and why.
     """
 
-    def pick(self, group, usable, now):
+    def pick(self, group, usable, now, need=NO_NEED):
         best = None
         best_cost = 0.0
         for candidate in near_first(group, usable):
@@ -146,5 +158,34 @@
 
 
 @POLICIES.register('expected_finish')
-class ExpectedFinishPolicy(HotColdPolicy):
+class ExpectedFinishPolicy:
     """The earliest expected answer, by what the gates told last."""
+
+    def pick(self, group, usable, now, need=NO_NEED):
+        drawn = sample_of(group.rng, usable, SAMPLE_FINISH)
+        costs = [(finish_cost(group, c, now, need), c) for c in drawn]
+        return min(costs, key=lambda pair: pair[0])[1]
+
+
+def expected_seconds(
+    group: Group, candidate: Candidate, now: float, need: Need
+) -> float:
+    """Return how long an answer of this target should take from now."""
+    estimate = candidate.estimate
+    load = estimate.load(need.work, now)
+    slots = max(1.0, candidate.slots * group.ramp(candidate, now))
+    seconds = slowed(need.work, estimate.pace, now - estimate.pace_at)
+    return seconds + queueing(load, slots, need.work)
+
+
+def finish_cost(
+    group: Group, candidate: Candidate, now: float, need: Need
+) -> float:
+    """Return the expected time with errors and distance priced in."""
+    estimate = candidate.estimate
+    cost = expected_seconds(group, candidate, now, need)
+    cost += distance_cost(need.kilobytes, group.is_near(candidate))
+    cost += need.work * ERROR_COST * estimate.errors(now)
+    if estimate.is_refusing(now):
+        cost += REFUSING_LOAD * need.work
+    return cost + need.work * NEAR_EQUAL * group.rng.random()
--- a/cyclamenlift/routing/state.py
+++ b/cyclamenlift/routing/state.py
@@ -15,8 +15,11 @@
 from cyclamenlift.routing.group import Group
 from cyclamenlift.routing.hedging import HedgeDelay
 from cyclamenlift.routing.messages import Choice
+from cyclamenlift.routing.messages import Need
+from cyclamenlift.routing.messages import NO_NEED
 from cyclamenlift.routing.messages import Outcome
 from cyclamenlift.routing.messages import ProbeOrder
+from cyclamenlift.routing.policies import expected_seconds
 from cyclamenlift.routing.policies import HOT_SHARE
 from cyclamenlift.routing.policies import POLICIES
 from cyclamenlift.routing.policies import Policy
@@ -24,6 +27,7 @@
 from cyclamenlift.routing.policies import sample_of
 from cyclamenlift.routing.probes import ProbeAllowance
 from cyclamenlift.routing.probes import share_of
+from cyclamenlift.routing.work import WorkTable
 from cyclamenlift.wire.gen.protocol.ttypes import LoadFigures
 from cyclamenlift.wire.gen.protocol.ttypes import MemberRecord
 from cyclamenlift.wire.gen.protocol.ttypes import MemberState
@@ -55,6 +59,7 @@
         self.rules: EventRules | None = None
         self.services: dict[str, ServiceState] = {}
         self.records: dict[str, MemberRecord] = {}
+        self.work = WorkTable()
         self.first_record_at: float | None = None
 
     # Changes from outside.
@@ -128,7 +133,11 @@
     # Decisions.
 
     def choose(
-        self, service: str, now: float, exclude: frozenset[str] = frozenset()
+        self,
+        service: str,
+        now: float,
+        exclude: frozenset[str] = frozenset(),
+        need: Need = NO_NEED,
     ) -> Choice | None:
         """Return the target for a call, None when no target may take it."""
         state = self.services.get(service)
@@ -146,10 +155,21 @@
                 usable = self.last_resort(group, now, exclude)
         if not usable:
             return None
-        picked = state.policy.pick(group, usable, now)
-        picked = self.respect_ramp(state, usable, picked, now)
+        picked = state.policy.pick(group, usable, now, need)
+        picked = self.respect_ramp(state, usable, picked, now, need)
         hot = relative_load(group, picked, now) >= HOT_SHARE
-        return Choice(picked.instance, picked.address, hot)
+        return Choice(
+            picked.instance,
+            picked.address,
+            hot,
+            expected_seconds(group, picked, now, need),
+            picked.estimate.pace,
+        )
+
+    def need(self, route: str, body_bytes: int) -> Need:
+        """Return what is known of a call of ``route``."""
+        kilobytes = body_bytes / 1024.0 + self.work.kilobytes(route)
+        return Need(route, self.work.seconds(route), kilobytes)
 
     def last_resort(self, group: Group, now: float, exclude) -> list:
         """Return ejected targets that are not excluded."""
@@ -165,6 +185,7 @@
         usable: list[Candidate],
         picked: Candidate,
         now: float,
+        need: Need,
     ) -> Candidate:
         """Draw once more for a target that is still starting up."""
         share = state.group.ramp(picked, now)
@@ -173,7 +194,7 @@
         others = [c for c in usable if c is not picked]
         if not others:
             return picked
-        return state.policy.pick(state.group, others, now)
+        return state.policy.pick(state.group, others, now, need)
 
     def probes_due(self, service: str, now: float) -> list[ProbeOrder]:
         """Return the probe to send now, if the budget has one.
--- a/cyclamenlift/runtime/daemon.py
+++ b/cyclamenlift/runtime/daemon.py
@@ -8,6 +8,7 @@
 from circuits.core.handlers import handler
 import structlog
 
+from cyclamenlift.calls.budgets import SharedRetryBudget
 from cyclamenlift.calls.tasks import Calls
 from cyclamenlift.conf.settings import DaemonSettings
 from cyclamenlift.core.codes import ResultCode
@@ -110,7 +111,7 @@
         return network.register(self.loop)
 
     def make_calls(self) -> Calls:
-        return Calls(
+        calls = Calls(
             scheduler=self.scheduler,
             routing=self.routing,
             claims=self.claims,
@@ -120,6 +121,20 @@
             max_depth=self.settings.max_depth,
             own_service=self.settings.service,
         )
+        if self.settings.target:
+            calls.local_host = Address.parse(self.settings.target).host
+        if self.settings.retry_slack:
+            calls.make_budget = self.make_retry_budget
+        return calls
+
+    def make_retry_budget(self) -> SharedRetryBudget:
+        settings = self.settings
+        return SharedRetryBudget(
+            settings.retry_share,
+            settings.retry_slack,
+            settings.retry_window_seconds,
+            self.scheduler.clock.now,
+        )
 
     def make_gate(self) -> Gate:
         settings = self.settings
@@ -154,6 +169,7 @@
             head_seconds=settings.head_seconds,
             body_seconds=settings.body_seconds,
             idle_seconds=settings.idle_seconds,
+            max_pipelined=settings.pipelined_requests,
         )
         server = HttpServer(
             self.loop.poller,
@@ -201,6 +217,10 @@
             gate_end.subscribe(Credit, self.gate.on_credit)
             self.gate.state_hooks.append(self.on_target_state)
             self.gate.slots_hooks.append(self.on_slots)
+            self.calls.repeated_share = self.gate.repeated_share
+            self.gate.news_hooks.append(
+                lambda load: self.calls.note_news(self.settings.instance, load)
+            )
         self.network.subscribe(BodyChunk, self.on_body_chunk)
         self.network.subscribe(Credit, self.on_credit)
 
@@ -263,6 +283,7 @@
             self.on_control_instance(record)
             return
         self.routing.note_member(record, self.scheduler.clock.now())
+        self.calls.note_entries(len(self.routing.records))
 
     def on_control_instance(self, record: MemberRecord) -> None:
         """Ask a control instance that became known, or no longer."""
--- a/cyclamenlift/runtime/local.py
+++ b/cyclamenlift/runtime/local.py
@@ -10,6 +10,8 @@
     """
 
     was_up = True
+    # Nobody greets on a link inside one process.
+    hello = None
     closed = False
     pending = 0
 
--- a/cyclamenlift/wire/cyclamenlift.thrift
+++ b/cyclamenlift/wire/cyclamenlift.thrift
@@ -72,7 +72,16 @@
   15: i64 objective_left_us,
   // Made by a target while it runs another call.
   16: bool nested,
-  17: string route_name
+  17: string route_name,
+  // A try beyond the first of its call.
+  18: bool repeated,
+  // The slowest pace at which the gate shall take it; 0: any.
+  19: i32 most_pace_percent
+}
+
+// A gate tells entries that used it lately of a change of its load.
+struct LoadNews {
+  1: LoadFigures load
 }
 
 struct BodyChunk {
@@ -304,7 +313,8 @@
   21: AppendRequest append_request,
   22: AppendAnswer append_answer,
   23: SnapshotChunk snapshot_chunk,
-  24: SnapshotAnswer snapshot_answer
+  24: SnapshotAnswer snapshot_answer,
+  25: LoadNews load_news
 }
 
 // --- membership ----------------------------------------------------------
--- a/cyclamenlift/wire/gen/protocol/ttypes.py
+++ b/cyclamenlift/wire/gen/protocol/ttypes.py
@@ -367,11 +367,13 @@
      - objective_left_us
      - nested
      - route_name
+     - repeated
+     - most_pace_percent
 
     """
 
 
-    def __init__(self, call_id=None, service_name=None, method=None, path=None, headers=None, time_left_us=None, body_length=None, body=None, body_complete=None, idempotent=None, depth=None, trace_id=None, config_version=None, rank=None, objective_left_us=None, nested=None, route_name=None,):
+    def __init__(self, call_id=None, service_name=None, method=None, path=None, headers=None, time_left_us=None, body_length=None, body=None, body_complete=None, idempotent=None, depth=None, trace_id=None, config_version=None, rank=None, objective_left_us=None, nested=None, route_name=None, repeated=None, most_pace_percent=None,):
         self.call_id = call_id
         self.service_name = service_name
         self.method = method
@@ -389,6 +391,8 @@
         self.objective_left_us = objective_left_us
         self.nested = nested
         self.route_name = route_name
+        self.repeated = repeated
+        self.most_pace_percent = most_pace_percent
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -490,6 +494,16 @@
                     self.route_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.BOOL:
+                    self.repeated = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.I32:
+                    self.most_pace_percent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -571,6 +585,72 @@
             oprot.writeFieldBegin('route_name', TType.STRING, 17)
             oprot.writeString(self.route_name.encode('utf-8') if sys.version_info[0] == 2 else self.route_name)
             oprot.writeFieldEnd()
+        if self.repeated is not None:
+            oprot.writeFieldBegin('repeated', TType.BOOL, 18)
+            oprot.writeBool(self.repeated)
+            oprot.writeFieldEnd()
+        if self.most_pace_percent is not None:
+            oprot.writeFieldBegin('most_pace_percent', TType.I32, 19)
+            oprot.writeI32(self.most_pace_percent)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LoadNews(object):
+    """
+    Attributes:
+     - load
+
+    """
+
+
+    def __init__(self, load=None,):
+        self.load = load
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.load = LoadFigures()
+                    self.load.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LoadNews')
+        if self.load is not None:
+            oprot.writeFieldBegin('load', TType.STRUCT, 1)
+            self.load.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2895,11 +2975,12 @@
      - append_answer
      - snapshot_chunk
      - snapshot_answer
+     - load_news
 
     """
 
 
-    def __init__(self, hello=None, call_start=None, body_chunk=None, credit=None, answer_start=None, refused=None, broken=None, cancel=None, cancelled=None, probe=None, probe_answer=None, document_request=None, document_answer=None, claim_request=None, claim_answer=None, claim_end=None, claim_end_answer=None, vote_request=None, vote_answer=None, append_request=None, append_answer=None, snapshot_chunk=None, snapshot_answer=None,):
+    def __init__(self, hello=None, call_start=None, body_chunk=None, credit=None, answer_start=None, refused=None, broken=None, cancel=None, cancelled=None, probe=None, probe_answer=None, document_request=None, document_answer=None, claim_request=None, claim_answer=None, claim_end=None, claim_end_answer=None, vote_request=None, vote_answer=None, append_request=None, append_answer=None, snapshot_chunk=None, snapshot_answer=None, load_news=None,):
         self.hello = hello
         self.call_start = call_start
         self.body_chunk = body_chunk
@@ -2923,6 +3004,7 @@
         self.append_answer = append_answer
         self.snapshot_chunk = snapshot_chunk
         self.snapshot_answer = snapshot_answer
+        self.load_news = load_news
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3071,6 +3153,12 @@
                     self.snapshot_answer.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 25:
+                if ftype == TType.STRUCT:
+                    self.load_news = LoadNews()
+                    self.load_news.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3173,6 +3261,10 @@
             oprot.writeFieldBegin('snapshot_answer', TType.STRUCT, 24)
             self.snapshot_answer.write(oprot)
             oprot.writeFieldEnd()
+        if self.load_news is not None:
+            oprot.writeFieldBegin('load_news', TType.STRUCT, 25)
+            self.load_news.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3851,6 +3943,13 @@
     (15, TType.I64, 'objective_left_us', None, None, ),  # 15
     (16, TType.BOOL, 'nested', None, None, ),  # 16
     (17, TType.STRING, 'route_name', 'UTF8', None, ),  # 17
+    (18, TType.BOOL, 'repeated', None, None, ),  # 18
+    (19, TType.I32, 'most_pace_percent', None, None, ),  # 19
+)
+all_structs.append(LoadNews)
+LoadNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'load', [LoadFigures, None], None, ),  # 1
 )
 all_structs.append(BodyChunk)
 BodyChunk.thrift_spec = (
@@ -4079,6 +4178,7 @@
     (22, TType.STRUCT, 'append_answer', [AppendAnswer, None], None, ),  # 22
     (23, TType.STRUCT, 'snapshot_chunk', [SnapshotChunk, None], None, ),  # 23
     (24, TType.STRUCT, 'snapshot_answer', [SnapshotAnswer, None], None, ),  # 24
+    (25, TType.STRUCT, 'load_news', [LoadNews, None], None, ),  # 25
 )
 all_structs.append(MemberRecord)
 MemberRecord.thrift_spec = (
--- a/tests/runtime/builders.py
+++ b/tests/runtime/builders.py
@@ -12,6 +12,7 @@
 from cyclamenlift.core.tasks import build_root
 from cyclamenlift.gate.tasks import Gate
 from cyclamenlift.http.client import TargetClient
+from cyclamenlift.http.dialects import Dialect
 from cyclamenlift.http.limits import ClientLimits
 from cyclamenlift.http.limits import HttpLimits
 from cyclamenlift.http.server import HttpServer
@@ -321,3 +322,34 @@
         return None
     result = int(headers.get('cyclamenlift-result', '0'))
     return Answer(int(lines[0].split()[1]), result, headers, body)
+
+
+class QuietScheduler:
+    """A scheduler whose clock stands still and that runs nothing."""
+
+    def __init__(self):
+        self.clock = self
+
+    def now(self) -> float:
+        return 0.0
+
+    def after(self, _seconds, _callback) -> None:
+        """Run nothing."""
+
+
+def quiet_scheduler() -> QuietScheduler:
+    return QuietScheduler()
+
+
+def platform_like_dialect() -> Dialect:
+    """Return a dialect with proofs, incarnations and load figures."""
+    return Dialect(
+        call_id='x-call',
+        time_left_ms='x-left',
+        incarnation_asked='x-asked',
+        incarnation='x-name',
+        proof='x-proof',
+        not_run='x-not-run',
+        load='x-load',
+        call_id_repeated=True,
+    )
--- a/tests/runtime/test_path.py
+++ b/tests/runtime/test_path.py
@@ -332,9 +332,9 @@
     path.routing.hedge_after = lambda service, now: 0.01
     choose = path.routing.choose
 
-    def busy_first(service, now, exclude):
+    def busy_first(service, now, exclude, need):
         other = set() if 'gate-1' in exclude else {'gate-0'}
-        return choose(service, now, exclude | other)
+        return choose(service, now, exclude | other, need)
 
     path.routing.choose = busy_first
     running = path.send('POST', '/book', b'{}', Idempotency_Key='k')
