Load only the parts of libraries that a daemon uses

Most of it was packages that import all their modules: circuits (10 MB with pkg_resources), pydantic-settings (6), OpenTelemetry with its exporter (4), structlog (6, of it asyncio), yaml and hdrh. Ruled out: other libraries, and a loader that delays any module (Python 3.11 loads a delayed module at its second import).

--- a/cyclamenlift/conf/settings.py
+++ b/cyclamenlift/conf/settings.py
@@ -10,9 +10,6 @@
 from typing import Literal
 
 import pydantic
-from pydantic_settings import BaseSettings
-from pydantic_settings import NoDecode
-from pydantic_settings import SettingsConfigDict
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
@@ -51,21 +48,18 @@
     return value
 
 
-# Without NoDecode the environment would have to hold JSON; a union with str
-# would allow commas, too, but report each wrong entry once for either part.
+# A union with str would allow commas, too, but report each wrong entry once
+# for either part.
 AddressList = Annotated[
     tuple[AddressText, ...],
-    NoDecode,
     pydantic.BeforeValidator(split_addresses),
 ]
 
 
-class CommonSettings(BaseSettings):
+class CommonSettings(pydantic.BaseModel):
     """What every process is told."""
 
-    model_config = SettingsConfigDict(
-        env_prefix=PREFIX, extra='forbid', frozen=True
-    )
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
 
     instance: Name = pydantic.Field(description='name of this instance')
     data_centre: Name = pydantic.Field(description='data centre it runs in')
@@ -250,7 +244,8 @@
         )
         for name in unknown
     ]
-    known = {k: v for k, v in flags.items() if k not in unknown}
+    known = environment_values(kind)
+    known.update((k, v) for k, v in flags.items() if k not in unknown)
     try:
         settings = kind(**known)
     except pydantic.ValidationError as error:
@@ -269,6 +264,13 @@
     return Problem(ResultCode.SETTING_INVALID, item['msg'], name, hint)
 
 
+def environment_values(kind: type[CommonSettings]) -> dict[str, object]:
+    """Return the settings that the environment gives, as texts."""
+    given = {name.upper(): text for name, text in os.environ.items()}
+    names = {name: PREFIX + name.upper() for name in kind.model_fields}
+    return {n: given[v] for n, v in names.items() if v in given}
+
+
 def environment_names(kind: type[CommonSettings]) -> list[str]:
     """Return the environment variables that ``kind`` reads."""
     return [PREFIX + name.upper() for name in kind.model_fields]
--- a/cyclamenlift/core/latency.py
+++ b/cyclamenlift/core/latency.py
@@ -1,6 +1,9 @@
 """A histogram of latencies that is cheap to add to."""
 
-from hdrh.histogram import HdrHistogram
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from hdrh.histogram import HdrHistogram
 
 MICROSECONDS = 1_000_000
 SIGNIFICANT_DIGITS = 2
@@ -27,7 +30,7 @@
 
     def __init__(self, longest_seconds: float):
         self.longest = int(longest_seconds * MICROSECONDS)
-        self.histogram = HdrHistogram(1, self.longest, SIGNIFICANT_DIGITS)
+        self.histogram: HdrHistogram | None = None
         self.fresh: dict[int, int] = {}
 
     def note(self, seconds: float) -> None:
@@ -38,9 +41,17 @@
             value = value >> surplus << surplus
         self.fresh[value] = self.fresh.get(value, 0) + 1
 
-    def read(self) -> HdrHistogram:
+    def read(self) -> 'HdrHistogram':
         """Return the histogram of all that was noted."""
+        if self.histogram is None:
+            self.histogram = self.make()
         for value, count in self.fresh.items():
             self.histogram.record_value(value, count)
         self.fresh.clear()
         return self.histogram
+
+    def make(self) -> 'HdrHistogram':
+        """Load the library with the first reader: few processes have one."""
+        from hdrh.histogram import HdrHistogram
+
+        return HdrHistogram(1, self.longest, SIGNIFICANT_DIGITS)
--- a/cyclamenlift/core/metrics.py
+++ b/cyclamenlift/core/metrics.py
@@ -11,12 +11,6 @@
 import dataclasses
 import enum
 
-from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.metrics import Observation
-from opentelemetry.sdk.metrics import MeterProvider
-from opentelemetry.sdk.resources import Resource
-import prometheus_client
-
 from cyclamenlift.core.latency import LatencyHistogram
 
 MICROSECONDS = 1_000_000
@@ -32,6 +26,17 @@
     GAUGE = 'gauge'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reading:
+    """One value of a metric, with the attributes that tell it apart."""
+
+    value: float
+    attributes: dict[str, str] | None = None
+
+
+Read = Callable[[], Iterable[Reading]]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class MetricInfo:
     """Name, unit and meaning of one metric."""
@@ -178,24 +183,11 @@
     """The metrics of one process, with a registry of their own."""
 
     def __init__(self, instance: str, data_centre: str) -> None:
+        self.instance = instance
+        self.data_centre = data_centre
         self.calls: dict[str, CallFigures] = {}
-        self.registry = prometheus_client.CollectorRegistry()
-        reader = PrometheusMetricReader(
-            scope_info_enabled=False, registry=self.registry
-        )
-        resource = Resource(
-            {
-                'service.name': 'cyclamenlift',
-                'service.instance.id': instance,
-                'cloud.availability_zone': data_centre,
-            }
-        )
-        self.provider = MeterProvider(
-            metric_readers=[reader],
-            resource=resource,
-            shutdown_on_exit=False,
-        )
-        self.meter = self.provider.get_meter('cyclamenlift')
+        self.observed: list[tuple[MetricInfo, Read]] = []
+        self.exporter = None
         self.watch_calls()
 
     # -- the call path ----------------------------------------------------
@@ -220,37 +212,27 @@
 
     def watch(self, name: str, read: Callable[[], float]) -> None:
         """Report ``read()`` as the metric ``name`` at each collection."""
-        self.observe(name, lambda: [Observation(read())])
+        self.observe(INFO[name], lambda: [Reading(read())])
 
-    def observe(
-        self, name: str, read: Callable[[], Iterable[Observation]]
-    ) -> None:
-        """Make the instrument that the list describes under ``name``."""
-        info = INFO[name]
-        create = {
-            Kind.COUNTER: self.meter.create_observable_counter,
-            Kind.GAUGE: self.meter.create_observable_gauge,
-        }[info.kind]
-        create(
-            info.name,
-            callbacks=[lambda _options: read()],
-            unit=info.unit,
-            description=info.description,
-        )
+    def observe(self, info: MetricInfo, read: Read) -> None:
+        """Report what ``read`` returns as the metric of ``info``."""
+        self.observed.append((info, read))
+        if self.exporter is not None:
+            self.exporter.observe(info, read)
 
     def watch_calls(self) -> None:
-        self.observe('cyclamenlift.calls', self.calls_by_class)
-        self.observe('cyclamenlift.calls.refused', self.calls_refused)
+        self.observe(INFO['cyclamenlift.calls'], self.calls_by_class)
+        self.observe(INFO['cyclamenlift.calls.refused'], self.calls_refused)
         self.observe(
-            'cyclamenlift.call.duration',
+            INFO['cyclamenlift.call.duration'],
             lambda: self.quantiles(lambda figures: figures.duration),
         )
         self.observe(
-            'cyclamenlift.call.added',
+            INFO['cyclamenlift.call.added'],
             lambda: self.quantiles(lambda figures: figures.added),
         )
 
-    def calls_by_class(self) -> list[Observation]:
+    def calls_by_class(self) -> list[Reading]:
         result = []
         for service, figures in self.calls.items():
             counts = dict.fromkeys(ResultClass, 0)
@@ -258,12 +240,12 @@
                 counts[result_class(code)] += count
             for kind, count in counts.items():
                 attributes = {'service': service, 'result': kind.name.lower()}
-                result.append(Observation(count, attributes))
+                result.append(Reading(count, attributes))
         return result
 
-    def calls_refused(self) -> list[Observation]:
+    def calls_refused(self) -> list[Reading]:
         return [
-            Observation(count, {'service': service, 'code': str(int(code))})
+            Reading(count, {'service': service, 'code': str(int(code))})
             for service, figures in self.calls.items()
             for code, count in figures.codes.items()
             if result_class(code) is ResultClass.NOT_RUN
@@ -271,7 +253,7 @@
 
     def quantiles(
         self, choose: Callable[[CallFigures], LatencyHistogram]
-    ) -> list[Observation]:
+    ) -> list[Reading]:
         result = []
         for service, figures in self.calls.items():
             histogram = choose(figures).read()
@@ -280,13 +262,25 @@
             for quantile in QUANTILES:
                 value = histogram.get_value_at_percentile(100 * quantile)
                 attributes = {'service': service, 'quantile': str(quantile)}
-                result.append(Observation(value / MICROSECONDS, attributes))
+                result.append(Reading(value / MICROSECONDS, attributes))
         return result
 
     def render_prometheus(self) -> bytes:
         """Return all metrics in the text form of Prometheus."""
-        return prometheus_client.generate_latest(self.registry)
+        if self.exporter is None:
+            self.exporter = self.make_exporter()
+        return self.exporter.render()
+
+    def make_exporter(self):
+        """Load the libraries that export, with the first collection."""
+        from cyclamenlift.core.exporting import Exporter
+
+        exporter = Exporter(self.instance, self.data_centre)
+        for info, read in self.observed:
+            exporter.observe(info, read)
+        return exporter
 
     def close(self) -> None:
         """Stop the collection; the process is about to end."""
-        self.provider.shutdown()
+        if self.exporter is not None:
+            self.exporter.close()
--- a/cyclamenlift/http/__init__.py
+++ b/cyclamenlift/http/__init__.py
@@ -13,7 +13,6 @@
 from cyclamenlift.http.target import TargetListener
 from cyclamenlift.http.target import TargetRequest
 from cyclamenlift.http.target_call import TargetCall
-from cyclamenlift.http.web import WebServer
 
 __all__ = [
     'ClientLimits',
@@ -28,6 +27,5 @@
     'TargetListener',
     'TargetRequest',
     'WebAnswer',
-    'WebServer',
     'end_to_end',
 ]
--- /dev/null
+++ b/cyclamenlift/http/lazy_web.py
@@ -0,0 +1,60 @@
+"""An address with pages whose code is loaded with the first request.
+
+Pages are for people and collectors of metrics. Many daemons run for hours
+without a request for one, and ``circuits.web`` takes some megabytes.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from circuits.core.components import BaseComponent
+
+from cyclamenlift.core.streams import Address
+from cyclamenlift.http.exchange import Exchange
+from cyclamenlift.http.limits import HttpLimits
+from cyclamenlift.http.server import HttpServer
+
+
+class LazyWebServer(BaseComponent):
+    """Listens at once; ``make_controllers`` runs with the first request."""
+
+    def __init__(
+        self,
+        root,
+        address: Address,
+        make_controllers: Callable[[], Iterable],
+        limits: HttpLimits | None = None,
+        channel: str = 'admin',
+    ):
+        super().__init__(channel=channel)
+        self.make_controllers = make_controllers
+        self.bridge = None
+        self.register(root)
+        self.http = HttpServer(
+            root.poller, limits or HttpLimits(), self.take, f'{channel}-http'
+        ).register(self)
+        self.address = self.http.listen(address)
+
+    def take(self, exchange: Exchange) -> None:
+        """Take one request for a page."""
+        if self.bridge is None:
+            self.bridge = self.make_bridge()
+        self.bridge.take(exchange)
+
+    def make_bridge(self):
+        from cyclamenlift.http.web import WebBridge
+
+        bridge = WebBridge(self.address, f'{self.channel}-web')
+        bridge.register(self)
+        for controller in self.make_controllers():
+            controller.register(self)
+        return bridge
+
+    def begin_drain(self) -> None:
+        """Take no new connections; requests in flight are answered."""
+        self.http.begin_drain()
+
+    @property
+    def busy(self) -> int:
+        """Requests in flight."""
+        return self.http.busy
--- a/cyclamenlift/http/pages.py
+++ b/cyclamenlift/http/pages.py
@@ -3,10 +3,9 @@
 from collections.abc import Callable
 import dataclasses
 import json
+from typing import TYPE_CHECKING
 from urllib.parse import parse_qsl
 
-from circuits.web.wrappers import Request
-
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.http.exchange import Exchange
 from cyclamenlift.http.headers import Headers
@@ -14,6 +13,9 @@
 from cyclamenlift.http.response import problem_headers
 from cyclamenlift.http.response import problem_status
 
+if TYPE_CHECKING:
+    from circuits.web.wrappers import Request
+
 MAX_FORM_FIELDS = 20_000
 HTML = 'text/html; charset=utf-8'
 JSON = 'application/json'
@@ -50,12 +52,12 @@
             hook(self.answer)
 
 
-def query_of(request: Request) -> dict[str, str]:
+def query_of(request: 'Request') -> dict[str, str]:
     """Return the fields of the query; the last one of a name counts."""
     return dict(parse_qsl(request.query, max_num_fields=MAX_FORM_FIELDS))
 
 
-def form_of(request: Request) -> Headers:
+def form_of(request: 'Request') -> Headers:
     """Return the fields of an URL-encoded form, in order.
 
     Raises ValueError when the body is no such form.
--- a/cyclamenlift/models/document.py
+++ b/cyclamenlift/models/document.py
@@ -15,7 +15,6 @@
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
-import yaml
 
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.problems import Problem
@@ -208,6 +207,9 @@
     """Read YAML or JSON; return every problem with its field's path."""
     if len(text) > MAX_DOCUMENT_BYTES:
         return Failure([Problem(ResultCode.DOCUMENT_INVALID, 'over 1 MiB')])
+    # Only operators' tools read YAML; daemons need not carry its library.
+    import yaml
+
     try:
         raw = yaml.safe_load(text)
     except (yaml.YAMLError, ValueError, RecursionError) as error:
--- a/cyclamenlift/platform/__main__.py
+++ b/cyclamenlift/platform/__main__.py
@@ -2,17 +2,19 @@
 
 import sys
 
-from cyclamenlift.platform.programs import run_control
-from cyclamenlift.platform.programs import run_daemon
+from cyclamenlift.lean import load_lean
 
-PROGRAMS = {'daemon': run_daemon, 'control': run_control}
+USAGE = 'usage: cyclamenlift.platform daemon|control\n'
 
 
 def main(arguments: list[str]) -> int:
     """Run the program that is named; 2 when there is none such."""
+    load_lean()
+    from cyclamenlift.platform.programs import PROGRAMS
+
     run = PROGRAMS.get(arguments[0] if len(arguments) == 1 else '')
     if run is None:
-        sys.stderr.write('usage: cyclamenlift.platform daemon|control\n')
+        sys.stderr.write(USAGE)
         return 2
     return run()
 
--- a/cyclamenlift/platform/programs.py
+++ b/cyclamenlift/platform/programs.py
@@ -99,3 +99,6 @@
     for problem in problems:
         LOG.error('settings_refused', problem=problem.line())
     return EXIT_SETTINGS
+
+
+PROGRAMS = {'daemon': run_daemon, 'control': run_control}
--- a/cyclamenlift/runtime/control.py
+++ b/cyclamenlift/runtime/control.py
@@ -13,24 +13,20 @@
 import structlog
 
 from cyclamenlift.conf.settings import ControlSettings
-from cyclamenlift.console.pages import ConsolePages
-from cyclamenlift.console.port import ContextPort
 from cyclamenlift.core.logs import configure_logs
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.core.streams import Address
 from cyclamenlift.core.tasks import build_root
 from cyclamenlift.events.context import ControlContext
 from cyclamenlift.events.server import DocumentServer
-from cyclamenlift.http.web import WebServer
+from cyclamenlift.http.lazy_web import LazyWebServer
 from cyclamenlift.ledger.server import ClaimServer
 from cyclamenlift.membership.records import is_live
 from cyclamenlift.membership.settings import MembershipSettings
 from cyclamenlift.membership.tasks import Membership
 from cyclamenlift.replication.settings import ReplicaSettings
 from cyclamenlift.replication.tasks import Replica
-from cyclamenlift.runtime.control_api import ControlApi
 from cyclamenlift.runtime.control_metrics import ControlMetrics
-from cyclamenlift.runtime.control_metrics import MetricsPage
 from cyclamenlift.runtime.machine import ControlMachine
 from cyclamenlift.runtime.peers import parse_peers
 from cyclamenlift.wire.gen.protocol.ttypes import MemberRecord
@@ -174,6 +170,12 @@
         self.machine.subscribe_version(server.tell)
         return server
 
+    def make_pages(self) -> list:
+        """Return the controllers of the admin address, loaded late."""
+        from cyclamenlift.runtime.control_pages import control_pages
+
+        return control_pages(self.context, self.metrics)
+
     # -- start and stop ---------------------------------------------------
 
     def start_parts(self) -> Result[None, Problem]:
@@ -184,14 +186,10 @@
         self.peer_address = self.network.listen(
             Address.parse(self.settings.peer_listen)
         )
-        self.admin = WebServer(
+        self.admin = LazyWebServer(
             self.loop,
             Address.parse(self.settings.admin_listen),
-            [
-                ControlApi(self.context),
-                ConsolePages(ContextPort(self.context)),
-                MetricsPage(self.metrics),
-            ],
+            self.make_pages,
         )
         self.start_membership()
         LOG.info(
--- a/cyclamenlift/runtime/control_metrics.py
+++ b/cyclamenlift/runtime/control_metrics.py
@@ -8,19 +8,14 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 
-from circuits.web.controllers import Controller
-from circuits.web.controllers import expose
-from opentelemetry.metrics import Observation
-
 from cyclamenlift.core.metrics import Kind
 from cyclamenlift.core.metrics import MetricInfo
 from cyclamenlift.core.metrics import Metrics
+from cyclamenlift.core.metrics import Reading
 from cyclamenlift.events.context import ControlContext
-from cyclamenlift.http.pages import WebAnswer
 from cyclamenlift.ledger.server import ClaimServer
 from cyclamenlift.replication.queries import ReplicaStatus
 from cyclamenlift.replication.queries import Role
-from cyclamenlift.runtime.admin import METRICS_TYPE
 from cyclamenlift.wire.gen.protocol.ttypes import ClaimVerdict
 
 COMMITS = MetricInfo(
@@ -106,52 +101,28 @@
 
     def watch(self, info: MetricInfo, read: Callable[[], float]) -> None:
         """Report ``read()`` at each collection."""
-        self.observe(info, lambda: [Observation(read())])
+        self.observe(info, lambda: [Reading(read())])
 
     def observe(
-        self, info: MetricInfo, read: Callable[[], Iterable[Observation]]
+        self, info: MetricInfo, read: Callable[[], Iterable[Reading]]
     ) -> None:
-        """Make the instrument that ``info`` describes."""
-        meter = self.metrics.meter
-        create = {
-            Kind.COUNTER: meter.create_observable_counter,
-            Kind.GAUGE: meter.create_observable_gauge,
-        }[info.kind]
-        create(
-            info.name,
-            callbacks=[lambda _options: read()],
-            unit=info.unit,
-            description=info.description,
-        )
+        """Report what ``read`` returns at each collection."""
+        self.metrics.observe(info, read)
 
-    def roles(self) -> list[Observation]:
+    def roles(self) -> list[Reading]:
         current = self.status().role
         return [
-            Observation(int(role is current), {'role': role.value})
+            Reading(int(role is current), {'role': role.value})
             for role in Role
         ]
 
-    def verdicts(self) -> list[Observation]:
+    def verdicts(self) -> list[Reading]:
         counts = self.claims.verdicts
         return [
-            Observation(counts[verdict], {'verdict': verdict.name.lower()})
+            Reading(counts[verdict], {'verdict': verdict.name.lower()})
             for verdict in ClaimVerdict
         ]
 
     def render(self) -> bytes:
         """Return all metrics in the text form of Prometheus."""
         return self.metrics.render_prometheus()
-
-
-class MetricsPage(Controller):
-    """``/metrics`` of a control instance."""
-
-    channel = '/metrics'
-
-    def __init__(self, metrics: ControlMetrics):
-        super().__init__()
-        self.metrics = metrics
-
-    @expose('index')
-    def index(self) -> WebAnswer:
-        return WebAnswer(self.metrics.render(), 200, METRICS_TYPE)
--- a/cyclamenlift/runtime/daemon.py
+++ b/cyclamenlift/runtime/daemon.py
@@ -23,10 +23,10 @@
 from cyclamenlift.http.client import TargetClient
 from cyclamenlift.http.dialects import DEFAULT_DIALECT
 from cyclamenlift.http.dialects import Dialect
+from cyclamenlift.http.lazy_web import LazyWebServer
 from cyclamenlift.http.limits import ClientLimits
 from cyclamenlift.http.limits import HttpLimits
 from cyclamenlift.http.server import HttpServer
-from cyclamenlift.http.web import WebServer
 from cyclamenlift.ledger.tasks import ClaimClient
 from cyclamenlift.membership.records import is_live
 from cyclamenlift.membership.settings import MembershipSettings
@@ -34,8 +34,6 @@
 from cyclamenlift.models.rules import CallerLimits
 from cyclamenlift.models.rules import EventRules
 from cyclamenlift.routing.state import RoutingState
-from cyclamenlift.runtime.admin import ApiPages
-from cyclamenlift.runtime.admin import DaemonPages
 from cyclamenlift.runtime.local import local_pair
 from cyclamenlift.runtime.observing import Observer
 from cyclamenlift.wire.gen.protocol.ttypes import BodyChunk
@@ -92,10 +90,10 @@
         )
         self.membership = self.make_membership()
         self.observer = Observer(self)
-        self.admin = WebServer(
+        self.admin = LazyWebServer(
             self.loop,
             Address.parse(settings.admin_listen),
-            [ApiPages(self), DaemonPages(self)],
+            self.make_pages,
         )
 
     # -- parts ------------------------------------------------------------
@@ -180,6 +178,13 @@
         )
         return server.register(self.loop)
 
+    def make_pages(self) -> list:
+        """Return the controllers of the admin address, loaded late."""
+        from cyclamenlift.runtime.admin import ApiPages
+        from cyclamenlift.runtime.admin import DaemonPages
+
+        return [ApiPages(self), DaemonPages(self)]
+
     def make_membership(self) -> Membership:
         settings = self.settings
         return Membership(
--- /dev/null
+++ b/tests/test_imports.py
@@ -0,0 +1,72 @@
+"""What a daemon may load: memory and start time are dear beside a target."""
+
+import pathlib
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).parents[1]
+
+# Libraries and standard modules that cost megabytes or a tenth of a second
+# and that no call needs. They come with the first page or metric.
+UNWANTED = {
+    'asyncio',
+    'circuits.web',
+    'circuits.node',
+    'colorama',
+    'fire',
+    'hdrh',
+    'jinja2',
+    'matplotlib',
+    'numpy',
+    'opentelemetry',
+    'pkg_resources',
+    'prometheus_client',
+    'pydantic_settings',
+    'pygments',
+    'rich',
+    'ssl',
+    'yaml',
+}
+SCRIPT = """
+import importlib, sys
+from cyclamenlift.lean import load_lean
+load_lean()
+import cyclamenlift.platform.programs
+for name in sys.argv[1:]:
+    importlib.import_module(name)
+# A module that waits for its first use has no file yet.
+for name, module in list(sys.modules.items()):
+    held = getattr(module, '__dict__', {})
+    if held.get('__spec__') or held.get('__file__'):
+        print(name)
+"""
+DAEMON = ('cyclamenlift.runtime.daemon', 'cyclamenlift.platform.targets')
+CONTROL = ('cyclamenlift.runtime.control', 'cyclamenlift.platform.operators')
+
+
+def loaded(*modules: str) -> set[str]:
+    """Return the modules that a process with these has loaded."""
+    # -S leaves out what the packages of this machine load at each start.
+    command = [sys.executable, '-S', '-c', SCRIPT, *modules]
+    path = ':'.join([str(ROOT), *(p for p in sys.path if p)])
+    done = subprocess.run(
+        command,
+        capture_output=True,
+        check=True,
+        text=True,
+        env={'PYTHONPATH': path},
+    )
+    return set(done.stdout.split())
+
+
+def test_a_daemon_loads_nothing_that_it_does_not_use():
+    assert not UNWANTED & loaded(*DAEMON)
+
+
+def test_a_control_instance_loads_nothing_that_it_does_not_use():
+    assert not UNWANTED & loaded(*CONTROL)
+
+
+def test_the_lean_packages_still_offer_their_names():
+    found = loaded('circuits.web.controllers')
+    assert 'circuits.web.controllers' in found
