Let the first requests for a page wait until it has a path

Cause: tests/runtime/test_control.py::test_a_lost_disk_is_repaired failed in 2 of 3 runs: pages are registered by events since they load late, and the first request came before these were handled, so it got 404. Ruled out: load (it failed alone on the machine) and replication.

--- a/cyclamenlift/http/lazy_web.py
+++ b/cyclamenlift/http/lazy_web.py
@@ -8,6 +8,8 @@
 from collections.abc import Iterable
 
 from circuits.core.components import BaseComponent
+from circuits.core.events import Event
+from circuits.core.handlers import handler
 
 from cyclamenlift.core.streams import Address
 from cyclamenlift.http.exchange import Exchange
@@ -15,6 +17,10 @@
 from cyclamenlift.http.server import HttpServer
 
 
+class pages_ready(Event):  # noqa: N801 (circuits names handlers so)
+    """Fired behind the registration of the pages, so it comes after."""
+
+
 class LazyWebServer(BaseComponent):
     """Listens at once; ``make_controllers`` runs with the first request."""
 
@@ -29,6 +35,7 @@
         super().__init__(channel=channel)
         self.make_controllers = make_controllers
         self.bridge = None
+        self.early: list[Exchange] | None = None
         self.register(root)
         self.http = HttpServer(
             root.poller, limits or HttpLimits(), self.take, f'{channel}-http'
@@ -36,11 +43,26 @@
         self.address = self.http.listen(address)
 
     def take(self, exchange: Exchange) -> None:
-        """Take one request for a page."""
+        """Take one request for a page.
+
+        Controllers are registered by events, so the first requests wait
+        until these have been handled: before that no page has a path.
+        """
         if self.bridge is None:
             self.bridge = self.make_bridge()
+            self.early = []
+            self.fire(pages_ready(), self.channel)
+        if self.early is not None:
+            self.early.append(exchange)
+            return
         self.bridge.take(exchange)
 
+    @handler('pages_ready')
+    def _on_pages_ready(self) -> None:
+        early, self.early = self.early or [], None
+        for exchange in early:
+            self.bridge.take(exchange)
+
     def make_bridge(self):
         from cyclamenlift.http.web import WebBridge
 
