--- a/cyclamenlift/membership/tasks.py
+++ b/cyclamenlift/membership/tasks.py
@@ -128,6 +128,11 @@
                 self.state.announce(target_state, config_version, now, slots)
             )
 
+    def set_seeds(self, seeds: list[Address]) -> None:
+        """Ask these instances from now on when nobody else is known."""
+        if self.state is not None:
+            self.state.contacts.seeds = tuple(str(seed) for seed in seeds)
+
     def leave(self) -> None:
         """Tell the others that this instance goes; ``stop`` comes next."""
         if self.state is not None:
--- a/cyclamenlift/platform/__main__.py
+++ b/cyclamenlift/platform/__main__.py
@@ -1,5 +1,6 @@
 """``python -m cyclamenlift.platform daemon`` or ``control``."""
 
+import signal
 import sys
 
 from cyclamenlift.lean import load_lean
@@ -9,6 +10,8 @@
 
 def main(arguments: list[str]) -> int:
     """Run the program that is named; 2 when there is none such."""
+    # A reload that is asked for during the start is covered by the start.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     load_lean()
     from cyclamenlift.platform.programs import PROGRAMS
 
--- a/cyclamenlift/platform/programs.py
+++ b/cyclamenlift/platform/programs.py
@@ -17,6 +17,8 @@
 from cyclamenlift.platform.settings import Fields
 from cyclamenlift.platform.settings import read_fields
 from cyclamenlift.platform.settings import read_settings
+from cyclamenlift.platform.watching import SettingsWatch
+from cyclamenlift.platform.watching import take_seeds
 
 EXIT_SETTINGS = 2
 EXIT_FAILED = 1
@@ -47,6 +49,7 @@
     check_ins = TargetCheckIns(node.gate, settings.service)
     listen(node.loop, fields['listen.control'], check_ins.take, 'targets')
     node.start_parts()
+    watch_settings(node, fields)
     keep_start_up_objects()
     node.loop.run()
     return 0
@@ -73,11 +76,19 @@
     address = Address.parse(fields['listen.control'])
     calls = OperatorCalls(node.context, address.port)
     listen(node.loop, str(address), calls.take, 'operators')
+    watch_settings(node, fields)
     keep_start_up_objects()
     node.loop.run()
     return 0
 
 
+def watch_settings(node, fields: Fields) -> None:
+    """Let a changed settings file take effect on a running process."""
+    SettingsWatch(
+        node.loop, fields, lambda new: take_seeds(node.membership, new)
+    )
+
+
 def prepare(kind: type) -> tuple[Fields, object] | None:
     """Read the settings and set up logs; None after telling what is wrong."""
     found = read_fields()
--- a/cyclamenlift/platform/settings.py
+++ b/cyclamenlift/platform/settings.py
@@ -77,11 +77,15 @@
     return [Address.parse(seed).host for seed in seeds]
 
 
+def gossip_seeds(fields: Fields) -> list[str]:
+    """Return where membership asks for the other instances."""
+    return [internal_address(fields, host) for host in seed_hosts(fields)]
+
+
 def common_values(fields: Fields) -> dict[str, object]:
     """Return the settings that daemons and control share."""
     host = fields.get('ip', '')
     own = internal_address(fields, host)
-    peers = [internal_address(fields, seed) for seed in seed_hosts(fields)]
     return {
         # Control instances are found by host, so all are named by it.
         'instance': host,
@@ -89,7 +93,7 @@
         'peer_listen': own,
         'gossip_listen': own,
         'admin_listen': f'{host}:{METRICS_PORT}',
-        'seeds': tuple(peers),
+        'seeds': tuple(gossip_seeds(fields)),
     }
 
 
