Explain a failed call from the logs: bounded lines on standard output

Cause: on-call engineers have logs and metrics only; ours went to standard error, could wait for a reader, and a failed call's tries were not told. Ruled out: a thread for writing (each wake-up is charged to a daemon) and a descriptor that does not block (its flags are shared with other processes).

--- a/cyclamenlift/calls/tasks.py
+++ b/cyclamenlift/calls/tasks.py
@@ -168,22 +168,24 @@
 
     def finished(self, call: Call, code: ResultCode) -> None:
         self.open_calls.discard(call)
-        if code not in GOOD_CODES:
-            self.log_failure(call, code)
+        self.log_end(call, code)
         for hook in self.finished_hooks:
             hook(call, code)
 
-    def log_failure(self, call: Call, code: ResultCode) -> None:
-        """Write a line for a call that no target answered.
+    def log_end(self, call: Call, code: ResultCode) -> None:
+        """Write the line that tells the story of a call at its entry.
 
-        An unknown outcome is always written; refusals come in crowds and
-        are written for those who debug.
+        Answered calls of the default dialect are written for those who
+        debug only, and so are their refusals: they come in crowds.
         """
-        write = LOG.info
-        if is_not_run(code) and call.request.route is None:
-            write = LOG.debug
+        routed = call.request.route is not None
+        quiet = code in GOOD_CODES or is_not_run(code)
+        write = LOG.debug if quiet and not routed else LOG.info
+        event = 'call_not_answered'
+        if code in GOOD_CODES:
+            event = 'call_answered'
         write(
-            'call_not_answered',
+            event,
             call_id=call.request.call_id,
             service=call.service,
             code=int(code),
@@ -194,6 +196,8 @@
             ),
             config_version=self.rules.version if self.rules else 0,
             trail=call.trail,
+            nested=call.request.nested,
+            retry_after_ms=call.state.retry_after_ms,
             hedged=call.tries.hedged,
             budget=round(call.state.budget.balance, 1),
         )
--- a/cyclamenlift/cli/program.py
+++ b/cyclamenlift/cli/program.py
@@ -18,6 +18,7 @@
     'event_publish',
     'event_show',
     'event_validate',
+    'explain',
     'replace_storage',
     'report_burn',
     'status',
--- a/cyclamenlift/core/logs.py
+++ b/cyclamenlift/core/logs.py
@@ -1,10 +1,11 @@
 """Structured logs: JSON for machines or a console form for people."""
 
 import logging
-import sys
 
 import structlog
 
+from cyclamenlift.core.log_budget import LineBudget
+from cyclamenlift.core.log_sink import make_sink
 from cyclamenlift.core.registry import Registry
 
 RENDERERS: Registry = Registry('log format')
@@ -21,10 +22,15 @@
 
 
 def configure_logs(log_format: str, level: str, instance: str) -> None:
-    """Send logs to standard error, each line with its ``instance``."""
+    """Send logs to standard output, each line with its ``instance``.
+
+    Lines of one event are bounded by a budget a second, and writing never
+    waits for the reader.
+    """
     structlog.reset_defaults()
     structlog.configure(
         processors=[
+            LineBudget(),
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt='iso', utc=True),
@@ -34,7 +40,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelName(level.upper())
         ),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=make_sink,
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.clear_contextvars()
--- a/cyclamenlift/gate/running.py
+++ b/cyclamenlift/gate/running.py
@@ -227,6 +227,7 @@
     ) -> None:
         """Say that the call did not run: nothing reached the target."""
         self.gate.refused += 1
+        self.gate.log_refusal(self, code, detail, wait)
         message = Refused(
             call_id=self.start.call_id,
             code=int(code),
@@ -238,6 +239,7 @@
 
     def tell_broken(self, code: ResultCode, detail: str = '') -> None:
         """Say that the call may have run."""
+        self.gate.log_unknown(self, code, detail)
         message = Broken(
             call_id=self.start.call_id,
             code=int(code),
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -412,6 +412,52 @@
             if call is not None:
                 call.begin(self.now())
 
+    def log_refusal(
+        self, call: GateCall, code: ResultCode, detail: str, wait: float
+    ) -> None:
+        """Write what decided that a call did not run here."""
+        if call.start.route_name:
+            self.log_decision(
+                'gate_refused', call, code, detail, wait_ms=int(wait * 1000)
+            )
+
+    def log_unknown(
+        self, call: GateCall, code: ResultCode, detail: str
+    ) -> None:
+        """Write that nobody knows whether a call ran."""
+        seconds = self.now() - call.started_at
+        self.log_decision(
+            'gate_unknown', call, code, detail, ran_ms=int(seconds * 1000)
+        )
+
+    def log_decision(
+        self,
+        event: str,
+        call: GateCall,
+        code: ResultCode,
+        detail: str,
+        **fields: int,
+    ) -> None:
+        state = self.state
+        now = self.now()
+        LOG.info(
+            event,
+            call_id=call.start.trace_id,
+            code=int(code),
+            detail=detail,
+            route=call.start.route_name,
+            rank=call.start.rank,
+            nested=call.start.nested,
+            running=len(state.running),
+            queued=len(state.queue),
+            room=state.room,
+            pace_percent=state.pace_percent(now),
+            pace_age_ms=int((now - state.target_load_at) * 1000),
+            state=TargetState(state.target_state).name,
+            incarnation=self.registration.incarnation,
+            **fields,
+        )
+
     def check_idle(self) -> None:
         if self.state.is_idle():
             for hook in self.idle_hooks:
--- a/cyclamenlift/runtime/control.py
+++ b/cyclamenlift/runtime/control.py
@@ -13,6 +13,7 @@
 import structlog
 
 from cyclamenlift.conf.settings import ControlSettings
+from cyclamenlift.core.log_sink import SINK
 from cyclamenlift.core.logs import configure_logs
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.core.streams import Address
@@ -37,6 +38,8 @@
 EXIT_SETTINGS = 2
 STOP_SECONDS = 5.0
 IDLE_CHECK_SECONDS = 0.05
+# How often lines are offered again to a reader of logs that stalled.
+LOG_FLUSH_SECONDS = 1.0
 LOG = structlog.get_logger('control')
 
 
@@ -192,6 +195,7 @@
             self.make_pages,
         )
         self.start_membership()
+        self.loop.scheduler.every(LOG_FLUSH_SECONDS, SINK.flush)
         LOG.info(
             'control_started',
             peer=str(self.peer_address),
--- a/cyclamenlift/runtime/daemon.py
+++ b/cyclamenlift/runtime/daemon.py
@@ -12,6 +12,7 @@
 from cyclamenlift.calls.tasks import Calls
 from cyclamenlift.conf.settings import DaemonSettings
 from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.log_sink import SINK
 from cyclamenlift.core.logs import configure_logs
 from cyclamenlift.core.memory import keep_start_up_objects
 from cyclamenlift.core.streams import Address
@@ -48,7 +49,8 @@
 # Peers need this long to learn of a drain before the gate goes away.
 FAREWELL_SECONDS = 1.0
 IDLE_CHECK_SECONDS = 0.05
-STATUS_LOG_SECONDS = 60.0
+# How often lines are offered again to a reader of logs that stalled.
+LOG_FLUSH_SECONDS = 1.0
 
 
 class DaemonNode(BaseComponent):
@@ -263,6 +265,7 @@
         if self.gate is not None:
             self.gate.client.warm()
             self.health.start()
+        self.scheduler.every(LOG_FLUSH_SECONDS, SINK.flush)
         LOG.info(
             'daemon_started',
             entry=str(self.entry_address),
--- /dev/null
+++ b/tests/core/test_log_sink.py
@@ -0,0 +1,90 @@
+"""Logs are bounded and never wait for their reader."""
+
+import os
+import time
+
+import pytest
+import structlog
+
+from cyclamenlift.core.log_budget import LineBudget
+from cyclamenlift.core.log_budget import LINES_AT_ONCE
+from cyclamenlift.core.log_budget import LINES_PER_SECOND
+from cyclamenlift.core.log_sink import KEPT_BYTES
+from cyclamenlift.core.log_sink import LogSink
+
+LINE = 'x' * 200
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def read_all(reader: int) -> bytes:
+    os.set_blocking(reader, False)
+    found = b''
+    while True:
+        try:
+            data = os.read(reader, 65536)
+        except BlockingIOError:
+            return found
+        if not data:
+            return found
+        found += data
+
+
+def test_a_reader_that_stalls_stops_nobody(pipe):
+    reader, writer = pipe
+    sink = LogSink(writer)
+    began = time.monotonic()
+    for _ in range(20_000):
+        sink.msg(LINE)
+    assert time.monotonic() - began < 5.0
+    assert sink.size <= KEPT_BYTES
+    assert sink.left_out > 0
+
+
+def test_lines_come_whole_and_in_order_once_the_reader_goes_on(pipe):
+    reader, writer = pipe
+    sink = LogSink(writer)
+    for number in range(2_000):
+        sink.msg(f'{number:06d}{LINE}')
+    left_out = sink.left_out
+    text = b''
+    for _ in range(20):
+        text += read_all(reader)
+        sink.flush()
+    text += read_all(reader)
+    lines = text.decode().splitlines()
+    numbers = [int(line[:6]) for line in lines if line.endswith(LINE)]
+    assert numbers == list(range(2_000 - left_out))
+    assert f'"count": {left_out}' in lines[-1]
+
+
+def test_a_reader_that_is_gone_costs_nothing():
+    reader, writer = os.pipe()
+    os.close(reader)
+    sink = LogSink(writer)
+    sink.msg(LINE)
+    os.close(writer)
+    assert sink.size <= len(LINE) + 1
+
+
+def test_a_crowd_of_one_event_is_counted_instead_of_written():
+    now = [0.0]
+    budget = LineBudget(lambda: now[0])
+    written = 0
+    for _ in range(1_000):
+        try:
+            budget(None, 'info', {'event': 'refused'})
+            written += 1
+        except structlog.DropEvent:
+            continue
+    assert written == LINES_AT_ONCE
+    assert budget(None, 'info', {'event': 'started'}) == {'event': 'started'}
+    now[0] += 1.0 / LINES_PER_SECOND
+    fields = budget(None, 'info', {'event': 'refused'})
+    assert fields['left_out'] == 1_000 - written
