--- a/cyclamenlift/events/state.py
+++ b/cyclamenlift/events/state.py
@@ -159,7 +159,8 @@
         outcome = self.decide(
             change_id, base_version, document, chosen_version
         )
-        if outcome.code == ResultCode.CHANGE_ACCEPTED:
+        accepted = outcome.code == ResultCode.CHANGE_ACCEPTED
+        if accepted and outcome.version != self.version:
             record = VersionRecord(
                 outcome.version,
                 base_version,
@@ -188,6 +189,10 @@
         parsed = parse_document(document)
         if isinstance(parsed, str):
             return self.refuse(ResultCode.DOCUMENT_INVALID, parsed)
+        if chosen_version and self.is_in_force(chosen_version, document):
+            return PublishOutcome(
+                ResultCode.CHANGE_ACCEPTED, self.version, self.version
+            )
         if base_version != self.version:
             return self.refuse(
                 ResultCode.VERSION_CONFLICT,
@@ -201,6 +206,10 @@
             )
         return PublishOutcome(ResultCode.CHANGE_ACCEPTED, version, version)
 
+    def is_in_force(self, version: int, document: bytes) -> bool:
+        """Tell whether just this stands under just this number."""
+        return version == self.version and document == self.document()
+
     def refuse(self, code: ResultCode, detail: str) -> PublishOutcome:
         return PublishOutcome(int(code), 0, self.version, detail)
 
--- a/cyclamenlift/platform/requests.py
+++ b/cyclamenlift/http/json_requests.py
@@ -1,4 +1,4 @@
-"""Small requests to the adapter: read whole, then answered as JSON."""
+"""Small requests: read whole, then answered as JSON."""
 
 from collections.abc import Callable
 import json
@@ -47,7 +47,7 @@
 
 
 def refuse(exchange: Exchange, status: int, problem: Problem) -> None:
-    """Answer with a status of the platform and our numbered error."""
+    """Answer with a status of its own and our numbered error."""
     value = {
         'error': problem.line(),
         'code': int(problem.code),
--- a/cyclamenlift/platform/operators.py
+++ b/cyclamenlift/platform/operators.py
@@ -15,15 +15,15 @@
 from cyclamenlift.events.reports import DocumentReport
 from cyclamenlift.events.reports import PublishReport
 from cyclamenlift.http.exchange import Exchange
+from cyclamenlift.http.json_requests import answer
+from cyclamenlift.http.json_requests import JSON_TYPE
+from cyclamenlift.http.json_requests import read_whole
+from cyclamenlift.http.json_requests import refuse
 from cyclamenlift.models.document import document_from_bytes
 from cyclamenlift.platform.dialect import BASE_VERSION_FIELD
 from cyclamenlift.platform.documents import edit_document
 from cyclamenlift.platform.documents import read_configuration
 from cyclamenlift.platform.documents import read_version
-from cyclamenlift.platform.requests import answer
-from cyclamenlift.platform.requests import JSON_TYPE
-from cyclamenlift.platform.requests import read_whole
-from cyclamenlift.platform.requests import refuse
 
 REPLACE_PATH = '/v1/Config.Replace'
 PATCH_PATH = '/v1/Config.Patch'
--- a/cyclamenlift/platform/readiness.py
+++ b/cyclamenlift/platform/readiness.py
@@ -5,8 +5,8 @@
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.http.exchange import Exchange
-from cyclamenlift.platform.requests import answer
-from cyclamenlift.platform.requests import refuse
+from cyclamenlift.http.json_requests import answer
+from cyclamenlift.http.json_requests import refuse
 
 READY_PATH = '/v1/ready'
 
--- a/cyclamenlift/platform/targets.py
+++ b/cyclamenlift/platform/targets.py
@@ -11,10 +11,10 @@
 from cyclamenlift.gate.registration import Announcement
 from cyclamenlift.gate.tasks import Gate
 from cyclamenlift.http.exchange import Exchange
+from cyclamenlift.http.json_requests import answer
+from cyclamenlift.http.json_requests import read_whole
+from cyclamenlift.http.json_requests import refuse
 from cyclamenlift.platform.durations import seconds
-from cyclamenlift.platform.requests import answer
-from cyclamenlift.platform.requests import read_whole
-from cyclamenlift.platform.requests import refuse
 
 BEAT_PATH = '/v1/Instances.Heartbeat/'
 LEAVE_PATH = '/v1/Instances.Deregister/'
--- /dev/null
+++ b/tests/http/test_target_answers.py
@@ -0,0 +1,65 @@
+"""Answers of a target that belong to another call, and old connections."""
+
+import pytest
+
+from cyclamenlift.http.answer_parser import AnswerParser
+from cyclamenlift.http.client import keep_alive_seconds
+from cyclamenlift.http.limits import ClientLimits
+
+LIMITS = ClientLimits(call_id_field='x-call', unsized_answers=True)
+
+
+def answer(name: str, body: bytes = b'ok') -> bytes:
+    head = f'HTTP/1.1 200 OK\r\nX-Call: {name}\r\nContent-Length: {len(body)}'
+    return head.encode() + b'\r\n\r\n' + body
+
+
+def parser(name: str = 'mine') -> AnswerParser:
+    found = AnswerParser(LIMITS)
+    found.expect_answer('GET', name)
+    return found
+
+
+def test_an_answer_to_another_call_is_read_over():
+    found = parser()
+    found.feed(answer('other', b'wrong') + answer('mine', b'right'))
+    assert found.complete and not found.problem
+    assert b''.join(found.chunks) == b'right'
+
+
+def test_it_is_read_over_however_it_is_cut():
+    data = answer('other', b'wrong') + answer('mine', b'right')
+    for cut in range(1, len(data)):
+        found = parser()
+        found.feed(data[:cut])
+        found.feed(data[cut:])
+        assert found.complete and not found.problem
+        assert b''.join(found.chunks) == b'right'
+
+
+def test_a_further_answer_after_ours_spoils_the_connection():
+    found = parser()
+    found.feed(answer('mine') + answer('mine'))
+    assert found.complete
+    assert found.stray
+
+
+def test_an_answer_without_a_name_is_taken():
+    found = parser()
+    found.feed(b'HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n')
+    assert found.complete
+
+
+def test_one_of_another_call_that_ends_with_the_connection_is_refused():
+    found = parser()
+    found.feed(b'HTTP/1.1 200 OK\r\nX-Call: other\r\n\r\nbytes')
+    assert found.problem
+    assert not found.end_of_input()
+
+
+@pytest.mark.parametrize(
+    ('value', 'seconds'),
+    [('timeout=10', 10), ('max=5, timeout=3', 3), ('timeout=x', None)],
+)
+def test_a_target_states_how_long_it_keeps_a_connection(value, seconds):
+    assert keep_alive_seconds([('keep-alive', value)]) == seconds
--- /dev/null
+++ b/tests/platform/test_boundary.py
@@ -0,0 +1,47 @@
+"""Nothing but the adapter knows the platform's names."""
+
+import pathlib
+import re
+
+ROOT = pathlib.Path(__file__).parents[2]
+PACKAGE = ROOT / 'cyclamenlift'
+ADAPTER = PACKAGE / 'platform'
+MOST_LINES = 1_000
+NAMES = re.compile(
+    'attempt-id|deadline-ms|response-stamp|target-instance|not-executed'
+    '|server-load|instance-id|base-version|caller-service'
+    '|virtual_hosts|path_rules|heartbeat_addr|target_latency'
+    '|weighted_services|cold_left|Instances\\.Heartbeat|Config\\.Replace',
+    re.IGNORECASE,
+)
+# The default dialect's own name for the service of a caller.
+OWN = 'cyclamenlift-caller-service'
+
+
+def sources(folder: pathlib.Path) -> list[pathlib.Path]:
+    return [p for p in folder.rglob('*.py') if 'gen' not in p.parts]
+
+
+def test_the_platforms_names_stand_in_the_adapter_alone():
+    found = [
+        f'{path.relative_to(ROOT)}: {match.group()}'
+        for path in sources(PACKAGE)
+        if ADAPTER not in path.parents
+        for match in NAMES.finditer(path.read_text().replace(OWN, ''))
+    ]
+    assert not found
+
+
+def test_the_adapter_stays_small():
+    lines = sum(len(p.read_text().splitlines()) for p in sources(ADAPTER))
+    assert lines <= MOST_LINES
+
+
+def test_no_other_package_imports_the_adapter():
+    users = [
+        str(path.relative_to(ROOT))
+        for path in sources(PACKAGE)
+        if ADAPTER not in path.parents
+        and 'cyclamenlift.platform' in path.read_text()
+    ]
+    assert not users
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,136 @@
+"""Operators' configurations, read and changed in parts."""
+
+import json
+
+import pytest
+from returns.result import Failure
+from returns.result import Success
+
+from cyclamenlift.platform.documents import edit_document
+from cyclamenlift.platform.documents import read_configuration
+from cyclamenlift.platform.documents import read_version
+from tests.platform.builders import as_body
+from tests.platform.builders import configuration
+from tests.platform.builders import route
+from tests.platform.builders import service
+
+
+def read(value: dict):
+    return read_configuration(as_body(value))
+
+
+def test_a_configuration_becomes_a_document_and_keeps_its_text():
+    body = as_body(configuration())
+    document = read_configuration(body).unwrap()
+    assert document.source.encode() == body
+    first, second = document.routes
+    assert (first.host, first.path_prefix) == ('a.example', '/p/')
+    assert first.repetition == 'idempotent'
+    assert second.repetition == 'once_per_attempt'
+    assert second.shares[0].service == 'fees'
+    assert (first.timeout_ms, first.objective_ms) == (1200, 500)
+    assert document.caller_limits.idle_ms == 15_000
+
+
+@pytest.mark.parametrize('kind', ['non_idempotent', 'upload'])
+def test_what_may_not_repeat_runs_once_for_each_attempt(kind):
+    hosts = [{'host': 'a.example', 'path_rules': [route('r', '/p/', kind)]}]
+    document = read(configuration(virtual_hosts=hosts)).unwrap()
+    assert document.routes[0].repetition == 'once_per_attempt'
+
+
+def with_route(**changes) -> dict:
+    rule = {**route('r', '/p/'), **changes}
+    hosts = [{'host': 'a.example', 'path_rules': [rule]}]
+    return configuration(virtual_hosts=hosts)
+
+
+SHARES = [{'service': 'prices', 'weight': 0}]
+
+
+@pytest.mark.parametrize(
+    'value',
+    [
+        with_route(service='unknown'),
+        with_route(weighted_services=SHARES),
+        with_route(kind='sometimes'),
+        with_route(timeout='1000ms', target_latency='61s'),
+        with_route(timeout='soon'),
+        with_route(timeout=1000),
+        configuration(services=[]),
+        {k: v for k, v in configuration().items() if k != 'limits'},
+        {'version': 7},
+        [],
+    ],
+)
+def test_an_invalid_configuration_is_refused(value):
+    assert isinstance(read_configuration(json.dumps(value)), Failure)
+
+
+@pytest.mark.parametrize('cut', [1, 40, 400])
+def test_a_configuration_that_was_cut_short_is_refused(cut):
+    body = as_body(configuration())[:-cut]
+    assert isinstance(read_version(body), Failure)
+    assert isinstance(read_configuration(body), Failure)
+
+
+@pytest.mark.parametrize('version', [0, -1, 'x', 1.5, None, True, 2**60])
+def test_a_version_is_a_positive_number(version):
+    body = as_body({'version': version})
+    assert isinstance(read_version(body), Failure)
+
+
+def edited(patch: dict) -> dict:
+    document = read(configuration()).unwrap()
+    result = edit_document(document, as_body({'version': 9, **patch}))
+    assert isinstance(result, Success), result
+    return json.loads(result.unwrap().source)
+
+
+def names(value: dict) -> dict:
+    return {
+        host['host']: [rule['name'] for rule in host['path_rules']]
+        for host in value['virtual_hosts']
+    }
+
+
+def test_a_partial_change_adds_replaces_and_removes_by_name():
+    changed = route('r-1', '/p/', timeout='900ms')
+    added = route('r-3', '/n/')
+    value = edited(
+        {
+            'upsert': {
+                'services': [service('new')],
+                'virtual_hosts': [
+                    {'host': 'a.example', 'path_rules': [changed, added]}
+                ],
+            },
+            'remove': {'routes': ['r-2']},
+        }
+    )
+    assert names(value) == {'a.example': ['r-1', 'r-3']}
+    assert value['virtual_hosts'][0]['path_rules'][0]['timeout'] == '900ms'
+    assert [s['name'] for s in value['services']][-1] == 'new'
+    assert value['version'] == 9
+
+
+def test_a_route_that_moves_leaves_its_host():
+    moved = {'host': 'c.example', 'path_rules': [route('r-1', '/p/')]}
+    value = edited({'upsert': {'virtual_hosts': [moved]}})
+    assert names(value) == {'b.example': ['r-2'], 'c.example': ['r-1']}
+
+
+@pytest.mark.parametrize(
+    'patch',
+    [
+        {'remove': {'services': ['prices']}},
+        {'upsert': {'virtual_hosts': [{'host': 'x'}]}},
+        {'upsert': {'services': [{}]}},
+        {'upsert': []},
+        {'remove': {'routes': 3}},
+    ],
+)
+def test_a_partial_change_that_makes_no_document_is_refused(patch):
+    document = read(configuration()).unwrap()
+    body = as_body({'version': 9, **patch})
+    assert isinstance(edit_document(document, body), Failure)
--- /dev/null
+++ b/tests/platform/test_targets.py
@@ -0,0 +1,134 @@
+"""Check-ins and farewells of the local target."""
+
+import json
+
+import pytest
+
+from cyclamenlift.gate.tasks import Gate
+from cyclamenlift.platform.targets import TargetCheckIns
+from cyclamenlift.wire.gen.protocol.ttypes import TargetState
+from tests.runtime.builders import platform_like_dialect
+from tests.runtime.builders import quiet_scheduler
+
+BEAT = {
+    'service': 'prices',
+    'address': '127.0.0.1:80',
+    'zone': 'here',
+    'version': 'v1',
+    'slots': 6,
+    'state': 'ready',
+    'cold_left': '0ms',
+    'seq': 4,
+}
+
+
+class Asked:
+    """A request that keeps its answer."""
+
+    method = 'POST'
+
+    def __init__(self, path: str, body: bytes):
+        self.path = path
+        self.body = body
+        self.body_length = len(body)
+        self.status = 0
+
+    def read_body(self, on_body) -> None:
+        on_body(self.body, True)
+
+    def respond(self, status, headers, body) -> None:
+        self.status = status
+
+    def respond_problem(self, problem) -> None:
+        self.status = 400
+
+
+class Client:
+    """A target client that has no connections."""
+
+    def drop_idle(self) -> None:
+        """Drop nothing."""
+
+
+@pytest.fixture
+def gate():
+    return Gate(
+        quiet_scheduler(), Client(), 'prices', 20, platform_like_dialect()
+    )
+
+
+def beat(gate: Gate, name: str = 'i-1', **changes) -> int:
+    body = json.dumps({**BEAT, **changes}).encode()
+    asked = Asked(f'/v1/Instances.Heartbeat/{name}', body)
+    TargetCheckIns(gate, 'prices').take(asked)
+    return asked.status
+
+
+def leave(gate: Gate, name: str) -> int:
+    asked = Asked(f'/v1/Instances.Deregister/{name}', b'')
+    TargetCheckIns(gate, 'prices').take(asked)
+    return asked.status
+
+
+def test_a_check_in_opens_the_gate_with_the_targets_slots(gate):
+    assert gate.is_unknown()
+    assert beat(gate) == 200
+    assert gate.state.slots == 6
+    assert gate.state.target_state == TargetState.READY
+
+
+def test_a_drain_is_acknowledged_with_the_gate_closed(gate):
+    beat(gate)
+    assert beat(gate, state='draining', seq=5) == 200
+    assert gate.state.target_state == TargetState.DRAINING
+
+
+def test_a_farewell_without_a_drain_closes_the_gate(gate):
+    beat(gate)
+    assert leave(gate, 'i-1') == 200
+    assert gate.state.target_state == TargetState.DRAINING
+
+
+def test_a_new_incarnation_opens_the_gate_again(gate):
+    beat(gate)
+    leave(gate, 'i-1')
+    assert beat(gate, 'i-2', seq=1) == 200
+    assert gate.state.target_state == TargetState.READY
+
+
+def test_a_late_check_in_of_the_old_one_changes_nothing(gate):
+    beat(gate)
+    beat(gate, 'i-2', seq=1)
+    assert beat(gate, 'i-1', seq=5, state='draining') == 200
+    assert gate.state.target_state == TargetState.READY
+    assert gate.registration.incarnation == 'i-2'
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'service': 'another'},
+        {'slots': 0},
+        {'slots': 'many'},
+        {'state': 'tired'},
+        {'cold_left': 'soon'},
+        {'seq': -1},
+        {'seq': None},
+    ],
+)
+def test_a_wrong_check_in_is_refused_and_changes_nothing(gate, changes):
+    assert beat(gate, **changes) == 400
+    assert gate.is_unknown()
+
+
+@pytest.mark.parametrize('body', [b'', b'[]', b'{', b'\xff', b'null'])
+def test_an_unreadable_check_in_is_refused(gate, body):
+    asked = Asked('/v1/Instances.Heartbeat/i-1', body)
+    TargetCheckIns(gate, 'prices').take(asked)
+    assert asked.status == 400
+
+
+def test_another_path_is_no_check_in(gate):
+    asked = Asked('/v1/Something/else', b'{}')
+    TargetCheckIns(gate, 'prices').take(asked)
+    assert asked.status == 404
--- /dev/null
+++ b/tests/replication/growth_explorer.py
@@ -0,0 +1,176 @@
+"""A seeded explorer of a cluster that grows, repairs and replaces itself.
+
+Three instances found the cluster, others join, and whatever a network and
+disks can do happens meanwhile: messages are lost, doubled and reordered,
+processes crash with torn writes, disks are lost (never more than a majority
+of any voter set that stands in a log can bear), links are cut.
+"""
+
+import dataclasses
+import random
+
+from cyclamenlift.replication.inputs import tick
+from cyclamenlift.replication.state import ReplicaState
+from tests.replication.builders import Cluster
+from tests.replication.builders import LIMITS
+from tests.replication.builders import Node
+
+FOUNDERS = ('a', 'b', 'c')
+JOINERS = ('d', 'e', 'f')
+ALL = FOUNDERS + JOINERS
+GROWING = dataclasses.replace(LIMITS, wanted_voters=5)
+STEP_SECONDS = 0.05
+
+
+class GrowingNode(Node):
+    """An instance that is told of the founders alone."""
+
+    def boot(self) -> None:
+        super().boot()
+        found = self.disk.found
+        founders = tuple(n for n in FOUNDERS if n != self.name)
+        # ``self.names`` tells whether the whole system starts for the first
+        # time: a disk that came back empty must not found a second one.
+        self.state = ReplicaState(
+            self.name,
+            founders,
+            bool(self.names),
+            GROWING,
+            found,
+            random.Random(self.name),
+            self.now,
+            founder=self.name in FOUNDERS,
+        )
+
+
+class GrowingCluster(Cluster):
+    """Takes random steps; raises Violation when a promise breaks."""
+
+    def __init__(self, seed: int):
+        super().__init__(ALL)
+        self.rng = random.Random(seed)
+        self.nodes = {n: GrowingNode(n, ALL, 1) for n in ALL}
+        self.down: set[str] = set()
+        self.cut: set[tuple[str, str]] = set()
+        self.lost: set[str] = set()
+        self.wipes = 0
+        for node in self.nodes.values():
+            self.tell_of_all(node)
+
+    def tell_of_all(self, node: GrowingNode) -> None:
+        for name in ALL:
+            node.state.note_peer(name, f'{name}:1')
+
+    def run(self, steps: int) -> None:
+        for _ in range(steps):
+            self.step()
+
+    def step(self) -> None:
+        self.now += STEP_SECONDS
+        for name in ALL:
+            if name not in self.down:
+                tick(self.nodes[name].state, self.now)
+                self.pump(name)
+        self.move_messages()
+        self.sync_some()
+        self.trouble()
+
+    def move_messages(self) -> None:
+        for _ in range(len(self.messages)):
+            if not self.messages:
+                return
+            position = self.rng.randrange(len(self.messages))
+            sender, to, _ = self.messages[position]
+            reached = to not in self.down and (sender, to) not in self.cut
+            if not reached or self.rng.random() < 0.05:
+                del self.messages[position]
+            else:
+                self.deliver(position, self.rng.random() < 0.05)
+
+    def sync_some(self) -> None:
+        for name in ALL:
+            if name not in self.down and self.rng.random() < 0.9:
+                self.sync(name)
+
+    def trouble(self) -> None:
+        chance = self.rng.random()
+        name = self.rng.choice(ALL)
+        if chance < 0.15:
+            for leader in ALL:
+                self.propose(leader)
+        elif chance < 0.17:
+            self.stop(name)
+        elif chance < 0.25 and self.down:
+            self.start(self.rng.choice(sorted(self.down)))
+        elif chance < 0.255:
+            self.wipe_if_borne(name)
+        elif chance < 0.27:
+            other = self.rng.choice(ALL)
+            self.cut ^= {(name, other)}
+        elif chance < 0.30:
+            self.cut.clear()
+
+    def stop(self, name: str) -> None:
+        if len(self.down) < 3:
+            self.down.add(name)
+
+    def start(self, name: str) -> None:
+        self.down.discard(name)
+        node = self.nodes[name]
+        self.crash(name, self.rng.randrange(len(node.unsynced) + 1))
+        self.tell_of_all(node)
+
+    def wipe_if_borne(self, name: str) -> None:
+        storage_id = self.nodes[name].state.storage_id
+        if not self.is_borne(self.lost | {storage_id}):
+            return
+        self.lost.add(storage_id)
+        self.wipes += 1
+        self.number += 1
+        node = GrowingNode(name, (), self.number)
+        node.now = self.now
+        node.boot()
+        self.nodes[name] = node
+        self.down.add(name)
+
+    def is_borne(self, lost: set[str]) -> bool:
+        """Tell whether each voter set in a log keeps its majority."""
+        found = False
+        for node in self.nodes.values():
+            for voters in node.state.voters.history:
+                found = True
+                storages = set(voters.storage_ids.values())
+                if len(storages & lost) * 2 >= len(storages):
+                    return False
+        return found
+
+    def deliver(self, position: int, keep: bool = False) -> None:
+        if self.messages[position][1] in self.down:
+            del self.messages[position]
+            return
+        super().deliver(position, keep)
+
+    # -- queries ----------------------------------------------------------
+
+    def voters(self) -> dict[str, str]:
+        """Return the voter set of the leader of the newest term."""
+        leaders = [n for n in ALL if n not in self.down and self.leads(n)]
+        if not leaders:
+            return {}
+        newest = max(leaders, key=lambda n: self.nodes[n].state.term)
+        latest = self.nodes[newest].state.voters.latest
+        return latest.storage_ids if latest else {}
+
+    def calm(self, steps: int = 400) -> None:
+        """Heal everything and let the cluster repair itself."""
+        self.cut.clear()
+        for name in sorted(self.down):
+            self.start(name)
+        for _ in range(steps):
+            self.now += STEP_SECONDS
+            for name in ALL:
+                tick(self.nodes[name].state, self.now)
+                self.pump(name)
+                self.sync(name)
+            while self.messages:
+                self.deliver(0)
--- /dev/null
+++ b/tests/replication/test_growth.py
@@ -0,0 +1,123 @@
+"""Voters that the leader adds, repairs and takes out by itself."""
+
+import pytest
+
+from cyclamenlift.replication.inputs import tick
+from cyclamenlift.replication.receivers import InvariantError
+from cyclamenlift.replication.voters import Configuration
+from tests.replication.builders import Violation
+from tests.replication.growth_explorer import ALL
+from tests.replication.growth_explorer import GrowingCluster
+from tests.replication.growth_explorer import JOINERS
+
+SEEDS = range(25)
+STEPS = 500
+
+
+def founded() -> GrowingCluster:
+    cluster = GrowingCluster(0)
+    cluster.calm()
+    return cluster
+
+
+def test_founders_found_alone_and_take_the_others_in():
+    cluster = founded()
+    assert set(cluster.voters()) == set(ALL)
+
+
+def test_nobody_founds_without_all_founders():
+    cluster = GrowingCluster(0)
+    cluster.down = {'c'}
+    for _ in range(60):
+        cluster.now += 0.05
+        for name in ALL:
+            if name not in cluster.down:
+                growth_tick(cluster, name)
+        while cluster.messages:
+            cluster.deliver(0)
+    assert not cluster.voters()
+
+
+def growth_tick(cluster: GrowingCluster, name: str) -> None:
+    tick(cluster.nodes[name].state, cluster.now)
+    cluster.pump(name)
+    cluster.sync(name)
+
+
+def test_a_joiner_alone_never_votes_or_stands():
+    for name in JOINERS:
+        node = GrowingCluster(0).nodes[name]
+        assert not node.state.may_vote
+
+
+def test_a_lost_disk_is_replaced_without_an_operator():
+    cluster = founded()
+    before = cluster.voters()
+    name = next(n for n in before if not cluster.leads(n))
+    cluster.wipe_if_borne(name)
+    cluster.calm()
+    after = cluster.voters()
+    assert after[name] != before[name]
+    assert set(after) == set(before)
+
+
+def test_a_silent_voter_makes_room_down_to_the_wanted_number():
+    cluster = founded()
+    gone = next(n for n in ALL if not cluster.leads(n))
+    cluster.down.add(gone)
+    for _ in range(60):
+        cluster.now += 0.05
+        for name in ALL:
+            if name not in cluster.down:
+                growth_tick(cluster, name)
+        while cluster.messages:
+            cluster.deliver(0)
+    assert len(cluster.voters()) == 5
+    assert gone not in cluster.voters()
+
+
+def test_an_instance_that_came_back_counts_again():
+    cluster = founded()
+    gone = next(n for n in ALL if not cluster.leads(n))
+    cluster.down.add(gone)
+    for _ in range(60):
+        cluster.step()
+        cluster.cut.clear()
+    cluster.calm()
+    assert gone in cluster.voters()
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_promises_hold_while_the_cluster_changes(seed):
+    cluster = GrowingCluster(seed)
+    cluster.calm(60)
+    cluster.run(STEPS)
+    cluster.calm()
+    assert len(cluster.voters()) >= 5
+    before = len(cluster.committed)
+    leader = next(n for n in ALL if cluster.leads(n))
+    cluster.propose(leader)
+    cluster.calm(20)
+    assert len(cluster.committed) > before
+
+
+def minority(self, present) -> bool:
+    held = sum(present.get(n) == s for n, s in self.storage_ids.items())
+    return held >= len(self.storage_ids) // 2
+
+
+FAULTS = {
+    'half_is_a_majority': [(Configuration, 'has_majority', minority)],
+}
+
+
+@pytest.mark.parametrize('fault', FAULTS)
+def test_the_explorer_notices_a_planted_fault(fault, monkeypatch):
+    for owner, name, broken in FAULTS[fault]:
+        monkeypatch.setattr(owner, name, broken)
+    with pytest.raises((Violation, InvariantError)):
+        for seed in range(60):
+            cluster = GrowingCluster(seed)
+            cluster.calm(60)
+            cluster.run(STEPS)
+            cluster.calm()
