Let a gate work on while callers learn of a stop; count calls sent before

A daemon that came back filled all slots of a target that still ran the calls of the daemon before it. Ruled out: a shorter farewell (callers come until two readiness checks failed, and are reset then). Change: the gate drains 1 s before the entry stops taking connections; calls at the target that nobody here sent hold slots.

--- a/cyclamenlift/gate/state.py
+++ b/cyclamenlift/gate/state.py
@@ -91,6 +91,7 @@
         self.errors = ErrorShare()
         self.target_load: TargetLoad | None = None
         self.target_load_at = 0.0
+        self.foreign = 0
 
     # -- commands ---------------------------------------------------------
 
@@ -196,6 +197,8 @@
         """Take over what the target itself told of its load."""
         self.target_load = load
         self.target_load_at = now
+        others = load.running + load.waiting - len(self.running)
+        self.foreign = max(0, others)
 
     def pace_percent(self, now: float) -> int:
         """Return how long work takes now, 100 as usual, 0 unknown."""
@@ -217,8 +220,14 @@
 
     @property
     def room(self) -> int:
-        """How many calls run at once: the slots, unless a crowd costs."""
-        return self.crowding.limit(self.slots)
+        """How many calls run at once: the slots, unless a crowd costs.
+
+        Calls that the target has beside those that are known here hold
+        slots too: a daemon before this one may have sent them, or they
+        were cancelled and run on.
+        """
+        room = self.crowding.limit(self.slots)
+        return max(1, room - self.foreign)
 
     def refuse_until(self, code: ResultCode, wait: float) -> Admission:
         return Admission(Verdict.REFUSED, code, max(MIN_RETRY_AFTER, wait))
--- a/cyclamenlift/runtime/daemon.py
+++ b/cyclamenlift/runtime/daemon.py
@@ -324,18 +324,15 @@
         now = self.scheduler.clock.now()
         self.stop_deadline = now + self.settings.drain_seconds
         LOG.info('stop_began', open_calls=len(self.calls.open_calls))
-        self.drain()
         self.entry.begin_closing()
-        farewell = self.settings.farewell_seconds
-        if farewell:
-            self.scheduler.after(farewell, self.stop_entry)
-        else:
-            self.stop_entry()
-
-    def stop_entry(self) -> None:
-        """Take no new connections: callers have had time to learn."""
-        self.entry.begin_drain()
-        self.scheduler.after(FAREWELL_SECONDS, self.check_idle)
+        farewell = max(FAREWELL_SECONDS, self.settings.farewell_seconds)
+        # The gate works on while callers learn of the stop: its target is
+        # out of use only from its drain until the next daemon has begun.
+        self.scheduler.after(farewell - FAREWELL_SECONDS, self.drain)
+        self.scheduler.after(
+            self.settings.farewell_seconds, self.entry.begin_drain
+        )
+        self.scheduler.after(farewell, self.check_idle)
 
     def check_idle(self) -> None:
         now = self.scheduler.clock.now()
--- a/tests/gate/test_admission.py
+++ b/tests/gate/test_admission.py
@@ -135,3 +135,12 @@
         state.note_work('look-up', WORK, 2, 0.0)
         state.note_work('look-up', WORK * 1.1, SLOTS - 1, 0.0)
     assert state.room == SLOTS
+
+
+def test_calls_that_an_earlier_daemon_sent_hold_their_slots():
+    """Regression: after a restart a busy target got all its slots again."""
+    state = gate()
+    state.note_target_load(TargetLoad(4, 1, SLOTS, 100), 0.0)
+    assert fill(state, SLOTS).count(Verdict.START) == 1
+    state.note_target_load(TargetLoad(1, 0, SLOTS, 100), 0.1)
+    assert state.room == SLOTS
