End a cancelled try before its gate confirms

Ruled out: gates on other instances; their word comes later. Change: a try is forgotten before it is cancelled. Test: tests/runtime/test_path.py, which fails without the change.

--- a/cyclamenlift/calls/tries.py
+++ b/cyclamenlift/calls/tries.py
@@ -108,9 +108,12 @@
         for attempt in list(self.open.values()):
             if attempt is except_for:
                 continue
-            attempt.link.send(Cancel(attempt.number))
+            # Forgotten first: a gate in this process confirms at once, and
+            # its word must not start a try of a call that is over.
+            self.forget(attempt)
             self.call.state.open_tries -= 1
-            self.drop(attempt, outcome)
+            attempt.link.send(Cancel(attempt.number))
+            self.tell_routing(attempt, outcome)
 
     def close(self) -> None:
         """Stop hedging and let go of the call, which has its answer."""
--- a/tests/runtime/test_path.py
+++ b/tests/runtime/test_path.py
@@ -5,6 +5,7 @@
 import threading
 
 import pytest
+import structlog
 
 from cyclamenlift.calls.life import Call
 from cyclamenlift.calls.tries import Tries
@@ -13,8 +14,11 @@
 from cyclamenlift.gate.running import GateCall
 from cyclamenlift.http.exchange import Exchange
 from cyclamenlift.http.target_call import TargetCall
+from cyclamenlift.runtime.local import local_pair
+from cyclamenlift.wire.gen.protocol.ttypes import BodyChunk
 from cyclamenlift.wire.gen.protocol.ttypes import ClaimEnding
 from cyclamenlift.wire.gen.protocol.ttypes import ClaimVerdict
+from cyclamenlift.wire.gen.protocol.ttypes import Credit
 from cyclamenlift.wire.gen.protocol.ttypes import Header
 from cyclamenlift.wire.gen.protocol.ttypes import RecordedAnswer
 from tests.runtime.builders import answer
@@ -364,3 +368,36 @@
     caller.close()
     path.run_until(lambda: path.claims.ends)
     assert path.claims.ends[0].answer.body == b'booked'
+
+
+def join_locally(path: PathBed) -> None:
+    """Let the entry reach its first gate without a socket."""
+    entry_end, gate_end = local_pair(path.network.numbers)
+    gate = path.gates[0]
+    path.calls.subscribe(entry_end)
+    entry_end.subscribe(BodyChunk, path.calls.on_body_chunk)
+    entry_end.subscribe(Credit, path.calls.on_credit)
+    gate.subscribe(gate_end)
+    gate_end.subscribe(BodyChunk, gate.on_body_chunk)
+    gate_end.subscribe(Credit, gate.on_credit)
+    path.calls.link_to = lambda _choice: entry_end
+
+
+def test_caller_that_leaves_ends_its_call_at_the_local_gate_for_good(bed):
+    """Regression: the gate's word came at once and began another try.
+
+    The exception that followed closed the link with all calls on it.
+    """
+    target = ScriptedTarget(late(3.0, answer()))
+    path = bed(target)
+    join_locally(path)
+    caller = path.send()
+    path.run_until(lambda: target.requests)
+    with structlog.testing.capture_logs() as logs:
+        caller.close()
+        path.run_until(lambda: not path.calls.open_calls)
+        path.run_until(lambda: path.gates[0].is_idle())
+    assert not [line for line in logs if line['log_level'] == 'error']
+    assert not path.calls.tries
+    assert path.gates[0].is_idle()
+    assert len(target.requests) == 1
