--- a/cyclamenlift/__init__.py
+++ b/cyclamenlift/__init__.py
@@ -5,6 +5,6 @@
 and state), ``commands`` and ``queries`` (kept apart) and ``codes``.
 """
 
-__version__ = '0.1.0'
+__version__ = '0.2.0'
 
 __all__ = ['__version__']
--- a/cyclamenlift/wire/tasks.py
+++ b/cyclamenlift/wire/tasks.py
@@ -20,7 +20,7 @@
 from cyclamenlift.wire.codec import FrameReader
 from cyclamenlift.wire.gen.protocol.ttypes import Hello
 
-WIRE_VERSION = 1
+WIRE_VERSION = 2
 HELLO_SECONDS = 3.0
 CONNECT_SECONDS = 1.0
 MAX_PENDING = 64 * 1024 * 1024
@@ -212,6 +212,7 @@
             code=int(code),
             detail=detail[:200],
             remote=str(link.stream.remote),
+            peer=link.hello.instance if link.hello else '',
         )
         self.drop(link, None)
 
