Notice a settings file that changes during the start; split the gate

Cause: tests/platform/test_programs.py hung once on a busy machine: SIGHUP and the changed file came between the reading of the settings and the watch, which began with the stamp of the changed file, so the change was never seen. Ruled out: the signal handler (it is installed later on purpose, and the file is looked at each 2 s anyway).

--- a/cyclamenlift/events/commands.py
+++ b/cyclamenlift/events/commands.py
@@ -107,7 +107,13 @@
             detail=result.failure().detail,
             leader=context.leader_hint(),
         )
-    outcome = PublishOutcome.from_json(result.unwrap())
+    return outcome_report(context, PublishOutcome.from_json(result.unwrap()))
+
+
+def outcome_report(
+    context: ControlContext, outcome: PublishOutcome
+) -> PublishReport:
+    """Return the report of what the log answered."""
     return PublishReport(
         ResultCode(outcome.code),
         context.instance,
--- a/cyclamenlift/events/partial.py
+++ b/cyclamenlift/events/partial.py
@@ -15,6 +15,7 @@
 from cyclamenlift.events.commands import Change
 from cyclamenlift.events.commands import invalid_report
 from cyclamenlift.events.commands import not_leader_report
+from cyclamenlift.events.commands import outcome_report
 from cyclamenlift.events.commands import publish_document
 from cyclamenlift.events.context import ControlContext
 from cyclamenlift.events.queries import confirm
@@ -65,17 +66,6 @@
     publish_document(context, edited.unwrap(), change, done)
 
 
-def outcome_report(context: ControlContext, outcome) -> PublishReport:
-    """Return the answer that a change got before."""
-    return PublishReport(
-        ResultCode(outcome.code),
-        context.instance,
-        outcome.version,
-        outcome.current_version,
-        outcome.detail,
-    )
-
-
 def conflict_report(context: ControlContext, change: Change) -> PublishReport:
     current = context.store.version
     return PublishReport(
--- /dev/null
+++ b/cyclamenlift/gate/explaining.py
@@ -0,0 +1,65 @@
+"""The lines that tell why a call did not run at a gate, or may have run."""
+
+from typing import TYPE_CHECKING
+
+import structlog
+
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.wire.gen.protocol.ttypes import TargetState
+
+if TYPE_CHECKING:
+    from cyclamenlift.gate.running import GateCall
+    from cyclamenlift.gate.tasks import Gate
+
+LOG = structlog.get_logger('gate')
+MILLISECONDS = 1000
+
+
+def explain_refusal(
+    gate: 'Gate', call: 'GateCall', code: ResultCode, detail: str, wait: float
+) -> None:
+    """Write what decided that a call did not run here.
+
+    Calls without a route are left out: their entry tells of them.
+    """
+    if call.start.route_name:
+        wait_ms = int(wait * MILLISECONDS)
+        write_line('gate_refused', gate, call, code, detail, wait_ms=wait_ms)
+
+
+def explain_unknown(
+    gate: 'Gate', call: 'GateCall', code: ResultCode, detail: str
+) -> None:
+    """Write that nobody knows whether a call ran."""
+    ran_ms = int((gate.now() - call.started_at) * MILLISECONDS)
+    write_line('gate_unknown', gate, call, code, detail, ran_ms=ran_ms)
+
+
+def write_line(
+    event: str,
+    gate: 'Gate',
+    call: 'GateCall',
+    code: ResultCode,
+    detail: str,
+    **fields: int,
+) -> None:
+    """Write one decision with what it rests on and how old that is."""
+    state = gate.state
+    now = gate.now()
+    LOG.info(
+        event,
+        call_id=call.start.trace_id,
+        code=int(code),
+        detail=detail,
+        route=call.start.route_name,
+        rank=call.start.rank,
+        nested=call.start.nested,
+        running=len(state.running),
+        queued=len(state.queue),
+        room=state.room,
+        pace_percent=state.pace_percent(now),
+        pace_age_ms=int((now - state.target_load_at) * MILLISECONDS),
+        state=TargetState(state.target_state).name,
+        incarnation=gate.registration.incarnation,
+        **fields,
+    )
--- /dev/null
+++ b/cyclamenlift/gate/news.py
@@ -0,0 +1,70 @@
+"""Tells entries that called a gate lately that its target's pace changed."""
+
+from collections.abc import Callable
+import dataclasses
+
+from cyclamenlift.routing.finish import PACE_FRESH
+from cyclamenlift.wire.gen.protocol.ttypes import LoadFigures
+from cyclamenlift.wire.gen.protocol.ttypes import LoadNews
+
+# Entries that called within this time, in seconds, are told of a change of
+# pace. A little longer than they trust an old figure, so that no change is
+# missed while one is trusted.
+NEWS_SECONDS = PACE_FRESH + 0.5
+# A pace is told when it has changed by more than this factor.
+PACE_STEP = 1.3
+
+
+@dataclasses.dataclass(slots=True)
+class GateUser:
+    """An entry's link and when it last sent a call."""
+
+    link: object
+    called_at: float
+
+
+class GateNews:
+    """The entries that want news, and what they were told last.
+
+    ``hooks`` run with the figures beside, for the entry in this process.
+    """
+
+    def __init__(self) -> None:
+        self.users: dict[int, GateUser] = {}
+        self.told_pace = 0
+        self.hooks: list[Callable[[LoadFigures], None]] = []
+
+    def note_call(self, link, now: float) -> None:
+        """Note that an entry sent a call over ``link``."""
+        self.users[link.number] = GateUser(link, now)
+
+    def forget(self, link) -> None:
+        self.users.pop(link.number, None)
+
+    def is_due(self, pace_percent: int) -> bool:
+        """Tell whether a pace differs from the one that was told."""
+        if not pace_percent:
+            return False
+        return not is_same_pace(pace_percent, self.told_pace)
+
+    def tell(self, figures: LoadFigures, now: float) -> None:
+        """Send the figures to those who called lately."""
+        self.told_pace = figures.pace_percent
+        news = LoadNews(figures)
+        for number, user in list(self.users.items()):
+            if now - user.called_at > NEWS_SECONDS:
+                del self.users[number]
+            else:
+                user.link.send(news)
+        for hook in self.hooks:
+            hook(figures)
+
+
+def is_same_pace(pace: int, told: int) -> bool:
+    """Tell whether a pace differs too little to be told.
+
+    >>> is_same_pace(100, 110), is_same_pace(700, 100)
+    (True, False)
+    """
+    low, high = sorted((pace, told))
+    return high <= PACE_STEP * low
--- a/cyclamenlift/gate/running.py
+++ b/cyclamenlift/gate/running.py
@@ -8,6 +8,8 @@
 import typing
 
 from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.gate.explaining import explain_refusal
+from cyclamenlift.gate.explaining import explain_unknown
 from cyclamenlift.gate.verdicts import AnswerVerdict
 from cyclamenlift.gate.verdicts import judge_answer
 from cyclamenlift.http.headers import end_to_end
@@ -227,7 +229,7 @@
     ) -> None:
         """Say that the call did not run: nothing reached the target."""
         self.gate.refused += 1
-        self.gate.log_refusal(self, code, detail, wait)
+        explain_refusal(self.gate, self, code, detail, wait)
         message = Refused(
             call_id=self.start.call_id,
             code=int(code),
@@ -239,7 +241,7 @@
 
     def tell_broken(self, code: ResultCode, detail: str = '') -> None:
         """Say that the call may have run."""
-        self.gate.log_unknown(self, code, detail)
+        explain_unknown(self.gate, self, code, detail)
         message = Broken(
             call_id=self.start.call_id,
             code=int(code),
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Callable
 from collections.abc import Hashable
-import dataclasses
 
 import structlog
 
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.gate.admission import Asking
+from cyclamenlift.gate.news import GateNews
 from cyclamenlift.gate.probes import ProbeBudget
 from cyclamenlift.gate.registration import Announced
 from cyclamenlift.gate.registration import Announcement
@@ -23,14 +23,12 @@
 from cyclamenlift.http.headers import find_header
 from cyclamenlift.models.rules import EventRules
 from cyclamenlift.models.rules import ServiceRule
-from cyclamenlift.routing.finish import PACE_FRESH
 from cyclamenlift.wire.gen.protocol.ttypes import BodyChunk
 from cyclamenlift.wire.gen.protocol.ttypes import CallStart
 from cyclamenlift.wire.gen.protocol.ttypes import Cancel
 from cyclamenlift.wire.gen.protocol.ttypes import Cancelled
 from cyclamenlift.wire.gen.protocol.ttypes import Credit
 from cyclamenlift.wire.gen.protocol.ttypes import LoadFigures
-from cyclamenlift.wire.gen.protocol.ttypes import LoadNews
 from cyclamenlift.wire.gen.protocol.ttypes import Probe
 from cyclamenlift.wire.gen.protocol.ttypes import ProbeAnswer
 from cyclamenlift.wire.gen.protocol.ttypes import Refused
@@ -48,20 +46,6 @@
 BAD_SHARE = 0.5
 # Stands between the name of a call and that of a call made for it.
 PART_OF_NAME = '.'
-# Entries that called within this time, in seconds, are told of a change of
-# pace. A little longer than they trust an old figure, so that no change is
-# missed while one is trusted.
-NEWS_SECONDS = PACE_FRESH + 0.5
-# A pace is told when it has changed by more than this factor.
-PACE_STEP = 1.3
-
-
-@dataclasses.dataclass(slots=True)
-class GateUser:
-    """An entry's link and when it last sent a call."""
-
-    link: object
-    called_at: float
 
 
 class Gate:
@@ -84,9 +68,7 @@
         self.checks_ids = dialect.call_id_repeated
         self.state = GateState(slots)
         self.registration = Registration()
-        self.users: dict[int, GateUser] = {}
-        self.told_pace = 0
-        self.news_hooks: list[Callable[[LoadFigures], None]] = []
+        self.news = GateNews()
         self.budget = ProbeBudget()
         self.calls: dict[Hashable, GateCall] = {}
         self.by_name: dict[str, GateCall] = {}
@@ -211,21 +193,10 @@
                 self.tell_news(now)
 
     def tell_news(self, now: float) -> None:
-        """Tell entries that used this gate lately that its pace changed."""
-        pace = self.state.pace_percent(now)
-        if not pace or is_same_pace(pace, self.told_pace):
-            return
-        self.told_pace = pace
-        LOG.debug('pace_changed', pace_percent=pace)
-        news = LoadNews(self.figures())
-        for number, user in list(self.users.items()):
-            if now - user.called_at > NEWS_SECONDS:
-                del self.users[number]
-            else:
-                user.link.send(news)
-        for hook in self.news_hooks:
-            hook(news.load)
-        self.send_hopeless_back(now)
+        """Tell entries of a change of pace; send back what it makes late."""
+        if self.news.is_due(self.state.pace_percent(now)):
+            self.news.tell(self.figures(), now)
+            self.send_hopeless_back(now)
 
     def is_too_slow(self, start: CallStart, now: float) -> bool:
         """Tell whether an entry would rather have its call back."""
@@ -295,7 +266,7 @@
         if self.dialect.incarnation_asked and self.is_unknown():
             call.tell_refused(ResultCode.NO_TARGET, 'no target known yet')
             return
-        self.users[link.number] = GateUser(link, now)
+        self.news.note_call(link, now)
         if self.is_too_slow(start, now):
             call.tell_refused(ResultCode.TARGET_SLOW)
             return
@@ -376,7 +347,7 @@
         A call that may not be repeated and has begun runs on: cutting it
         would leave a booking half done for nobody's gain.
         """
-        self.users.pop(link.number, None)
+        self.news.forget(link)
         for key, call in list(self.calls.items()):
             if key[0] != link.number:
                 continue
@@ -424,52 +395,6 @@
             if call is not None:
                 call.begin(self.now())
 
-    def log_refusal(
-        self, call: GateCall, code: ResultCode, detail: str, wait: float
-    ) -> None:
-        """Write what decided that a call did not run here."""
-        if call.start.route_name:
-            self.log_decision(
-                'gate_refused', call, code, detail, wait_ms=int(wait * 1000)
-            )
-
-    def log_unknown(
-        self, call: GateCall, code: ResultCode, detail: str
-    ) -> None:
-        """Write that nobody knows whether a call ran."""
-        seconds = self.now() - call.started_at
-        self.log_decision(
-            'gate_unknown', call, code, detail, ran_ms=int(seconds * 1000)
-        )
-
-    def log_decision(
-        self,
-        event: str,
-        call: GateCall,
-        code: ResultCode,
-        detail: str,
-        **fields: int,
-    ) -> None:
-        state = self.state
-        now = self.now()
-        LOG.info(
-            event,
-            call_id=call.start.trace_id,
-            code=int(code),
-            detail=detail,
-            route=call.start.route_name,
-            rank=call.start.rank,
-            nested=call.start.nested,
-            running=len(state.running),
-            queued=len(state.queue),
-            room=state.room,
-            pace_percent=state.pace_percent(now),
-            pace_age_ms=int((now - state.target_load_at) * 1000),
-            state=TargetState(state.target_state).name,
-            incarnation=self.registration.incarnation,
-            **fields,
-        )
-
     def check_idle(self) -> None:
         if self.state.is_idle():
             for hook in self.idle_hooks:
@@ -480,16 +405,6 @@
             hook(self.state.target_state)
 
 
-def is_same_pace(pace: int, told: int) -> bool:
-    """Tell whether a pace differs too little to be told.
-
-    >>> is_same_pace(100, 110), is_same_pace(700, 100)
-    (True, False)
-    """
-    low, high = sorted((pace, told))
-    return high <= PACE_STEP * low
-
-
 def refuse_call(link, start: CallStart, code: ResultCode) -> None:
     """Refuse a call where there is no gate at all."""
     link.send(Refused(start.call_id, int(code), 'no target here', 0, None))
--- a/cyclamenlift/platform/programs.py
+++ b/cyclamenlift/platform/programs.py
@@ -1,6 +1,7 @@
 """The two programs on the platform: the product's, with the adapter on."""
 
 import random
+from typing import NamedTuple
 
 from returns.result import Failure
 import structlog
@@ -15,6 +16,7 @@
 from cyclamenlift.http.server import HttpServer
 from cyclamenlift.platform.dialect import PLATFORM_DIALECT
 from cyclamenlift.platform.settings import Fields
+from cyclamenlift.platform.settings import file_stamp
 from cyclamenlift.platform.settings import read_fields
 from cyclamenlift.platform.settings import read_settings
 from cyclamenlift.platform.watching import SettingsWatch
@@ -25,6 +27,14 @@
 LOG = structlog.get_logger('platform')
 
 
+class Prepared(NamedTuple):
+    """The settings file as it was read, its stamp before, and its meaning."""
+
+    fields: Fields
+    stamp: tuple[int, int]
+    settings: object
+
+
 def listen(root, address: str, take, channel: str) -> HttpServer:
     """Serve small requests of the platform on one address."""
     server = HttpServer(root.poller, HttpLimits(), take, channel)
@@ -42,14 +52,14 @@
     prepared = prepare(DaemonSettings)
     if prepared is None:
         return EXIT_SETTINGS
-    fields, settings = prepared
+    fields, stamp, settings = prepared
     node = DaemonNode(settings, random.Random(), PLATFORM_DIALECT)
     ready = Readiness(node.is_ready)
     listen(node.loop, fields['listen.ready'], ready.take, 'ready')
     check_ins = TargetCheckIns(node.gate, settings.service)
     listen(node.loop, fields['listen.control'], check_ins.take, 'targets')
     node.start_parts()
-    watch_settings(node, fields)
+    watch_settings(node, fields, stamp)
     keep_start_up_objects()
     node.loop.run()
     return 0
@@ -64,7 +74,7 @@
     prepared = prepare(ControlSettings)
     if prepared is None:
         return EXIT_SETTINGS
-    fields, settings = prepared
+    fields, stamp, settings = prepared
     peers, problems = read_list(settings.peers)
     if problems:
         return complain(problems)
@@ -76,21 +86,25 @@
     address = Address.parse(fields['listen.control'])
     calls = OperatorCalls(node.context, address.port)
     listen(node.loop, str(address), calls.take, 'operators')
-    watch_settings(node, fields)
+    watch_settings(node, fields, stamp)
     keep_start_up_objects()
     node.loop.run()
     return 0
 
 
-def watch_settings(node, fields: Fields) -> None:
+def watch_settings(node, fields: Fields, stamp: tuple[int, int]) -> None:
     """Let a changed settings file take effect on a running process."""
     SettingsWatch(
-        node.loop, fields, lambda new: take_seeds(node.membership, new)
+        node.loop,
+        fields,
+        stamp,
+        lambda new: take_seeds(node.membership, new),
     )
 
 
-def prepare(kind: type) -> tuple[Fields, object] | None:
+def prepare(kind: type) -> Prepared | None:
     """Read the settings and set up logs; None after telling what is wrong."""
+    stamp = file_stamp()
     found = read_fields()
     if isinstance(found, Failure):
         complain([found.failure()])
@@ -102,7 +116,7 @@
         return None
     checked = settings.unwrap()
     configure_logs(checked.log_format, checked.log_level, checked.instance)
-    return fields, checked
+    return Prepared(fields, stamp, checked)
 
 
 def complain(problems: list[Problem]) -> int:
--- a/cyclamenlift/platform/settings.py
+++ b/cyclamenlift/platform/settings.py
@@ -44,6 +44,15 @@
     return Success(parse_fields(text))
 
 
+def file_stamp() -> tuple[int, int]:
+    """Return what changes with the file; zeros while it is not there."""
+    try:
+        status = os.stat(os.environ.get(PATH_VARIABLE, ''))
+    except OSError:
+        return 0, 0
+    return status.st_mtime_ns, status.st_size
+
+
 def parse_fields(text: str) -> Fields:
     """Read lines of ``name=value``; others are left out.
 
--- a/cyclamenlift/platform/watching.py
+++ b/cyclamenlift/platform/watching.py
@@ -1,7 +1,6 @@
 """Notices that the settings file has changed, with or without a signal."""
 
 from collections.abc import Callable
-import os
 import signal
 
 from circuits.core.components import BaseComponent
@@ -12,8 +11,8 @@
 from cyclamenlift.core.streams import Address
 from cyclamenlift.membership.tasks import Membership
 from cyclamenlift.platform.settings import Fields
+from cyclamenlift.platform.settings import file_stamp
 from cyclamenlift.platform.settings import gossip_seeds
-from cyclamenlift.platform.settings import PATH_VARIABLE
 from cyclamenlift.platform.settings import read_fields
 
 # The file may change without a signal; a look costs one system call.
@@ -26,14 +25,22 @@
 
     channel = 'settings'
 
-    def __init__(self, root, fields: Fields, apply: Callable[[Fields], None]):
+    def __init__(
+        self,
+        root,
+        fields: Fields,
+        stamp: tuple[int, int],
+        apply: Callable[[Fields], None],
+    ):
         super().__init__(channel='settings')
         self.loop = root
         self.fields = fields
         self.apply = apply
-        self.stamp = file_stamp()
+        # Of before the file was read: a change since then is noticed.
+        self.stamp = stamp
         self.register(root)
         signal.signal(signal.SIGHUP, root._signal_handler)
+        root.scheduler.after(0.0, self.look)
         root.scheduler.every(LOOK_SECONDS, self.look)
 
     @handler('signal', channel='*')
@@ -67,15 +74,6 @@
             self.apply(fields)
 
 
-def file_stamp() -> tuple[int, int]:
-    """Return what changes with the file; zeros while it is not there."""
-    try:
-        status = os.stat(os.environ.get(PATH_VARIABLE, ''))
-    except OSError:
-        return 0, 0
-    return status.st_mtime_ns, status.st_size
-
-
 def take_seeds(membership: Membership, fields: Fields) -> None:
     """Let membership ask the seeds that the file names now."""
     seeds = [Address.parse(seed) for seed in gossip_seeds(fields)]
--- a/cyclamenlift/runtime/daemon.py
+++ b/cyclamenlift/runtime/daemon.py
@@ -223,7 +223,7 @@
             self.gate.state_hooks.append(self.on_target_state)
             self.gate.slots_hooks.append(self.on_slots)
             self.calls.parent_of = self.gate.parent_of
-            self.gate.news_hooks.append(
+            self.gate.news.hooks.append(
                 lambda load: self.calls.note_news(self.settings.instance, load)
             )
         self.network.subscribe(BodyChunk, self.on_body_chunk)
--- /dev/null
+++ b/tests/platform/test_watching.py
@@ -0,0 +1,56 @@
+"""A settings file that changes around the start of a process."""
+
+import time
+
+import pytest
+
+from cyclamenlift.core.tasks import build_root
+from cyclamenlift.platform.settings import file_stamp
+from cyclamenlift.platform.settings import parse_fields
+from cyclamenlift.platform.watching import SettingsWatch
+from tests.platform.builders import settings_lines
+
+SECONDS = 10.0
+
+
+@pytest.fixture
+def path(tmp_path, monkeypatch):
+    found = tmp_path / 'local.conf'
+    found.write_text(settings_lines())
+    monkeypatch.setenv('CYCLAMENLIFT_BOOT', str(found))
+    return found
+
+
+def wait_for(root, taken: list) -> None:
+    end = time.monotonic() + SECONDS
+    while not taken:
+        assert time.monotonic() < end, 'the change was never noticed'
+        root.tick(0.01)
+
+
+def test_a_change_between_the_reading_and_the_watch_is_noticed(path):
+    """Regression: the watch began with the stamp of the changed file."""
+    stamp = file_stamp()
+    fields = parse_fields(path.read_text())
+    path.write_text(path.read_text() + 'new=1\n')
+    root = build_root()
+    root._running = True
+    taken = []
+    SettingsWatch(root, fields, stamp, taken.append)
+    wait_for(root, taken)
+    assert taken[0]['new'] == '1'
+
+
+def test_a_file_that_is_gone_changes_nothing(path):
+    stamp = file_stamp()
+    fields = parse_fields(path.read_text())
+    root = build_root()
+    root._running = True
+    taken = []
+    watch = SettingsWatch(root, fields, stamp, taken.append)
+    path.unlink()
+    watch.look()
+    assert taken == []
+    path.write_text(settings_lines(service='fees'))
+    watch.look()
+    assert taken[0]['service'] == 'fees'
--- a/tests/replication/test_growth.py
+++ b/tests/replication/test_growth.py
@@ -28,20 +28,21 @@
 def test_nobody_founds_without_all_founders():
     cluster = GrowingCluster(0)
     cluster.down = {'c'}
-    for _ in range(60):
+    pass_time(cluster)
+    assert not cluster.voters()
+
+
+def pass_time(cluster: GrowingCluster) -> None:
+    """Let ten seconds pass without trouble for those that are up."""
+    for _ in range(200):
         cluster.now += 0.05
         for name in ALL:
             if name not in cluster.down:
-                growth_tick(cluster, name)
+                tick(cluster.nodes[name].state, cluster.now)
+                cluster.pump(name)
+                cluster.sync(name)
         while cluster.messages:
             cluster.deliver(0)
-    assert not cluster.voters()
-
-
-def growth_tick(cluster: GrowingCluster, name: str) -> None:
-    tick(cluster.nodes[name].state, cluster.now)
-    cluster.pump(name)
-    cluster.sync(name)
 
 
 def test_a_joiner_alone_never_votes_or_stands():
@@ -65,13 +66,7 @@
     cluster = founded()
     gone = next(n for n in ALL if not cluster.leads(n))
     cluster.down.add(gone)
-    for _ in range(60):
-        cluster.now += 0.05
-        for name in ALL:
-            if name not in cluster.down:
-                growth_tick(cluster, name)
-        while cluster.messages:
-            cluster.deliver(0)
+    pass_time(cluster)
     assert len(cluster.voters()) == 5
     assert gone not in cluster.voters()
 
--- a/tests/runtime/test_load_news.py
+++ b/tests/runtime/test_load_news.py
@@ -5,7 +5,6 @@
 """
 
 from cyclamenlift.gate.tasks import Gate
-from cyclamenlift.gate.tasks import GateUser
 from cyclamenlift.runtime.local import local_pair
 from cyclamenlift.wire.gen.protocol.ttypes import CallStart
 from cyclamenlift.wire.gen.protocol.ttypes import LoadNews
@@ -23,7 +22,7 @@
     entry_end, gate_end = local_pair(iter(range(1, 9)))
     told = []
     entry_end.subscribe(LoadNews, lambda link, news: told.append(link.hello))
-    gate.users[gate_end.number] = GateUser(gate_end, 0.0)
+    gate.news.note_call(gate_end, 0.0)
     gate.note_answer_head([('x-load', '1,0,4,700')])
     assert told == [None]
 
@@ -35,7 +34,7 @@
     entry_end.subscribe(
         LoadNews, lambda link, news: told.append(news.load.pace_percent)
     )
-    gate.users[gate_end.number] = GateUser(gate_end, 0.0)
+    gate.news.note_call(gate_end, 0.0)
     for pace in (100, 105, 700, 690, 100):
         gate.note_answer_head([('x-load', f'1,0,4,{pace}')])
     assert told == [100, 700, 100]
