--- a/cyclamenlift/platform/durations.py
+++ b/cyclamenlift/conf/durations.py
@@ -1,4 +1,4 @@
-"""Times of the platform: a number and its unit, ``ms`` or ``s``."""
+"""Times as text: a number and its unit, ``ms`` or ``s``."""
 
 import re
 
--- a/cyclamenlift/platform/documents.py
+++ b/cyclamenlift/platform/documents.py
@@ -11,11 +11,11 @@
 from returns.result import Result
 from returns.result import Success
 
+from cyclamenlift.conf.durations import milliseconds
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.models.document import document_from_value
 from cyclamenlift.models.document import EventDocument
-from cyclamenlift.platform.durations import milliseconds
 
 # The platform's operators set no event; theirs is always under way.
 EVENT_NAME = 'platform'
--- a/cyclamenlift/platform/settings.py
+++ b/cyclamenlift/platform/settings.py
@@ -8,6 +8,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from cyclamenlift.conf.durations import seconds
 from cyclamenlift.conf.settings import CommonSettings
 from cyclamenlift.conf.settings import ControlSettings
 from cyclamenlift.conf.settings import DaemonSettings
@@ -15,7 +16,6 @@
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.core.streams import Address
-from cyclamenlift.platform.durations import seconds
 
 PATH_VARIABLE = 'CYCLAMENLIFT_BOOT'
 # Where the deploy file says that metrics are fetched.
--- a/cyclamenlift/platform/targets.py
+++ b/cyclamenlift/platform/targets.py
@@ -6,6 +6,7 @@
 from returns.result import Success
 import structlog
 
+from cyclamenlift.conf.durations import seconds
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.gate.registration import Announcement
@@ -14,7 +15,6 @@
 from cyclamenlift.http.json_requests import answer
 from cyclamenlift.http.json_requests import read_whole
 from cyclamenlift.http.json_requests import refuse
-from cyclamenlift.platform.durations import seconds
 
 BEAT_PATH = '/v1/Instances.Heartbeat/'
 LEAVE_PATH = '/v1/Instances.Deregister/'
--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -3,6 +3,7 @@
 import json
 import os
 import pathlib
+import random
 import socket
 import subprocess
 import sys
@@ -63,11 +64,16 @@
     return json.dumps(value).encode()
 
 
-def free_ports(count: int) -> list[int]:
+def own_host() -> str:
+    """Return a loopback address of our own: one port is the same on all."""
+    return '127.' + '.'.join(str(random.randrange(1, 255)) for _ in range(3))
+
+
+def free_ports(host: str, count: int) -> list[int]:
     """Return ports that nobody uses now."""
     socks = [socket.socket() for _ in range(count)]
     for sock in socks:
-        sock.bind(('127.0.0.1', 0))
+        sock.bind((host, 0))
     ports = [sock.getsockname()[1] for sock in socks]
     for sock in socks:
         sock.close()
@@ -76,21 +82,22 @@
 
 def settings_lines(**changes: str) -> str:
     """Return the settings file of a daemon, with some lines changed."""
-    outbound, ready, control, app, inner = free_ports(5)
+    host = own_host()
+    outbound, ready, control, app, inner = free_ports(host, 5)
     fields = {
         'node': 'side-1',
-        'ip': '127.0.0.1',
+        'ip': host,
         'zone': 'here',
-        'listen.outbound': f'127.0.0.1:{outbound}',
-        'listen.ready': f'127.0.0.1:{ready}',
-        'listen.control': f'127.0.0.1:{control}',
+        'listen.outbound': f'{host}:{outbound}',
+        'listen.ready': f'{host}:{ready}',
+        'listen.control': f'{host}:{control}',
         'internal_ports': f'{inner},{inner + 1}',
-        'seeds': f'127.0.0.1:{control}',
+        'seeds': f'{host}:{control}',
         'bootstrap': 'true',
         'fault_tolerance.machines': '2',
         'bounds': 'grace=6s,retry_budget_ratio=0.2,budget_window=10s,'
         'budget_slack=62',
-        'app_addr': f'127.0.0.1:{app}',
+        'app_addr': f'{host}:{app}',
         'service': 'prices',
         **changes,
     }
