Give latencies as histograms on the metrics address

Cause: quantiles of several daemons can't be added up; the users ask for histograms. Change: a collector beside OpenTelemetry's, which has no histogram that is read when it is asked for; loaded with the first request for metrics.

--- a/cyclamenlift/core/exporting.py
+++ b/cyclamenlift/core/exporting.py
@@ -6,25 +6,36 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.resources import Resource
 import prometheus_client
+from prometheus_client.core import HistogramMetricFamily
 
+from cyclamenlift.core.latency import LatencyHistogram
+from cyclamenlift.core.latency import MICROSECONDS
 from cyclamenlift.core.metrics import Kind
 from cyclamenlift.core.metrics import MetricInfo
 from cyclamenlift.core.metrics import Reading
 
 Read = Callable[[], Iterable[Reading]]
+Durations = Callable[[], Mapping[str, LatencyHistogram]]
+
+HISTOGRAM_NAME = 'cyclamenlift_call_latency_seconds'
+# Upper bounds of the buckets, in seconds: about two for each doubling where
+# objectives of calls lie (0.1 to 1 s), fewer elsewhere.
+BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1.0, 1.5, 2.5, 10.0)
 
 
 class Exporter:
     """A meter provider with a registry of its own."""
 
-    def __init__(self, instance: str, data_centre: str):
+    def __init__(self, instance: str, data_centre: str, durations: Durations):
         self.registry = prometheus_client.CollectorRegistry()
+        self.registry.register(LatencyCollector(durations))
         reader = PrometheusMetricReader(
             scope_info_enabled=False, registry=self.registry
         )
@@ -63,5 +74,34 @@
         self.provider.shutdown()
 
 
+class LatencyCollector:
+    """Latencies as histograms, which other than quantiles add up.
+
+    OpenTelemetry has no histogram that is read when it is asked for.
+    """
+
+    def __init__(self, durations: Durations):
+        self.durations = durations
+
+    def collect(self) -> Iterable[HistogramMetricFamily]:
+        """Return one histogram for each service."""
+        family = HistogramMetricFamily(
+            HISTOGRAM_NAME, 'time of finished calls', labels=['service']
+        )
+        for service, latency in self.durations().items():
+            counts = latency.counts_up_to(BUCKETS)
+            total = latency.read().get_total_count()
+            buckets = [
+                (str(bound), count)
+                for bound, count in zip(BUCKETS, counts, strict=True)
+            ]
+            family.add_metric(
+                [service],
+                [*buckets, ('+Inf', total)],
+                latency.read().get_mean_value() * total / MICROSECONDS,
+            )
+        yield family
+
+
 def observations(readings: Iterable[Reading]) -> list[Observation]:
     return [Observation(r.value, r.attributes) for r in readings]
--- a/cyclamenlift/core/latency.py
+++ b/cyclamenlift/core/latency.py
@@ -50,6 +50,23 @@
         self.fresh.clear()
         return self.histogram
 
+    def counts_up_to(self, bounds: tuple[float, ...]) -> list[int]:
+        """Return how many latencies lie at or below each bound, seconds.
+
+        >>> latency = LatencyHistogram(60.0)
+        >>> latency.note(0.010)
+        >>> latency.note(0.200)
+        >>> latency.counts_up_to((0.1, 1.0))
+        [1, 2]
+        """
+        counts = [0] * len(bounds)
+        for item in self.read().get_recorded_iterator():
+            seconds = item.value_iterated_to / MICROSECONDS
+            for position, bound in enumerate(bounds):
+                if seconds <= bound:
+                    counts[position] += item.count_added_in_this_iter_step
+        return counts
+
     def make(self) -> 'HdrHistogram':
         """Load the library with the first reader: few processes have one."""
         from hdrh.histogram import HdrHistogram
--- a/cyclamenlift/core/metrics.py
+++ b/cyclamenlift/core/metrics.py
@@ -265,6 +265,10 @@
                 result.append(Reading(value / MICROSECONDS, attributes))
         return result
 
+    def durations(self) -> dict[str, LatencyHistogram]:
+        """Return the latencies of finished calls by service."""
+        return {name: f.duration for name, f in self.calls.items()}
+
     def render_prometheus(self) -> bytes:
         """Return all metrics in the text form of Prometheus."""
         if self.exporter is None:
@@ -275,7 +279,7 @@
         """Load the libraries that export, with the first collection."""
         from cyclamenlift.core.exporting import Exporter
 
-        exporter = Exporter(self.instance, self.data_centre)
+        exporter = Exporter(self.instance, self.data_centre, self.durations)
         for info, read in self.observed:
             exporter.observe(info, read)
         return exporter
--- a/tests/core/test_metrics.py
+++ b/tests/core/test_metrics.py
@@ -57,6 +57,19 @@
     assert found == pytest.approx(expected, rel=0.02)
 
 
+def test_latencies_are_counted_in_buckets_that_add_up(metrics):
+    for call in CALLS:
+        metrics.call_finished(*call)
+    text = metrics.render_prometheus().decode()
+    name = 'cyclamenlift_call_latency_seconds'
+    for bound, count in (('0.01', 1), ('0.025', 3), ('+Inf', 3)):
+        parts = (f'{name}_bucket{{', f'le="{bound}"', 'service="price"')
+        assert value_of(text, *parts) == count
+    assert value_of(text, f'{name}_count{{', 'service="price"') == 3
+    total = value_of(text, f'{name}_sum{{', 'service="price"')
+    assert total == pytest.approx(0.031, rel=0.05)
+
+
 def test_a_watched_value_is_read_at_each_collection(metrics):
     members = [3]
     metrics.watch('cyclamenlift.members', lambda: members[0])
