Return the credit of a body that waited for its connection

A body that comes while its connection is being opened was counted against the window and never credited: the count was overwritten by the next piece, and a connection that takes all in one write reports no drain. A body over 256 KiB then stood still until its deadline. Such connections had been rare; since what may not run twice goes on a fresh connection they are not. Change: owed credit adds up; a call is told that its bytes have gone out when its new connection took them at once. Test: tests/runtime/test_path.py, which fails without the change.

--- a/cyclamenlift/gate/running.py
+++ b/cyclamenlift/gate/running.py
@@ -106,7 +106,7 @@
         if self.target_call.pending < WINDOW:
             self.link.send(Credit(self.start.call_id, len(data)))
         else:
-            self.owed_credit = len(data)
+            self.owed_credit += len(data)
 
     def take_credit(self, allowed: int) -> None:
         """The entry takes that many further bytes of the answer."""
--- a/cyclamenlift/http/client.py
+++ b/cyclamenlift/http/client.py
@@ -220,6 +220,10 @@
             self.release(stream)
         else:
             self.start(call, stream)
+            if stream.open and not stream.pending and not call.done:
+                # What waited for the connection has gone out in one write,
+                # after which the kernel reports nothing.
+                call.listener.on_drained()
 
     def on_data(self, stream: Stream, data: bytes) -> None:
         call = stream.context.call
--- a/tests/runtime/test_path.py
+++ b/tests/runtime/test_path.py
@@ -401,3 +401,16 @@
     assert not path.calls.tries
     assert path.gates[0].is_idle()
     assert len(target.requests) == 1
+
+
+def test_a_large_upload_on_a_new_connection_is_not_left_without_credit(bed):
+    """Regression: what waited for the connection was never credited.
+
+    A body over the window of 256 KiB then stood still until its deadline.
+    """
+    target = ScriptedTarget(answer(b'kept'))
+    path = bed(target)
+    join_locally(path)
+    body = b'x' * 900_000
+    caller = path.send('PUT', '/safe', body)
+    assert path.receive(caller).body == b'kept'
