Take back calls that have not gone out when they end

Ruled out: a false proof; the connection was not up at the deadline. Change: pending frames keep their identity, and a try that ends withdraws those of which nothing has been sent: the call itself and its body. That also holds behind a way that is full. Test: tests/runtime/test_path.py (the gate must hear of nothing), which failed before; tests/wire/test_tasks.py.

--- a/cyclamenlift/calls/attempt.py
+++ b/cyclamenlift/calls/attempt.py
@@ -31,6 +31,8 @@
     answering: bool = False
     gathered: list[bytes] = dataclasses.field(default_factory=list)
     gathered_size: int = 0
+    start_frame: bytes = b''
+    body_frames: list[bytes] = dataclasses.field(default_factory=list)
 
     def send(self, start: CallStart, body: bytes) -> bool:
         """Send the call; False proves that nothing left this process."""
@@ -38,7 +40,8 @@
         start.call_id = self.number
         start.body = body if whole else b''
         start.body_complete = whole
-        if not self.link.send(start):
+        self.start_frame = self.link.post(start)
+        if not self.start_frame:
             return False
         if not whole:
             self.body = body
@@ -53,12 +56,20 @@
             self.offset += size
             self.window -= size
             last = self.offset == len(self.body)
-            self.link.send(BodyChunk(self.number, part, last))
+            frame = self.link.post(BodyChunk(self.number, part, last))
+            if self.link.pending:
+                self.body_frames.append(frame)
 
     def take_credit(self, allowed: int) -> None:
         self.window += allowed
         self.send_more()
 
     def never_left(self) -> bool:
-        """Tell whether the connection never came up: surely not run."""
-        return not self.link.was_up
+        """Tell whether the gate can not have heard of this try."""
+        return not self.link.was_up or self.link.holds(self.start_frame)
+
+    def withdraw(self) -> bool:
+        """Take back what has not gone out; True proves that nothing has."""
+        for frame in self.body_frames:
+            self.link.withdraw(frame)
+        return self.link.withdraw(self.start_frame)
--- a/cyclamenlift/calls/tries.py
+++ b/cyclamenlift/calls/tries.py
@@ -112,7 +112,8 @@
             # its word must not start a try of a call that is over.
             self.forget(attempt)
             self.call.state.open_tries -= 1
-            attempt.link.send(Cancel(attempt.number))
+            if not attempt.withdraw():
+                attempt.link.send(Cancel(attempt.number))
             self.tell_routing(attempt, outcome)
 
     def close(self) -> None:
--- a/cyclamenlift/core/streams.py
+++ b/cyclamenlift/core/streams.py
@@ -8,6 +8,7 @@
 overrides the ``on_*`` hooks.
 """
 
+import collections
 import errno
 import socket
 from typing import NamedTuple
@@ -15,6 +16,9 @@
 from circuits.core.components import BaseComponent
 
 READ_SIZE = 65536
+# Bytes that are offered to the kernel in one call: about what it takes at
+# once; what it leaves is offered again.
+SEND_SIZE = 65536
 LISTEN_BACKLOG = 1024
 MILLISECONDS = 1000
 IN_PROGRESS = (errno.EINPROGRESS, errno.EWOULDBLOCK)
@@ -69,7 +73,7 @@
         self.sock = sock
         self.remote = remote
         self.context = None
-        self.outbound: list[bytes] = []
+        self.outbound: collections.deque[bytes] = collections.deque()
         self.pending = 0
         self.connected = False
         self.open = True
@@ -102,14 +106,51 @@
     def flush(self) -> None:
         """Send what is pending, as far as the kernel takes it."""
         while self.outbound and self.open:
-            data = b''.join(self.outbound)
-            self.outbound.clear()
+            data = self.next_bytes()
             rest = self.send_now(data)
-            self.pending = len(rest)
+            if not self.open:
+                return
+            self.note_sent(len(data) - len(rest))
             if rest:
-                self.outbound.append(rest)
                 return
 
+    def next_bytes(self) -> bytes:
+        """Return the next pending pieces as one, about ``SEND_SIZE``."""
+        pieces = []
+        size = 0
+        for piece in self.outbound:
+            pieces.append(piece)
+            size += len(piece)
+            if size >= SEND_SIZE:
+                break
+        return b''.join(pieces)
+
+    def note_sent(self, size: int) -> None:
+        """Take ``size`` bytes off the front; whole pieces stay as given."""
+        self.pending -= size
+        while size:
+            piece = self.outbound.popleft()
+            if len(piece) > size:
+                self.outbound.appendleft(piece[size:])
+                return
+            size -= len(piece)
+
+    def holds(self, data: bytes) -> bool:
+        """Tell whether no byte of this very object has been sent."""
+        return any(piece is data for piece in self.outbound)
+
+    def withdraw(self, data: bytes) -> bool:
+        """Take back an object given to ``write``; True if none of it left.
+
+        It must be the same object: equal bytes may be another message.
+        """
+        for index, piece in enumerate(self.outbound):
+            if piece is data:
+                del self.outbound[index]
+                self.pending -= len(data)
+                return True
+        return False
+
     def want_write(self) -> None:
         if not self.writing and self.open:
             self.writing = True
--- a/cyclamenlift/runtime/local.py
+++ b/cyclamenlift/runtime/local.py
@@ -2,6 +2,9 @@
 
 from collections.abc import Callable
 
+# Stands for the frame of a message that needed none.
+NO_FRAME = b'none'
+
 
 class LocalLink:
     """One direction of a pair; ``send`` calls the other end at once.
@@ -27,6 +30,17 @@
         receiver(other, message)
         return True
 
+    def post(self, message) -> bytes:
+        """Send a message, which is there at once."""
+        self.send(message)
+        return NO_FRAME
+
+    def holds(self, _frame: bytes) -> bool:
+        return False
+
+    def withdraw(self, _frame: bytes) -> bool:
+        return False
+
     # -- what a PeerNetwork offers to those who subscribe -----------------
 
     def subscribe(self, kind: type, receiver) -> None:
--- a/cyclamenlift/wire/tasks.py
+++ b/cyclamenlift/wire/tasks.py
@@ -30,8 +30,9 @@
 class Link:
     """One connection to a peer process.
 
-    ``send`` never blocks. Messages sent before the connection is up are
-    kept, so a sender must watch ``was_up`` to prove that nothing left.
+    ``send`` never blocks. Messages that the kernel has not taken, since the
+    connection is not up yet or its way is full, are kept; ``post`` gives
+    the means to take one of them back.
     """
 
     __slots__ = (
@@ -57,10 +58,23 @@
 
     def send(self, message) -> bool:
         """Send one thrift message; False when the link is gone or full."""
+        return bool(self.post(message))
+
+    def post(self, message) -> bytes:
+        """Send one thrift message; return its frame, b'' like ``send``."""
         if self.closed or self.stream.pending > MAX_PENDING:
-            return False
-        self.stream.write(encode_frame(message))
-        return not self.closed
+            return b''
+        frame = encode_frame(message)
+        self.stream.write(frame)
+        return b'' if self.closed else frame
+
+    def holds(self, frame: bytes) -> bool:
+        """Tell whether nothing of a posted frame has left this process."""
+        return not self.closed and self.stream.holds(frame)
+
+    def withdraw(self, frame: bytes) -> bool:
+        """Take a posted frame back; False when some of it may have left."""
+        return not self.closed and self.stream.withdraw(frame)
 
     @property
     def pending(self) -> int:
--- a/tests/runtime/test_path.py
+++ b/tests/runtime/test_path.py
@@ -16,6 +16,7 @@
 from cyclamenlift.http.target_call import TargetCall
 from cyclamenlift.runtime.local import local_pair
 from cyclamenlift.wire.gen.protocol.ttypes import BodyChunk
+from cyclamenlift.wire.gen.protocol.ttypes import CallStart
 from cyclamenlift.wire.gen.protocol.ttypes import ClaimEnding
 from cyclamenlift.wire.gen.protocol.ttypes import ClaimVerdict
 from cyclamenlift.wire.gen.protocol.ttypes import Credit
@@ -127,6 +128,24 @@
     assert found.result == ResultCode.TARGET_UNREACHABLE
 
 
+def test_call_that_waited_for_a_connection_is_not_sent_after_its_end(bed):
+    # Regression: the connection came up after the deadline, and what was
+    # told to be not run ran.
+    target = ScriptedTarget(answer())
+    path = bed(target)
+    started = []
+    path.gates[0].network.subscribe(CallStart, lambda _, m: started.append(m))
+    finish_connect = path.network.finish_connect
+    path.network.finish_connect = lambda _stream: None
+    found = path.ask(cyclamenlift_timeout_ms=50)
+    assert found.result == ResultCode.DEADLINE_NOT_RUN
+    path.network.finish_connect = finish_connect
+    link = next(iter(path.network.outgoing.values()))
+    path.run_until(lambda: link.hello)
+    path.loop.tick(0.01)
+    assert started == []
+
+
 def test_gate_lost_after_the_frame_is_unknown(bed):
     target = ScriptedTarget(late(1.0, answer()))
     path = bed(target)
--- a/tests/wire/test_tasks.py
+++ b/tests/wire/test_tasks.py
@@ -8,6 +8,7 @@
 from cyclamenlift.core.streams import Address
 from cyclamenlift.core.tasks import build_root
 from cyclamenlift.wire.codec import encode_frame
+from cyclamenlift.wire.gen.protocol.ttypes import BodyChunk
 from cyclamenlift.wire.gen.protocol.ttypes import Cancel
 from cyclamenlift.wire.gen.protocol.ttypes import Hello
 from cyclamenlift.wire.tasks import PeerNetwork
@@ -136,3 +137,28 @@
     bed.first.send(bed.address, Cancel(2))
     bed.run_until(lambda: bed.taken == [1, 2])
     assert len(lost) == 1 and lost[0].was_up
+
+
+def test_frame_withdrawn_before_the_connection_is_up_is_never_sent(bed):
+    link = bed.first.link_to(bed.address)
+    frames = {number: link.post(Cancel(number)) for number in range(5)}
+    assert link.holds(frames[2])
+    assert link.withdraw(frames[2])
+    assert not link.withdraw(frames[2])
+    bed.run_until(lambda: len(bed.taken) == 4)
+    assert bed.taken == [0, 1, 3, 4]
+    assert not link.holds(frames[3])
+    assert not link.withdraw(frames[3])
+
+
+def test_frame_behind_a_full_way_is_withdrawn_but_none_that_has_begun(bed):
+    link = bed.first.link_to(bed.address)
+    bed.run_until(lambda: link.was_up and link.hello)
+    large = link.post(BodyChunk(1, bytes(8 * 1024 * 1024), True))
+    behind = link.post(Cancel(7))
+    last = link.post(Cancel(8))
+    assert link.pending
+    assert not link.withdraw(large)
+    assert link.withdraw(behind)
+    assert link.stream.outbound[-1] is last
+    assert link.pending == sum(map(len, link.stream.outbound))
