Take the way of a call off the time it has left; send bodies when asked

Ruled out: cancellations that are not sent; they wait behind the same bodies. Change: a call tells when it was sent; the gate compares with the quickest call of the connection and takes the rest off both deadlines. It tells the lag with its load, and entries add it to what they expect. Bodies over 16 KiB are sent when the gate has taken the call in, 32 KiB at a time, so that a refused upload costs no body and little waits on a way.

--- a/cyclamenlift/calls/attempt.py
+++ b/cyclamenlift/calls/attempt.py
@@ -6,11 +6,13 @@
 from cyclamenlift.wire.gen.protocol.ttypes import CallStart
 from cyclamenlift.wire.gen.protocol.ttypes import Header
 
-# Bodies up to this size travel in one frame with the call.
-INLINE_BODY = 64 * 1024
-# Bytes that may be on their way in one direction without a credit.
+# Bodies up to this size travel in one frame with the call: 4 ms of a link
+# of 32 Mbit/s. Larger ones wait for the gate's word, one way and back, so
+# that a gate that sends the call back has not been sent its body.
+INLINE_BODY = 16 * 1024
+# Bytes of an answer that may be on their way without a credit.
 WINDOW = 256 * 1024
-CHUNK = 64 * 1024
+CHUNK = 16 * 1024
 
 
 @dataclasses.dataclass(slots=True)
@@ -24,7 +26,7 @@
     hedge: bool = False
     body: bytes = b''
     offset: int = 0
-    window: int = WINDOW
+    window: int = 0
     status: int = 0
     headers: list[Header] = dataclasses.field(default_factory=list)
     length: int = -1
--- a/cyclamenlift/calls/tries.py
+++ b/cyclamenlift/calls/tries.py
@@ -3,6 +3,7 @@
 import typing
 
 from cyclamenlift.calls.attempt import Try
+from cyclamenlift.core.clock import machine_seconds
 from cyclamenlift.core.clock import time_left
 from cyclamenlift.routing.finish import slowed
 from cyclamenlift.routing.messages import Choice
@@ -151,6 +152,7 @@
             nested=request.nested,
             route_name=request.route_name,
             repeated=call_was_sent(self.call),
+            sent_at_us=int(machine_seconds() * MICROSECONDS),
         )
 
     def most_pace(self, choice: Choice) -> int:
--- a/cyclamenlift/core/clock.py
+++ b/cyclamenlift/core/clock.py
@@ -33,6 +33,11 @@
         return time.time_ns() // 1_000_000
 
 
+def machine_seconds() -> float:
+    """Return the seconds since the machine started, suspended ones too."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def deadline_after(now: float, duration: float) -> float:
     """Return the instant that lies ``duration`` seconds after ``now``.
 
--- a/cyclamenlift/gate/running.py
+++ b/cyclamenlift/gate/running.py
@@ -27,8 +27,12 @@
 
 # Answers up to this size travel in one frame with their head.
 INLINE_ANSWER = 64 * 1024
-# Bytes that may be on their way in one direction without a credit.
+# Bytes of an answer that may be on their way without a credit.
 WINDOW = 256 * 1024
+# Bytes of a request's body that may be on their way: two chunks keep a
+# link of 100 Mbit/s busy at 2 ms there and back, and what fills the way of
+# a slow link, where other calls wait behind it, stays small.
+BODY_WINDOW = 32 * 1024
 CHUNK = 64 * 1024
 MILLISECONDS = 1000
 MICROSECONDS = 1_000_000
@@ -41,12 +45,16 @@
 class GateCall:
     """State of one call; also the listener of its target connection."""
 
-    def __init__(self, gate: 'Gate', link, start: CallStart, now: float):
+    def __init__(
+        self, gate: 'Gate', link, start: CallStart, now: float, lag: float
+    ):
         self.gate = gate
         self.link = link
         self.start = start
         self.key = (link.number, start.call_id)
-        self.deadline = now + start.time_left_us / MICROSECONDS
+        # What was left when it was sent, less what the way took.
+        self.sent_at = now - lag
+        self.deadline = self.sent_at + start.time_left_us / MICROSECONDS
         self.timer = None
         self.wait_timer = None
         self.target_call = None
@@ -87,6 +95,11 @@
             repeatable=start.idempotent,
         )
 
+    def ask_for_body(self) -> None:
+        """Let the entry send a body that did not come with the call."""
+        if not self.body_whole:
+            self.link.send(Credit(self.start.call_id, BODY_WINDOW))
+
     def take_body(self, data: bytes, last: bool) -> None:
         """Take a chunk of the request's body from the entry."""
         if data:
@@ -203,7 +216,7 @@
             body_length=-1 if length is None else length,
             body=body,
             body_complete=whole,
-            load=self.gate.figures(),
+            load=self.gate.figures(self.link),
             service_time_us=int(seconds * MICROSECONDS),
         )
 
@@ -235,7 +248,7 @@
             code=int(code),
             detail=detail,
             retry_after_ms=int(wait * MILLISECONDS),
-            load=self.gate.figures(),
+            load=self.gate.figures(self.link),
         )
         self.link.send(message)
 
@@ -246,6 +259,6 @@
             call_id=self.start.call_id,
             code=int(code),
             detail=detail,
-            load=self.gate.figures(),
+            load=self.gate.figures(self.link),
         )
         self.link.send(message)
--- a/cyclamenlift/gate/state.py
+++ b/cyclamenlift/gate/state.py
@@ -25,6 +25,7 @@
 from cyclamenlift.wire.gen.protocol.ttypes import TargetState
 
 MIN_RETRY_AFTER = 0.005
+MILLISECONDS = 1000
 # A target's neighbours come and go in about half a second; a figure on its
 # pace that is older tells nothing.
 PACE_SECONDS = 0.5
@@ -272,7 +273,7 @@
     def is_idle(self) -> bool:
         return not self.running and not self.queue
 
-    def figures(self, now: float) -> LoadFigures:
+    def figures(self, now: float, lag: float = 0.0) -> LoadFigures:
         """Return the load that rides on every answer."""
         return LoadFigures(
             in_flight=len(self.running),
@@ -282,4 +283,5 @@
             error_permille=int(self.errors.share(now) * 1000),
             state=self.target_state,
             pace_percent=self.pace_percent(now),
+            lag_ms=int(lag * MILLISECONDS),
         )
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -5,8 +5,10 @@
 
 import structlog
 
+from cyclamenlift.core.clock import machine_seconds
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.gate.admission import Asking
+from cyclamenlift.gate.delays import Delays
 from cyclamenlift.gate.news import GateNews
 from cyclamenlift.gate.probes import ProbeBudget
 from cyclamenlift.gate.registration import Announced
@@ -69,6 +71,7 @@
         self.state = GateState(slots)
         self.registration = Registration()
         self.news = GateNews()
+        self.delays = Delays()
         self.budget = ProbeBudget()
         self.calls: dict[Hashable, GateCall] = {}
         self.by_name: dict[str, GateCall] = {}
@@ -214,8 +217,12 @@
 
     # -- queries ----------------------------------------------------------
 
-    def figures(self) -> LoadFigures:
-        return self.state.figures(self.now())
+    def figures(self, link=None) -> LoadFigures:
+        """Return the load, with the lag of one link if it is for it."""
+        lag = 0.0
+        if link is not None:
+            lag = self.delays.lag(link.number, machine_seconds())
+        return self.state.figures(self.now(), lag)
 
     def is_idle(self) -> bool:
         return self.state.is_idle()
@@ -259,7 +266,7 @@
 
     def on_call_start(self, link, start: CallStart) -> None:
         now = self.now()
-        call = GateCall(self, link, start, now)
+        call = GateCall(self, link, start, now, self.lag_of(link, start))
         if start.service_name != self.service:
             call.tell_refused(ResultCode.NO_TARGET, 'another service')
             return
@@ -285,13 +292,15 @@
             call.wait_timer = self.scheduler.at(
                 admission.latest_start, lambda: self.on_wait_over(call)
             )
+        if not call.ended:
+            call.ask_for_body()
 
     def admit(self, call: GateCall, now: float) -> Admission:
         """Decide on a call, by its route's objective if it has one."""
         start = call.start
         if not start.route_name:
             return self.state.admit(call.key, call.deadline, now)
-        useful = now + (start.objective_left_us or 0) / MICROSECONDS
+        useful = call.sent_at + (start.objective_left_us or 0) / MICROSECONDS
         if start.nested or useful > call.deadline:
             useful = call.deadline
         asking = Asking(
@@ -305,6 +314,13 @@
         )
         return self.state.admit_routed(asking, now)
 
+    def lag_of(self, link, start: CallStart) -> float:
+        """Return how late a call came; 0 where its sender tells no time."""
+        if not start.sent_at_us:
+            return 0.0
+        sent_at = start.sent_at_us / MICROSECONDS
+        return self.delays.note(link.number, sent_at, machine_seconds())
+
     def on_wait_over(self, call: GateCall) -> None:
         """Send a call back that waited until it can not be in time."""
         if call.ended or not self.state.withdraw(call.key):
@@ -334,12 +350,12 @@
             return
         not_run = not call.was_sent()
         self.cut(call)
-        link.send(Cancelled(cancel.call_id, not_run, self.figures()))
+        link.send(Cancelled(cancel.call_id, not_run, self.figures(link)))
 
     def on_probe(self, link, probe: Probe) -> None:
         """Answer from our own counters, within the budget; else drop it."""
         if self.budget.take(self.now()):
-            link.send(ProbeAnswer(probe.probe_id, self.figures()))
+            link.send(ProbeAnswer(probe.probe_id, self.figures(link)))
 
     def on_link_lost(self, link) -> None:
         """Stop the calls of an entry that is gone.
@@ -348,6 +364,7 @@
         would leave a booking half done for nobody's gain.
         """
         self.news.forget(link)
+        self.delays.forget(link.number)
         for key, call in list(self.calls.items()):
             if key[0] != link.number:
                 continue
--- a/cyclamenlift/routing/estimates.py
+++ b/cyclamenlift/routing/estimates.py
@@ -30,6 +30,7 @@
 ERROR_FORGIVEN = 0.7
 REFUSED_SECONDS = 0.05
 PERMILLE = 1000.0
+MILLISECONDS = 1000.0
 MICROSECONDS = 1e6
 
 
@@ -42,6 +43,7 @@
         'error_level',
         'gate_latency',
         'in_flight',
+        'lag',
         'latency',
         'latency_deadline',
         'load_at',
@@ -65,6 +67,7 @@
         self.slots = 0
         self.pace = 0
         self.pace_at = 0.0
+        self.lag = 0.0
         self.load_at = 0.0
         self.load_deadline = 0.0
         self.latency = 0.0
@@ -113,11 +116,19 @@
         self.slots = figures.slots or 0
         self.pace = figures.pace_percent or 0
         self.pace_at = now
+        self.lag = (figures.lag_ms or 0) / MILLISECONDS
         self.gate_latency = (figures.latency_us or 0) / MICROSECONDS
         if figures.error_permille:
             level = min(1.0, figures.error_permille / PERMILLE)
             self.raise_errors(level, now)
 
+    def lag_now(self, now: float) -> float:
+        """Return how late a call sent now should come to the gate.
+
+        What waits on the way comes in meanwhile, so it gets less.
+        """
+        return max(0.0, self.lag - (now - self.pace_at))
+
     def is_refusing(self, now: float) -> bool:
         """Tell whether the gate refused for overload a moment ago."""
         return now < self.refused_deadline
--- a/cyclamenlift/routing/policies.py
+++ b/cyclamenlift/routing/policies.py
@@ -176,6 +176,7 @@
     slots = estimate.slots or candidate.slots
     slots = max(1.0, slots * group.ramp(candidate, now))
     seconds = slowed(need.work, estimate.pace, now - estimate.pace_at)
+    seconds += estimate.lag_now(now)
     return seconds + queueing(load, slots, need.work)
 
 
--- a/cyclamenlift/wire/cyclamenlift.thrift
+++ b/cyclamenlift/wire/cyclamenlift.thrift
@@ -48,7 +48,10 @@
   5: i32 error_permille,
   6: TargetState state,
   // How long work takes there now, in percent of the usual; 0: not told.
-  7: i32 pace_percent
+  7: i32 pace_percent,
+  // How much longer than the quickest ones the messages of the receiver of
+  // these figures were lately on their way to the gate.
+  8: i32 lag_ms
 }
 
 // Entry to gate. A body that fits is carried whole (body_complete).
@@ -76,7 +79,10 @@
   // A try beyond the first of its call.
   18: bool repeated,
   // The slowest pace at which the gate shall take it; 0: any.
-  19: i32 most_pace_percent
+  19: i32 most_pace_percent,
+  // When it was sent, on the sender's clock since its machine started;
+  // only differences between calls of one connection mean anything.
+  20: i64 sent_at_us
 }
 
 // A gate tells entries that used it lately of a change of its load.
--- a/cyclamenlift/wire/gen/protocol/ttypes.py
+++ b/cyclamenlift/wire/gen/protocol/ttypes.py
@@ -234,11 +234,12 @@
      - error_permille
      - state
      - pace_percent
+     - lag_ms
 
     """
 
 
-    def __init__(self, in_flight=None, queued=None, slots=None, latency_us=None, error_permille=None, state=None, pace_percent=None,):
+    def __init__(self, in_flight=None, queued=None, slots=None, latency_us=None, error_permille=None, state=None, pace_percent=None, lag_ms=None,):
         self.in_flight = in_flight
         self.queued = queued
         self.slots = slots
@@ -246,6 +247,7 @@
         self.error_permille = error_permille
         self.state = state
         self.pace_percent = pace_percent
+        self.lag_ms = lag_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -291,6 +293,11 @@
                     self.pace_percent = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.lag_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -329,6 +336,10 @@
             oprot.writeFieldBegin('pace_percent', TType.I32, 7)
             oprot.writeI32(self.pace_percent)
             oprot.writeFieldEnd()
+        if self.lag_ms is not None:
+            oprot.writeFieldBegin('lag_ms', TType.I32, 8)
+            oprot.writeI32(self.lag_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -369,11 +380,12 @@
      - route_name
      - repeated
      - most_pace_percent
+     - sent_at_us
 
     """
 
 
-    def __init__(self, call_id=None, service_name=None, method=None, path=None, headers=None, time_left_us=None, body_length=None, body=None, body_complete=None, idempotent=None, depth=None, trace_id=None, config_version=None, rank=None, objective_left_us=None, nested=None, route_name=None, repeated=None, most_pace_percent=None,):
+    def __init__(self, call_id=None, service_name=None, method=None, path=None, headers=None, time_left_us=None, body_length=None, body=None, body_complete=None, idempotent=None, depth=None, trace_id=None, config_version=None, rank=None, objective_left_us=None, nested=None, route_name=None, repeated=None, most_pace_percent=None, sent_at_us=None,):
         self.call_id = call_id
         self.service_name = service_name
         self.method = method
@@ -393,6 +405,7 @@
         self.route_name = route_name
         self.repeated = repeated
         self.most_pace_percent = most_pace_percent
+        self.sent_at_us = sent_at_us
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -504,6 +517,11 @@
                     self.most_pace_percent = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.I64:
+                    self.sent_at_us = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -593,6 +611,10 @@
             oprot.writeFieldBegin('most_pace_percent', TType.I32, 19)
             oprot.writeI32(self.most_pace_percent)
             oprot.writeFieldEnd()
+        if self.sent_at_us is not None:
+            oprot.writeFieldBegin('sent_at_us', TType.I64, 20)
+            oprot.writeI64(self.sent_at_us)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3922,6 +3944,7 @@
     (5, TType.I32, 'error_permille', None, None, ),  # 5
     (6, TType.I32, 'state', None, None, ),  # 6
     (7, TType.I32, 'pace_percent', None, None, ),  # 7
+    (8, TType.I32, 'lag_ms', None, None, ),  # 8
 )
 all_structs.append(CallStart)
 CallStart.thrift_spec = (
@@ -3945,6 +3968,7 @@
     (17, TType.STRING, 'route_name', 'UTF8', None, ),  # 17
     (18, TType.BOOL, 'repeated', None, None, ),  # 18
     (19, TType.I32, 'most_pace_percent', None, None, ),  # 19
+    (20, TType.I64, 'sent_at_us', None, None, ),  # 20
 )
 all_structs.append(LoadNews)
 LoadNews.thrift_spec = (
--- /dev/null
+++ b/tests/runtime/test_late_calls.py
@@ -0,0 +1,82 @@
+"""A gate and calls that were long on their way.
+
+The load: bodies fill the link of a gate's instance, and calls behind them
+arrive when their callers have already given up.
+"""
+
+import pytest
+
+from cyclamenlift.core.clock import machine_seconds
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.gate.tasks import Gate
+from cyclamenlift.runtime.local import local_pair
+from cyclamenlift.wire.gen.protocol.ttypes import CallStart
+from cyclamenlift.wire.gen.protocol.ttypes import Refused
+from cyclamenlift.wire.gen.protocol.ttypes import TargetState
+from tests.runtime.builders import quiet_scheduler
+
+MICROSECONDS = 1_000_000
+
+
+class IdleClient:
+    """A target connection that keeps what it was asked to send."""
+
+    def __init__(self):
+        self.requests = []
+
+    def request(self, request, _listener):
+        self.requests.append(request)
+        return self
+
+    def send_body(self, _data, _last) -> None:
+        """Take a body that never matters here."""
+
+
+@pytest.fixture
+def gate():
+    made = Gate(quiet_scheduler(), IdleClient(), 'prices', 4)
+    made.set_target_state(TargetState.READY)
+    return made
+
+
+def start(number: int, age: float, left: float, **fields) -> CallStart:
+    """Return a call that was sent ``age`` seconds ago."""
+    return CallStart(
+        call_id=number,
+        service_name='prices',
+        method='GET',
+        path='/p',
+        headers=[],
+        time_left_us=int(left * MICROSECONDS),
+        body=b'',
+        body_length=0,
+        body_complete=True,
+        trace_id=str(number),
+        sent_at_us=int((machine_seconds() - age) * MICROSECONDS),
+        **fields,
+    )
+
+
+def test_a_call_that_comes_after_its_deadline_is_not_run(gate):
+    entry_end, gate_end = local_pair(iter(range(1, 9)))
+    refused = []
+    entry_end.subscribe(
+        Refused, lambda _link, message: refused.append(message)
+    )
+    gate.on_call_start(gate_end, start(1, age=0.0, left=5.0))
+    gate.on_call_start(gate_end, start(2, age=2.0, left=1.5))
+    assert [r.call_id for r in refused] == [2]
+    assert refused[0].code == ResultCode.DEADLINE_NOT_RUN
+    assert refused[0].load.lag_ms == pytest.approx(2000, abs=100)
+    assert len(gate.client.requests) == 1
+
+
+def test_a_target_is_told_the_time_that_is_left_after_the_way(gate):
+    _entry_end, gate_end = local_pair(iter(range(1, 9)))
+    gate.on_call_start(gate_end, start(1, age=0.0, left=5.0))
+    gate.on_call_start(gate_end, start(2, age=2.0, left=5.0))
+    told = [
+        int(dict(request.headers)['cyclamenlift-timeout-ms'])
+        for request in gate.client.requests
+    ]
+    assert told == pytest.approx([5000, 3000], abs=100)
--- a/tests/runtime/test_path.py
+++ b/tests/runtime/test_path.py
@@ -227,6 +227,27 @@
     assert path.calls.body_budget.used == 0
 
 
+def test_a_gate_that_refuses_an_upload_is_not_sent_its_body(bed):
+    # The load: bodies are most of what fills slow links and of what costs
+    # between data centres.
+    target = ScriptedTarget(answer())
+    path = bed(target)
+    gate = path.gates[0]
+    gate.drain()
+    sizes = []
+
+    def take_start(link, start) -> None:
+        sizes.append(len(start.body))
+        gate.on_call_start(link, start)
+
+    gate.network.subscribe(CallStart, take_start)
+    gate.network.subscribe(BodyChunk, lambda _, m: sizes.append(len(m.data)))
+    body = bytes(60_000)
+    found = path.ask('POST', '/book', body, Idempotency_Key='k')
+    assert found.result == ResultCode.DRAINING
+    assert sizes == [0]
+
+
 def test_upload_beyond_the_budget_is_refused_before_it_is_read(bed):
     path = bed(ScriptedTarget())
     caller = path.send(
