Ask for votes soon after a restart of all; explore cuts in halves

The first election waited for the usual timeout of 500 to 1,000 ms. Ruled out: the disks (0.5 ms a sync), the daemons' start. Change: a replica that comes back with a log asks with a pre-vote after a fifth of the timeout, and again, until it hears of a leader or an election; a pre-vote changes nothing. Test: tests/replication/test_state.py, which failed before.

--- a/cyclamenlift/replication/elections.py
+++ b/cyclamenlift/replication/elections.py
@@ -13,7 +13,7 @@
     """Ask for votes once no leader was heard until the deadline."""
     if now < state.election_deadline:
         return
-    state.postpone_election(now)
+    state.postpone_asking(now)
     if state.may_vote:
         start_pre_vote(state, now)
 
@@ -40,6 +40,7 @@
     The requests name the end of our log, so they wait until that log and
     our own vote are synced: after a crash the claim must still be true.
     """
+    state.returned = False
     state.term += 1
     state.voted_for = state.instance
     ticket = state.persist_term()
@@ -130,6 +131,7 @@
         and is_current(state, request)
     )
     if granted:
+        state.returned = False
         state.postpone_election(now)
     if granted and not state.voted_for:
         state.voted_for = sender
--- a/cyclamenlift/replication/following.py
+++ b/cyclamenlift/replication/following.py
@@ -18,6 +18,7 @@
         raise InvariantError(f'{leader} leads term {term} as well')
     state.follow(term, leader, now)
     state.leader_heard_at = now
+    state.returned = False
     state.postpone_election(now)
 
 
--- a/cyclamenlift/replication/state.py
+++ b/cyclamenlift/replication/state.py
@@ -24,6 +24,11 @@
 
 MAX_BATCH_ENTRIES = 1024
 MAX_BATCH_BYTES = 1024 * 1024
+# How long a replica that came back with a log waits for a leader before it
+# asks for votes, as a part of the usual election timeout: long enough for a
+# heartbeat of a leader that there is, and for two rounds of messages and
+# syncs of an election that has begun. To ask changes nothing.
+RETURNED_SHARE = 0.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,7 +119,8 @@
         self.leader_heard_at = float('-inf')
         self.election_deadline = 0.0
         self.load(recovered)
-        self.postpone_election(now)
+        self.returned = self.log.last_index > 0
+        self.postpone_asking(now)
 
     def load(self, recovered: Recovered) -> None:
         snapshot = recovered.snapshot
@@ -202,6 +208,18 @@
         wait = self.limits.election * (1.0 + self.rng.random())
         self.election_deadline = now + wait
 
+    def postpone_asking(self, now: float) -> None:
+        """Draw when to ask whether an election could be won.
+
+        After a restart of all there is no leader to be heard, and until
+        there is one again nothing is served: so one who came back asks
+        soon, and again, until it hears of a leader or of an election.
+        """
+        self.postpone_election(now)
+        if self.returned:
+            wait = RETURNED_SHARE * (self.election_deadline - now)
+            self.election_deadline = now + wait
+
     def persist_term(self) -> int:
         """Write term and vote; return the ticket."""
         ticket = self.outbox.next_ticket()
--- a/tests/replication/growth_explorer.py
+++ b/tests/replication/growth_explorer.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import itertools
 import random
 
 from cyclamenlift.replication.inputs import tick
@@ -109,6 +110,14 @@
             self.cut ^= {(name, other)}
         elif chance < 0.30:
             self.cut.clear()
+        elif chance < 0.31:
+            self.split()
+
+    def split(self) -> None:
+        """Cut all ways between two halves of the instances."""
+        half = set(self.rng.sample(ALL, len(ALL) // 2))
+        pairs = itertools.permutations(ALL, 2)
+        self.cut = {(a, b) for a, b in pairs if (a in half) != (b in half)}
 
     def stop(self, name: str) -> None:
         if len(self.down) < 3:
--- a/tests/replication/test_state.py
+++ b/tests/replication/test_state.py
@@ -11,6 +11,7 @@
 from cyclamenlift.replication.inputs import receive
 from cyclamenlift.replication.inputs import tick
 from cyclamenlift.replication.queries import Role
+from cyclamenlift.replication.state import RETURNED_SHARE
 from cyclamenlift.replication.voters import Configuration
 from cyclamenlift.replication.voters import Voters
 from cyclamenlift.wire.gen.protocol.ttypes import AppendRequest
@@ -134,6 +135,30 @@
     assert cluster.nodes['c'].state.term == term
 
 
+def test_one_that_came_back_with_a_log_asks_for_votes_soon_and_again():
+    # The load: all instances were killed at once, and nothing is served
+    # until there is a leader.
+    state = make_state('a', entries=(configured(),))
+    now = 0.0
+    for _ in range(3):
+        assert state.election_deadline - now <= ELECTION * 2 * RETURNED_SHARE
+        now = state.election_deadline
+        tick(state, now)
+        asked = [m for m in sent(state) if isinstance(m, VoteRequest)]
+        assert asked and all(m.pre_vote for m in asked)
+    assert state.term == 0
+
+
+def test_one_that_came_back_gives_an_election_its_usual_time():
+    state = make_state('a', entries=(configured(),))
+    receive(state, 'b', VoteRequest(5, 'b', 'b-1', 1, 1, False), 0.0)
+    assert state.election_deadline >= ELECTION
+
+
+def test_an_empty_disk_does_not_hurry_an_election():
+    assert make_state('a').election_deadline >= ELECTION
+
+
 @pytest.mark.parametrize('sender', ['a', 'c'])
 def test_lost_connection_of_the_leader_brings_the_election_near(sender):
     cluster = founded()
