Tell starting daemons of the leader at once

Cause: after a restart of all, a daemon asks the seeds; these answered without confirmation while no leader was known, and a leader that is no seed was found only by gossip. Ruled out: the log's replay (13 documents, 0.4 ms each), the disks, a read that waits (2 ms in a trial with more lines). Change: a control instance answers those again who asked while no leader was known, and a follower says where the leader is; a daemon that is not confirmed yet asks it at once. Test: tests/events/test_control_side.py, tests/events/test_tasks.py.

--- a/cyclamenlift/events/server.py
+++ b/cyclamenlift/events/server.py
@@ -34,8 +34,11 @@
 
     ``committed`` is set only after a majority confirmed, following the
     request, that this instance leads. A follower, or a leader that is cut
-    off, answers what it has without that mark. A new version goes to a few
-    daemons unasked; the rest learn of it from each other.
+    off, answers what it has without that mark, and a follower says where
+    the leader is. Those who asked while no leader was known hear again once
+    there is one: after a restart of all they wait for just that. A new
+    version goes to a few daemons unasked; the rest learn of it from each
+    other.
     """
 
     def __init__(
@@ -54,21 +57,35 @@
             collections.OrderedDict()
         )
         self.waiting: list[tuple[Link, DocumentRequest]] = []
+        # Who asked while no leader was known, by the number of the link.
+        self.unsure: dict[int, tuple[Link, DocumentRequest]] = {}
         self.reading = False
         network.subscribe(DocumentRequest, self.on_request)
         network.subscribe_lost(self.on_link_lost)
+        replica.leader_hooks.append(self.on_leader)
 
     def on_request(self, link: Link, request: DocumentRequest) -> None:
         self.links[link.number] = link
         while len(self.links) > LINKS_KEPT:
             self.links.popitem(last=False)
         if self.replica.leader != self.instance:
+            if not self.replica.leader:
+                self.unsure[link.number] = (link, request)
             link.send(self.answer(request, False))
             return
         self.waiting.append((link, request))
         if not self.reading:
             self.read_for_waiting()
 
+    def on_leader(self, leader: str) -> None:
+        """Answer those again who asked while no leader was known."""
+        if not leader:
+            return
+        asked = list(self.unsure.values())
+        self.unsure.clear()
+        for link, request in asked:
+            self.on_request(link, request)
+
     def read_for_waiting(self) -> None:
         """Confirm leadership once for all who wait now.
 
@@ -92,7 +109,11 @@
         self, request: DocumentRequest, committed: bool
     ) -> DocumentAnswer:
         packed = self.store.packed_document()
-        return answer_from(self.store.version, packed, request, committed)
+        answer = answer_from(self.store.version, packed, request, committed)
+        if self.replica.leader not in ('', self.instance):
+            address = self.replica.address_of(self.replica.leader)
+            answer.leader_address = str(address) if address else ''
+        return answer
 
     def tell(self, version: int) -> None:
         """Send a new version to a few of those who asked lately."""
@@ -103,3 +124,4 @@
 
     def on_link_lost(self, link: Link) -> None:
         self.links.pop(link.number, None)
+        self.unsure.pop(link.number, None)
--- a/cyclamenlift/events/tasks.py
+++ b/cyclamenlift/events/tasks.py
@@ -27,6 +27,10 @@
 FALL_BACK_SECONDS = 3.0
 PULL_SECONDS = 1.0
 JITTER = 0.5
+# A leader that is named by several is asked once within this time, in
+# seconds: longer than a way there and back, shorter than a poll.
+HINT_SECONDS = 0.05
+NEVER = float('-inf')
 LOG = structlog.get_logger('events')
 
 
@@ -60,6 +64,7 @@
         self.pulling_version = 0
         self.pull_deadline = 0.0
         self.fall_back_at = 0.0
+        self.asked_at: dict[Address, float] = {}
         self.started = False
         network.subscribe(DocumentAnswer, self.on_answer)
         network.subscribe(DocumentRequest, self.on_request)
@@ -155,6 +160,7 @@
                 self.ask(address)
 
     def ask(self, address: Address) -> None:
+        self.asked_at[address] = self.now()
         request = DocumentRequest(next(self.numbers), self.version)
         self.network.send(address, request)
 
@@ -195,6 +201,25 @@
             majority=from_control and bool(answer.committed),
         )
         self.conclude(self.adoption.consider(offer))
+        if from_control and answer.leader_address:
+            self.follow_hint(answer.leader_address)
+
+    def follow_hint(self, leader_address: str) -> None:
+        """Ask the leader that a follower named, unless it was just asked."""
+        if self.confirmed or not self.started:
+            return
+        try:
+            address = Address.parse(leader_address)
+        except ValueError:
+            LOG.warning('leader_hint_unreadable', address=leader_address[:100])
+            return
+        asked_at = self.asked_at.get(address, NEVER)
+        if self.now() - asked_at < HINT_SECONDS:
+            return
+        if address in self.control:
+            self.ask(address)
+        else:
+            self.note_control(address, True)
 
     def on_request(self, link: Link, request: DocumentRequest) -> None:
         """Give a peer what is in force here."""
--- a/cyclamenlift/replication/tasks.py
+++ b/cyclamenlift/replication/tasks.py
@@ -95,6 +95,8 @@
         self.waiting = Waiting()
         self.blank = b''
         self.known_leader = ''
+        # Run with the name of each new leader, '' when there is none.
+        self.leader_hooks: list[Callable[[str], None]] = []
         self.register(root)
 
     # -- queries ----------------------------------------------------------
@@ -390,6 +392,8 @@
         if self.leader != self.known_leader:
             self.known_leader = self.leader
             LOG.info('leader_known', leader=self.leader, term=self.state.term)
+            for hook in self.leader_hooks:
+                hook(self.leader)
 
     def handle_batch(self, effects: list) -> None:
         writes = [e for e in effects if hasattr(e, 'ticket')]
--- a/cyclamenlift/wire/cyclamenlift.thrift
+++ b/cyclamenlift/wire/cyclamenlift.thrift
@@ -166,7 +166,9 @@
   2: i64 version,
   3: binary document,
   4: bool committed,
-  5: binary packed_document
+  5: binary packed_document,
+  // Where the leader can be asked, as a follower knows it; else empty.
+  6: string leader_address
 }
 
 // --- ledger --------------------------------------------------------------
--- a/cyclamenlift/wire/gen/protocol/ttypes.py
+++ b/cyclamenlift/wire/gen/protocol/ttypes.py
@@ -1525,16 +1525,18 @@
      - document
      - committed
      - packed_document
+     - leader_address
 
     """
 
 
-    def __init__(self, request_id=None, version=None, document=None, committed=None, packed_document=None,):
+    def __init__(self, request_id=None, version=None, document=None, committed=None, packed_document=None, leader_address=None,):
         self.request_id = request_id
         self.version = version
         self.document = document
         self.committed = committed
         self.packed_document = packed_document
+        self.leader_address = leader_address
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1570,6 +1572,11 @@
                     self.packed_document = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.leader_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1600,6 +1607,10 @@
             oprot.writeFieldBegin('packed_document', TType.STRING, 5)
             oprot.writeBinary(self.packed_document)
             oprot.writeFieldEnd()
+        if self.leader_address is not None:
+            oprot.writeFieldBegin('leader_address', TType.STRING, 6)
+            oprot.writeString(self.leader_address.encode('utf-8') if sys.version_info[0] == 2 else self.leader_address)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4077,6 +4088,7 @@
     (3, TType.STRING, 'document', 'BINARY', None, ),  # 3
     (4, TType.BOOL, 'committed', None, None, ),  # 4
     (5, TType.STRING, 'packed_document', 'BINARY', None, ),  # 5
+    (6, TType.STRING, 'leader_address', 'UTF8', None, ),  # 6
 )
 all_structs.append(ClaimRequest)
 ClaimRequest.thrift_spec = (
--- a/tests/events/builders.py
+++ b/tests/events/builders.py
@@ -8,6 +8,7 @@
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.packing import pack
 from cyclamenlift.core.problems import Problem
+from cyclamenlift.core.streams import Address
 from cyclamenlift.core.tasks import build_root
 from cyclamenlift.events.adoption import Offer
 from cyclamenlift.events.context import ControlContext
@@ -46,6 +47,16 @@
         self.failing = None
         self.barriers = []
         self.index = 0
+        self.leader_hooks = []
+
+    def elect(self, leader) -> None:
+        """Make ``leader`` known, as an election does."""
+        self.leader = leader
+        for hook in self.leader_hooks:
+            hook(leader)
+
+    def address_of(self, instance) -> Address | None:
+        return Address('10.0.0.1', 7100) if instance else None
 
     def propose(self, command, done) -> None:
         if self.failing is not None:
--- a/tests/events/test_control_side.py
+++ b/tests/events/test_control_side.py
@@ -179,3 +179,30 @@
     assert told[0].sent[1].packed_document
     server.on_link_lost(links[0])
     assert len(server.links) == 39
+
+
+def test_who_asked_before_there_was_a_leader_hears_from_it_once_it_leads():
+    # The load: after a restart of all, daemons wait for just that.
+    context = control_context(leader='')
+    server = server_of(context)
+    link = FakeLink()
+    server.on_request(link, DocumentRequest(1, 0))
+    assert [a.committed for a in link.sent] == [False]
+    context.replica.elect('a')
+    context.replica.finish_reads()
+    assert [a.committed for a in link.sent] == [False, True]
+    context.replica.elect('a')
+    assert not context.replica.barriers
+
+
+def test_a_follower_names_the_leader_also_to_who_asked_before():
+    context = control_context(leader='')
+    server = server_of(context)
+    link = FakeLink()
+    server.on_request(link, DocumentRequest(1, 0))
+    assert not link.sent[0].leader_address
+    context.replica.elect('b')
+    assert link.sent[1].leader_address == '10.0.0.1:7100'
+    server.on_request(link, DocumentRequest(2, 0))
+    assert link.sent[2].leader_address == '10.0.0.1:7100'
+    assert not any(a.committed for a in link.sent)
--- a/tests/events/test_tasks.py
+++ b/tests/events/test_tasks.py
@@ -4,6 +4,7 @@
 
 from cyclamenlift.core.streams import Address
 from cyclamenlift.events.tasks import FALL_BACK_SECONDS
+from cyclamenlift.events.tasks import HINT_SECONDS
 from cyclamenlift.events.tasks import POLL_SECONDS
 from cyclamenlift.events.tasks import PULL_SECONDS
 from cyclamenlift.wire.gen.protocol.ttypes import DocumentAnswer
@@ -139,3 +140,19 @@
     bed.follower.stop()
     bed.pass_time(POLL_SECONDS * 4)
     assert bed.asked() == []
+
+
+def test_a_starting_daemon_asks_the_leader_that_it_is_told_of_once():
+    bed = FollowerBed()
+    bed.follower.start()
+    bed.asked()
+    stranger = Address('127.0.0.1', 99)
+    hint = DocumentAnswer(1, 0, b'', False, b'', str(stranger))
+    for source in CONTROL[:2]:
+        bed.network.deliver(source, hint)
+    assert bed.asked() == [stranger]
+    bed.give(stranger, 4, committed=True)
+    assert bed.follower.confirmed
+    bed.pass_time(HINT_SECONDS)
+    bed.network.deliver(CONTROL[0], hint)
+    assert stranger not in bed.asked()
