Give processes of tests ports that nothing else takes

The process then does not start, which is what test_two_sides_of_a_cut_find_each_other_again showed once. Change: ports are given from below the range that the system hands out, each once; a fleet whose control instances do not answer shows their logs. Test: tests/standins/test_relay.py, which failed before.

--- a/cyclamenlift/standins/fleet.py
+++ b/cyclamenlift/standins/fleet.py
@@ -27,7 +27,9 @@
 START_SECONDS = 20.0
 STOP_SECONDS = 10.0
 POLL_SECONDS = 0.05
-GIVEN_PORTS: set[str] = set()
+# Below the range from which the system takes ports by itself (32768 on), and
+# above those of well-known services. Each is given once in a process.
+FIXED_PORTS = iter(range(10_000, 32_000))
 
 
 class FleetError(Exception):
@@ -41,18 +43,21 @@
 
 
 def free_port(kind: int = socket.SOCK_STREAM) -> str:
-    """Return ``host:port`` that the system has just found free.
+    """Return ``host:port`` that is free, each once.
 
-    Nobody else uses our host number, so it stays free until it is used; a
-    port is given once, since its process may not have bound it yet.
+    Its process may bind it seconds later. So it lies below the ports that
+    the system hands out by itself: relays, probes and outgoing connections
+    on our host number have those and must not take it meanwhile.
     """
-    while True:
+    for port in FIXED_PORTS:
+        address = Address(own_host(), port)
         with socket.socket(socket.AF_INET, kind) as probe:
-            probe.bind((own_host(), 0))
-            address = str(Address(*probe.getsockname()))
-        if address not in GIVEN_PORTS:
-            GIVEN_PORTS.add(address)
-            return address
+            try:
+                probe.bind(tuple(address))
+            except OSError:
+                continue
+        return str(address)
+    raise FleetError('no port is left')
 
 
 def wait_until(condition, seconds: float, what: str):
--- a/tests/standins/test_relay.py
+++ b/tests/standins/test_relay.py
@@ -1,15 +1,18 @@
 """Paths that are cut silently: nothing passes and nothing is closed."""
 
+import pathlib
 import socket
 
 import pytest
 
 from cyclamenlift.core.streams import Address
+from cyclamenlift.standins.fleet import free_port
 from cyclamenlift.standins.fleet import wait_until
 from cyclamenlift.standins.paths import RelayPaths
 from cyclamenlift.standins.relay import Direction
 
 HOST = '127.0.0.1'
+LOCAL_PORTS = pathlib.Path('/proc/sys/net/ipv4/ip_local_port_range')
 QUIET_SECONDS = 0.2
 WAIT_SECONDS = 10.0
 
@@ -130,3 +133,12 @@
     for pair in ('ab', 'ac', 'bc'):
         assert paths.is_apart(*pair) == (pair in apart)
         assert paths.is_apart(*reversed(pair)) == (pair in apart)
+
+
+def test_a_port_that_was_given_is_never_one_that_the_system_hands_out():
+    # Regression: a relay or an outgoing connection took the port of a
+    # process that had not bound it yet, and the process did not start.
+    low = int(LOCAL_PORTS.read_text().split()[0])
+    given = [Address.parse(free_port()) for _ in range(50)]
+    assert len(set(given)) == 50
+    assert all(address.port < low for address in given)
--- a/tests/system/builders.py
+++ b/tests/system/builders.py
@@ -7,6 +7,7 @@
 
 from cyclamenlift.standins.fleet import ask
 from cyclamenlift.standins.fleet import Fleet
+from cyclamenlift.standins.fleet import FleetError
 from cyclamenlift.standins.fleet import wait_until
 
 WAIT_SECONDS = 30.0
@@ -34,11 +35,7 @@
     """Publish by the command line and wait until it is in force."""
     path = fleet.folder / f'{change}.json'
     path.write_text(json.dumps(value))
-    wait_until(
-        lambda: all(c.status() for c in fleet.controls),
-        WAIT_SECONDS,
-        'control instances answer',
-    )
+    wait_for_controls(fleet)
     done = fleet.command(
         'event',
         'publish',
@@ -52,6 +49,20 @@
     fleet.wait_in_force(base + 1, len(alive))
 
 
+def wait_for_controls(fleet: Fleet) -> None:
+    """Wait until all control instances answer; else show their logs."""
+    try:
+        wait_until(
+            lambda: all(c.status() for c in fleet.controls),
+            WAIT_SECONDS,
+            'control instances answer',
+        )
+    except FleetError as error:
+        silent = [c.running for c in fleet.controls if not c.status()]
+        logs = [f'{r.name}: {r.log.read_text()[-2000:]}' for r in silent]
+        raise FleetError('\n'.join([str(error), *logs])) from error
+
+
 def make_fleet(fleet: Fleet, targets: int, slots: int = 4, **options) -> None:
     """Start three control instances, targets with daemons, and an entry."""
     fleet.start_controls(3)
