--- a/cyclamenlift/events/server.py
+++ b/cyclamenlift/events/server.py
@@ -39,6 +39,10 @@
     there is one: after a restart of all they wait for just that. A new
     version goes to a few daemons unasked; the rest learn of it from each
     other.
+
+    ``names_leader`` is for instances that know each other by membership,
+    where all use one address. One that only control was told may not be
+    how daemons reach the leader.
     """
 
     def __init__(
@@ -48,7 +52,9 @@
         store: EventStore,
         instance: str,
         rng: random.Random,
+        names_leader: bool = False,
     ):
+        self.names_leader = names_leader
         self.replica = replica
         self.store = store
         self.instance = instance
@@ -110,7 +116,8 @@
     ) -> DocumentAnswer:
         packed = self.store.packed_document()
         answer = answer_from(self.store.version, packed, request, committed)
-        if self.replica.leader not in ('', self.instance):
+        follows = self.replica.leader not in ('', self.instance)
+        if follows and self.names_leader:
             address = self.replica.address_of(self.replica.leader)
             answer.leader_address = str(address) if address else ''
         return answer
--- a/cyclamenlift/runtime/control.py
+++ b/cyclamenlift/runtime/control.py
@@ -169,6 +169,7 @@
             self.machine.events,
             self.settings.instance,
             self.rng,
+            names_leader=bool(self.settings.gossip_listen),
         )
         self.machine.subscribe_version(server.tell)
         return server
--- a/tests/events/test_control_side.py
+++ b/tests/events/test_control_side.py
@@ -39,9 +39,14 @@
     return json.loads(report_to_json(report))
 
 
-def server_of(context) -> DocumentServer:
+def server_of(context, **fields) -> DocumentServer:
     return DocumentServer(
-        FakeNetwork(), context.replica, context.store, 'a', random.Random(1)
+        FakeNetwork(),
+        context.replica,
+        context.store,
+        'a',
+        random.Random(1),
+        **fields,
     )
 
 
@@ -195,9 +200,19 @@
     assert not context.replica.barriers
 
 
+def test_a_follower_that_knows_only_ways_of_its_own_names_no_leader():
+    # Regression: a daemon that was cut off went around the cut on the way
+    # that control instances have to each other.
+    context = control_context(leader='b')
+    server = server_of(context)
+    link = FakeLink()
+    server.on_request(link, DocumentRequest(1, 0))
+    assert not link.sent[0].leader_address
+
+
 def test_a_follower_names_the_leader_also_to_who_asked_before():
     context = control_context(leader='')
-    server = server_of(context)
+    server = server_of(context, names_leader=True)
     link = FakeLink()
     server.on_request(link, DocumentRequest(1, 0))
     assert not link.sent[0].leader_address
