Let instances that come back together ask for votes one after the other

They asked at the same ticks of 25 ms, two stood at once, and a split vote takes a whole election timeout to end. Change: the order of the names gives each a part of the time of its own, and a replica that came back is ticked when its deadline comes. Test: tests/replication/test_state.py, which failed before.

--- a/cyclamenlift/replication/state.py
+++ b/cyclamenlift/replication/state.py
@@ -29,6 +29,10 @@
 # heartbeat of a leader that there is, and for two rounds of messages and
 # syncs of an election that has begun. To ask changes nothing.
 RETURNED_SHARE = 0.2
+# The part of its own time at whose random point one asks; the rest keeps it
+# apart from the next: 10 ms for five instances and a timeout of 500 ms, two
+# rounds of messages and syncs.
+OWN_PART = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -213,12 +217,17 @@
 
         After a restart of all there is no leader to be heard, and until
         there is one again nothing is served: so one who came back asks
-        soon, and again, until it hears of a leader or of an election.
+        soon, and again, until it hears of a leader or of an election. All
+        may have come back in the same millisecond, so each asks in a part
+        of the time that is its own, by the order of their names.
         """
         self.postpone_election(now)
-        if self.returned:
-            wait = RETURNED_SHARE * (self.election_deadline - now)
-            self.election_deadline = now + wait
+        if not self.returned:
+            return
+        names = sorted({self.instance, *self.peers})
+        place = names.index(self.instance) + OWN_PART * self.rng.random()
+        wait = self.limits.election * RETURNED_SHARE
+        self.election_deadline = now + wait * (1.0 + place / len(names))
 
     def persist_term(self) -> int:
         """Write term and vote; return the ticket."""
--- a/cyclamenlift/replication/tasks.py
+++ b/cyclamenlift/replication/tasks.py
@@ -257,7 +257,12 @@
 
     def plan_tick(self) -> None:
         seconds = self.settings.heartbeat_ms / MILLISECONDS
-        self.loop.scheduler.after(seconds / TICKS_PER_HEARTBEAT, self.run_tick)
+        seconds /= TICKS_PER_HEARTBEAT
+        if self.active and self.state.returned:
+            # Those who came back together must not ask in the same tick.
+            until = self.state.election_deadline - self.now()
+            seconds = max(0.0, min(seconds, until))
+        self.loop.scheduler.after(seconds, self.run_tick)
 
     def run_tick(self) -> None:
         if self.sync is None:
--- a/tests/replication/test_state.py
+++ b/tests/replication/test_state.py
@@ -1,5 +1,8 @@
 """Single decisions, each with the fault cases around it in a table."""
 
+import itertools
+import random
+
 import pytest
 from returns.result import Failure
 
@@ -11,6 +14,7 @@
 from cyclamenlift.replication.inputs import receive
 from cyclamenlift.replication.inputs import tick
 from cyclamenlift.replication.queries import Role
+from cyclamenlift.replication.state import OWN_PART
 from cyclamenlift.replication.state import RETURNED_SHARE
 from cyclamenlift.replication.voters import Configuration
 from cyclamenlift.replication.voters import Voters
@@ -149,6 +153,21 @@
     assert state.term == 0
 
 
+def test_those_who_came_back_at_once_ask_one_after_the_other():
+    # Regression: all were back within a millisecond, two stood at the same
+    # tick, and the split vote took a whole election timeout to end.
+    states = [make_state(n, entries=(configured(),)) for n in NAMES]
+    rng = random.Random(1)
+    for _ in range(50):
+        for state in states:
+            state.rng = rng
+            state.postpone_asking(0.0)
+        deadlines = sorted(state.election_deadline for state in states)
+        apart = RETURNED_SHARE * ELECTION * (1 - OWN_PART) / len(NAMES)
+        gaps = [b - a for a, b in itertools.pairwise(deadlines)]
+        assert min(gaps) >= apart
+
+
 def test_one_that_came_back_gives_an_election_its_usual_time():
     state = make_state('a', entries=(configured(),))
     receive(state, 'b', VoteRequest(5, 'b', 'b-1', 1, 1, False), 0.0)
