Weigh the way of a body by what is on it already

Ruled out: slots; targets of that service were half used by arithmetic. Change: an instance is told the rate of its link; a gate tells how long the bodies that it asked for still take; an entry adds that and the time of the body itself, except for its own instance. Test: tests/routing/test_finish.py, tests/runtime/test_late_calls.py.

--- a/cyclamenlift/conf/settings.py
+++ b/cyclamenlift/conf/settings.py
@@ -162,6 +162,12 @@
         le=3600,
         description='time that a stopping entry still takes new connections',
     )
+    link_mbps: float = pydantic.Field(
+        0.0,
+        ge=0,
+        description='rate of the link of this instance; 0: not known, then '
+        'bodies count as if they took no time on their way',
+    )
     retry_slack: float = pydantic.Field(
         0.0,
         ge=0,
--- a/cyclamenlift/gate/running.py
+++ b/cyclamenlift/gate/running.py
@@ -63,6 +63,7 @@
         self.ended = False
         self.body: list[bytes] = [start.body] if start.body else []
         self.body_whole = start.body_complete
+        self.received = len(start.body or b'')
         self.status = 0
         self.headers: list[Header] = []
         self.length: int | None = None
@@ -100,10 +101,20 @@
         if not self.body_whole:
             self.link.send(Credit(self.start.call_id, BODY_WINDOW))
 
+    def bytes_due(self) -> int:
+        """Return the bytes of the body that the link has still to bring.
+
+        Nobody greets on a link inside one process: nothing travels there.
+        """
+        if self.body_whole or self.link.hello is None:
+            return 0
+        return max(0, (self.start.body_length or 0) - self.received)
+
     def take_body(self, data: bytes, last: bool) -> None:
         """Take a chunk of the request's body from the entry."""
         if data:
             self.body.append(data)
+            self.received += len(data)
         self.body_whole = self.body_whole or last
         if self.target_call is not None and not self.ended:
             self.forward_body()
--- a/cyclamenlift/gate/state.py
+++ b/cyclamenlift/gate/state.py
@@ -287,7 +287,9 @@
     def is_idle(self) -> bool:
         return not self.running and not self.queue
 
-    def figures(self, now: float, lag: float = 0.0) -> LoadFigures:
+    def figures(
+        self, now: float, lag: float = 0.0, body_wait: float = 0.0
+    ) -> LoadFigures:
         """Return the load that rides on every answer."""
         return LoadFigures(
             in_flight=len(self.running),
@@ -298,4 +300,5 @@
             state=self.target_state,
             pace_percent=self.pace_percent(now),
             lag_ms=int(lag * MILLISECONDS),
+            body_wait_ms=int(body_wait * MILLISECONDS),
         )
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -72,6 +72,8 @@
         self.registration = Registration()
         self.news = GateNews()
         self.delays = Delays()
+        # Bytes a second of this instance's link, 0 if it is not known.
+        self.link_rate = 0.0
         self.budget = ProbeBudget()
         self.calls: dict[Hashable, GateCall] = {}
         self.by_name: dict[str, GateCall] = {}
@@ -222,7 +224,14 @@
         lag = 0.0
         if link is not None:
             lag = self.delays.lag(link.number, machine_seconds())
-        return self.state.figures(self.now(), lag)
+        return self.state.figures(self.now(), lag, self.body_wait())
+
+    def body_wait(self) -> float:
+        """Return how long the bodies that were asked for take to come."""
+        if not self.link_rate:
+            return 0.0
+        due = sum(call.bytes_due() for call in self.calls.values())
+        return due / self.link_rate
 
     def is_idle(self) -> bool:
         return self.state.is_idle()
--- a/cyclamenlift/platform/settings.py
+++ b/cyclamenlift/platform/settings.py
@@ -119,6 +119,7 @@
         'target': fields.get('app_addr', ''),
         'warm_connections': 0,
         'health_seconds': LOAD_SECONDS,
+        'link_mbps': fields.get('limits.link_mbps', '0'),
         'drain_seconds': max(0.5, grace - GRACE_MARGIN_SECONDS),
         'retry_share': bounds.get('retry_budget_ratio', '0.2'),
         'retry_slack': bounds.get('budget_slack', '0'),
--- a/cyclamenlift/routing/estimates.py
+++ b/cyclamenlift/routing/estimates.py
@@ -39,6 +39,7 @@
 
     __slots__ = (
         'answered_at',
+        'body_wait',
         'error_at',
         'error_level',
         'gate_latency',
@@ -68,6 +69,7 @@
         self.pace = 0
         self.pace_at = 0.0
         self.lag = 0.0
+        self.body_wait = 0.0
         self.load_at = 0.0
         self.load_deadline = 0.0
         self.latency = 0.0
@@ -117,6 +119,7 @@
         self.pace = figures.pace_percent or 0
         self.pace_at = now
         self.lag = (figures.lag_ms or 0) / MILLISECONDS
+        self.body_wait = (figures.body_wait_ms or 0) / MILLISECONDS
         self.gate_latency = (figures.latency_us or 0) / MICROSECONDS
         if figures.error_permille:
             level = min(1.0, figures.error_permille / PERMILLE)
@@ -129,6 +132,10 @@
         """
         return max(0.0, self.lag - (now - self.pace_at))
 
+    def body_wait_now(self, now: float) -> float:
+        """Return how long a body sent now waits for others on its way."""
+        return max(0.0, self.body_wait - (now - self.pace_at))
+
     def is_refusing(self, now: float) -> bool:
         """Tell whether the gate refused for overload a moment ago."""
         return now < self.refused_deadline
--- a/cyclamenlift/routing/group.py
+++ b/cyclamenlift/routing/group.py
@@ -88,6 +88,8 @@
     def __init__(self, rule: ServiceRule, data_centre: str, rng):
         self.rule = rule
         self.data_centre = data_centre
+        # The instance of the entry itself, where a body need not travel.
+        self.instance = ''
         self.rng: random.Random = rng
         self.candidates: dict[str, Candidate] = {}
         self.live: list[Candidate] = []
--- a/cyclamenlift/routing/messages.py
+++ b/cyclamenlift/routing/messages.py
@@ -28,12 +28,14 @@
     """What is known of the call that wants a target.
 
     ``work`` is its usual work in seconds, ``kilobytes`` what goes there
-    and back.
+    and back; ``body_seconds`` is how long its body takes on the way to
+    another instance, 0 without a body or where no rate is known.
     """
 
     route: str = ''
     work: float = 0.1
     kilobytes: float = 1.0
+    body_seconds: float = 0.0
 
 
 NO_NEED = Need()
--- a/cyclamenlift/routing/policies.py
+++ b/cyclamenlift/routing/policies.py
@@ -177,6 +177,8 @@
     slots = max(1.0, slots * group.ramp(candidate, now))
     seconds = slowed(need.work, estimate.pace, now - estimate.pace_at)
     seconds += estimate.lag_now(now)
+    if need.body_seconds and candidate.instance != group.instance:
+        seconds += need.body_seconds + estimate.body_wait_now(now)
     return seconds + queueing(load, slots, need.work)
 
 
--- a/cyclamenlift/routing/state.py
+++ b/cyclamenlift/routing/state.py
@@ -60,6 +60,9 @@
         self.services: dict[str, ServiceState] = {}
         self.records: dict[str, MemberRecord] = {}
         self.work = WorkTable()
+        self.instance = ''
+        # Bytes a second of this instance's link, 0 if it is not known.
+        self.link_rate = 0.0
         self.first_record_at: float | None = None
 
     # Changes from outside.
@@ -72,6 +75,7 @@
         for name, rule in rules.services.items():
             old = kept.get(name)
             group = Group(rule, self.data_centre, self.rng)
+            group.instance = self.instance
             policy = POLICIES.get(rule.policy)()
             state = ServiceState(group, policy, 0.0)
             if old is not None:
@@ -169,7 +173,8 @@
     def need(self, route: str, body_bytes: int) -> Need:
         """Return what is known of a call of ``route``."""
         kilobytes = body_bytes / 1024.0 + self.work.kilobytes(route)
-        return Need(route, self.work.seconds(route), kilobytes)
+        seconds = body_bytes / self.link_rate if self.link_rate else 0.0
+        return Need(route, self.work.seconds(route), kilobytes, seconds)
 
     def last_resort(self, group: Group, now: float, exclude) -> list:
         """Return ejected targets that are not excluded."""
--- a/cyclamenlift/runtime/daemon.py
+++ b/cyclamenlift/runtime/daemon.py
@@ -49,6 +49,7 @@
 # Peers need this long to learn of a drain before the gate goes away.
 FAREWELL_SECONDS = 1.0
 IDLE_CHECK_SECONDS = 0.05
+BYTES_OF_MEGABIT = 125_000
 # How often lines are offered again to a reader of logs that stalled.
 LOG_FLUSH_SECONDS = 1.0
 
@@ -76,6 +77,8 @@
         self.network = self.make_network()
         self.control = [Address.parse(text) for text in settings.control]
         self.routing = RoutingState(settings.data_centre, rng)
+        self.routing.instance = settings.instance
+        self.routing.link_rate = settings.link_mbps * BYTES_OF_MEGABIT
         self.claims = ClaimClient(self.loop, self.network, self.control, rng)
         self.calls = self.make_calls()
         self.gate = self.make_gate() if settings.target else None
@@ -157,6 +160,7 @@
             settings.slots,
             self.dialect,
         )
+        gate.link_rate = settings.link_mbps * BYTES_OF_MEGABIT
         self.health = HealthCheck(gate, client, settings)
         return gate
 
--- a/cyclamenlift/wire/cyclamenlift.thrift
+++ b/cyclamenlift/wire/cyclamenlift.thrift
@@ -51,7 +51,10 @@
   7: i32 pace_percent,
   // How much longer than the quickest ones the messages of the receiver of
   // these figures were lately on their way to the gate.
-  8: i32 lag_ms
+  8: i32 lag_ms,
+  // How long the link of the gate's instance takes for the bodies that are
+  // still to come; 0: nothing, or the rate of the link is not known.
+  9: i32 body_wait_ms
 }
 
 // Entry to gate. A body that fits is carried whole (body_complete).
--- a/cyclamenlift/wire/gen/protocol/ttypes.py
+++ b/cyclamenlift/wire/gen/protocol/ttypes.py
@@ -235,11 +235,12 @@
      - state
      - pace_percent
      - lag_ms
+     - body_wait_ms
 
     """
 
 
-    def __init__(self, in_flight=None, queued=None, slots=None, latency_us=None, error_permille=None, state=None, pace_percent=None, lag_ms=None,):
+    def __init__(self, in_flight=None, queued=None, slots=None, latency_us=None, error_permille=None, state=None, pace_percent=None, lag_ms=None, body_wait_ms=None,):
         self.in_flight = in_flight
         self.queued = queued
         self.slots = slots
@@ -248,6 +249,7 @@
         self.state = state
         self.pace_percent = pace_percent
         self.lag_ms = lag_ms
+        self.body_wait_ms = body_wait_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -298,6 +300,11 @@
                     self.lag_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.body_wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -340,6 +347,10 @@
             oprot.writeFieldBegin('lag_ms', TType.I32, 8)
             oprot.writeI32(self.lag_ms)
             oprot.writeFieldEnd()
+        if self.body_wait_ms is not None:
+            oprot.writeFieldBegin('body_wait_ms', TType.I32, 9)
+            oprot.writeI32(self.body_wait_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3989,6 +4000,7 @@
     (6, TType.I32, 'state', None, None, ),  # 6
     (7, TType.I32, 'pace_percent', None, None, ),  # 7
     (8, TType.I32, 'lag_ms', None, None, ),  # 8
+    (9, TType.I32, 'body_wait_ms', None, None, ),  # 9
 )
 all_structs.append(CallStart)
 CallStart.thrift_spec = (
--- a/tests/routing/test_finish.py
+++ b/tests/routing/test_finish.py
@@ -66,3 +66,38 @@
     choice = state.choose(SERVICE, 1.01, frozenset(), NEED)
     assert choice.pace_percent == 100
     assert choice.seconds == pytest.approx(0.160, rel=0.2)
+
+
+# The load that the next ones are for: bodies of 60 KB on links that take
+# 0.11 s for one, several for one instance at a time.
+SLOW_LINK = Need('upload', 0.190, 1.0, body_seconds=0.11)
+
+
+def waits(seconds: float) -> LoadFigures:
+    figures = pace(100)
+    figures.body_wait_ms = int(seconds * 1000)
+    return figures
+
+
+def test_a_body_goes_where_the_fewest_others_are_on_their_way(state):
+    for number in range(3):
+        state.note_load(SERVICE, f't{number}', waits(0.3), 1.0)
+    assert chosen(state, 1.01, SLOW_LINK) == {'t3'}
+    # What waited has come in since.
+    assert len(chosen(state, 1.35, SLOW_LINK, 200)) > 1
+    # A call without a body does not wait behind them.
+    assert len(chosen(state, 1.01, NEED, 200)) > 1
+
+
+def test_a_body_stays_at_the_own_instance_if_that_is_as_good(state):
+    group = state.services[SERVICE].group
+    group.instance = 't1'
+    assert chosen(state, 1.01, SLOW_LINK) == {'t1'}
+
+
+def test_a_rate_that_is_not_known_costs_nothing(state):
+    assert state.need('upload', 60_000).body_seconds == 0.0
+    state.link_rate = 537_500.0
+    assert state.need('upload', 60_000).body_seconds == pytest.approx(
+        0.11, 0.02
+    )
--- a/tests/runtime/test_late_calls.py
+++ b/tests/runtime/test_late_calls.py
@@ -10,7 +10,10 @@
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.gate.tasks import Gate
 from cyclamenlift.runtime.local import local_pair
+from cyclamenlift.wire.gen.protocol.ttypes import BodyChunk
 from cyclamenlift.wire.gen.protocol.ttypes import CallStart
+from cyclamenlift.wire.gen.protocol.ttypes import Credit
+from cyclamenlift.wire.gen.protocol.ttypes import Hello
 from cyclamenlift.wire.gen.protocol.ttypes import Refused
 from cyclamenlift.wire.gen.protocol.ttypes import TargetState
 from tests.runtime.builders import quiet_scheduler
@@ -28,6 +31,8 @@
         self.requests.append(request)
         return self
 
+    pending = 0
+
     def send_body(self, _data, _last) -> None:
         """Take a body that never matters here."""
 
@@ -80,3 +85,18 @@
         for request in gate.client.requests
     ]
     assert told == pytest.approx([5000, 3000], abs=100)
+
+
+def test_a_gate_tells_how_long_the_bodies_on_their_way_take(gate):
+    entry_end, gate_end = local_pair(iter(range(1, 9)))
+    entry_end.subscribe(Credit, lambda _link, _message: None)
+    gate.link_rate = 500_000.0
+    upload = start(1, age=0.0, left=5.0)
+    upload.body_complete = False
+    upload.body_length = 60_000
+    gate.on_call_start(gate_end, upload)
+    assert gate.figures().body_wait_ms == 0
+    gate_end.hello = Hello('entry', 'bole', 2, 'c')
+    assert gate.figures().body_wait_ms == 120
+    gate.on_body_chunk(gate_end, BodyChunk(1, bytes(50_000), False))
+    assert gate.figures().body_wait_ms == 20
