Send a large body to the own gate in one loop

A gate in the same process gives credit while it takes a chunk, and each credit sent the next chunk from inside the one before; with chunks of 16 KiB and a window of two a body of some megabytes ended at the limit of recursion, and its call at its deadline. Ruled out: credit that is lost on new connections (its test passes). Change: a credit that comes while chunks are sent only widens the window.

--- a/cyclamenlift/calls/attempt.py
+++ b/cyclamenlift/calls/attempt.py
@@ -27,6 +27,7 @@
     body: bytes = b''
     offset: int = 0
     window: int = 0
+    sending: bool = False
     status: int = 0
     headers: list[Header] = dataclasses.field(default_factory=list)
     length: int = -1
@@ -51,7 +52,14 @@
         return True
 
     def send_more(self) -> None:
-        """Send body chunks as far as the gate's credit goes."""
+        """Send body chunks as far as the gate's credit goes.
+
+        A gate in this process gives credit while it takes a chunk: the loop
+        that sends that chunk goes on with it, not one inside it.
+        """
+        if self.sending:
+            return
+        self.sending = True
         while self.window > 0 and self.offset < len(self.body):
             size = min(CHUNK, self.window, len(self.body) - self.offset)
             part = self.body[self.offset : self.offset + size]
@@ -61,6 +69,7 @@
             frame = self.link.post(BodyChunk(self.number, part, last))
             if self.link.pending:
                 self.body_frames.append(frame)
+        self.sending = False
 
     def take_credit(self, allowed: int) -> None:
         self.window += allowed
