Stop when nothing can come in; tell incarnations by name and start

Cause of the stop: the daemon looked for calls in flight, found none and ended 50 ms later. Ruled out: the gate (it drains 1 s earlier) and the grace time (2.7 of 5.3 s used). Now idle connections end with the look that finds nothing in flight, and the first look comes one period after the last connections were accepted. The steps stand in runtime/stopping.py.

A target may start again under its old name: an incarnation is the name and the start that the target tells. A newer start voids drain, doubt, sequence and connections of before; an older one changes nothing, whatever its sequence. What left without telling its start is taken to have started before we heard of it. Found on the way: a late word of a dead target that was never heard of before replaced the one that runs, which was then kept out for good; its page now brings it back. The load of calls unknown to the gate was kept over a restart.

Check-ins need all their fields, with strict types, a known state and an address; a farewell's body is read.

--- /dev/null
+++ b/cyclamenlift/conf/watching.py
@@ -0,0 +1,87 @@
+"""Notices that a settings file has changed, with or without a signal."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import dataclasses
+import signal
+
+from circuits.core.components import BaseComponent
+from circuits.core.handlers import handler
+from returns.result import Failure
+from returns.result import Result
+import structlog
+
+from cyclamenlift.core.problems import Problem
+
+# The file may change without a signal; a look costs one system call.
+LOOK_SECONDS = 2.0
+Fields = Mapping[str, str]
+Stamp = tuple[int, int]
+LOG = structlog.get_logger('settings')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsFile:
+    """How a file is read, and what changes whenever it does."""
+
+    read: Callable[[], Result[Fields, Problem]]
+    stamp: Callable[[], Stamp]
+
+
+class SettingsWatch(BaseComponent):
+    """Reads the file again on SIGHUP or when it has another time stamp.
+
+    ``stamp`` is that of before ``fields`` were read, so a change since
+    then is noticed.
+    """
+
+    channel = 'settings'
+
+    def __init__(
+        self,
+        root,
+        file: SettingsFile,
+        fields: Fields,
+        stamp: Stamp,
+        apply: Callable[[Fields], None],
+    ):
+        super().__init__(channel='settings')
+        self.loop = root
+        self.file = file
+        self.fields = fields
+        self.apply = apply
+        self.stamp = stamp
+        self.register(root)
+        signal.signal(signal.SIGHUP, root._signal_handler)
+        root.scheduler.after(0.0, self.look)
+        root.scheduler.every(LOOK_SECONDS, self.look)
+
+    @handler('signal', channel='*')
+    def _on_signal(self, event, number, _stack) -> None:
+        if number == signal.SIGHUP:
+            event.stop()
+            self.reload('signal')
+
+    def look(self) -> None:
+        """Read the file if it is another than before."""
+        if self.file.stamp() != self.stamp:
+            self.reload('changed file')
+
+    def reload(self, reason: str) -> None:
+        """Take over what has changed; an unreadable file changes nothing."""
+        self.stamp = self.file.stamp()
+        found = self.file.read()
+        if isinstance(found, Failure):
+            problem = found.failure().line()
+            LOG.error('settings_unreadable', reason=reason, problem=problem)
+            return
+        fields = found.unwrap()
+        changed = sorted(
+            name
+            for name in {*fields, *self.fields}
+            if fields.get(name) != self.fields.get(name)
+        )
+        self.fields = fields
+        LOG.info('settings_reloaded', reason=reason, changed=changed)
+        if changed:
+            self.apply(fields)
--- a/cyclamenlift/core/problems.py
+++ b/cyclamenlift/core/problems.py
@@ -33,3 +33,12 @@
         place = f' {self.where}:' if self.where else ''
         detail = self.detail or describe(self.code).title
         return f'{int(self.code)}{place} {detail} ({self.advice()})'
+
+
+def brief(error: object, most: int) -> str:
+    """Return a text on one line, of at most ``most`` characters.
+
+    >>> brief(ValueError('much   too\\nlong'), 8)
+    'much too'
+    """
+    return ' '.join(str(error).split())[:most]
--- a/cyclamenlift/gate/state.py
+++ b/cyclamenlift/gate/state.py
@@ -195,6 +195,7 @@
         """Begin with a new incarnation, whatever the one before did."""
         self.target_state = TargetState.STARTING
         self.target_load = None
+        self.foreign = 0
         if cold:
             self.errors = ErrorShare()
 
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -14,6 +14,7 @@
 from cyclamenlift.gate.registration import Announced
 from cyclamenlift.gate.registration import Announcement
 from cyclamenlift.gate.registration import Registration
+from cyclamenlift.gate.registration import UNKNOWN_START
 from cyclamenlift.gate.running import GateCall
 from cyclamenlift.gate.state import Admission
 from cyclamenlift.gate.state import GateState
@@ -69,7 +70,7 @@
         self.dialect = dialect
         self.checks_ids = dialect.call_id_repeated
         self.state = GateState(slots)
-        self.registration = Registration()
+        self.registration = Registration(self.clock.unix_ms)
         self.news = GateNews()
         self.delays = Delays()
         # Bytes a second of this instance's link, 0 if it is not known.
@@ -159,16 +160,25 @@
             'target_announced',
             outcome=outcome.value,
             incarnation=announcement.incarnation,
+            born_ms=announcement.born_ms,
             sequence=announcement.sequence,
             draining=announcement.draining,
             slots=announcement.slots,
             current=self.registration.incarnation,
+            current_born_ms=self.registration.born_ms,
         )
 
-    def target_leaves(self, incarnation: str) -> None:
+    def target_leaves(
+        self, incarnation: str, born_ms: int = UNKNOWN_START
+    ) -> None:
         """Take no new call for a target that says that it goes."""
-        known = self.registration.leave(incarnation)
-        LOG.info('target_leaves', incarnation=incarnation, current=known)
+        known = self.registration.leave(incarnation, born_ms)
+        LOG.info(
+            'target_leaves',
+            incarnation=incarnation,
+            born_ms=born_ms,
+            current=known,
+        )
         if known:
             self.drain()
 
--- a/cyclamenlift/platform/documents.py
+++ b/cyclamenlift/platform/documents.py
@@ -13,6 +13,7 @@
 
 from cyclamenlift.conf.durations import milliseconds
 from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.problems import brief
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.models.document import document_from_value
 from cyclamenlift.models.document import EventDocument
@@ -246,5 +247,4 @@
 
 
 def invalid(detail: str) -> Failure:
-    text = ' '.join(detail.split())[:300]
-    return Failure(Problem(ResultCode.DOCUMENT_INVALID, text))
+    return Failure(Problem(ResultCode.DOCUMENT_INVALID, brief(detail, 300)))
--- a/cyclamenlift/platform/programs.py
+++ b/cyclamenlift/platform/programs.py
@@ -8,6 +8,8 @@
 
 from cyclamenlift.conf.settings import ControlSettings
 from cyclamenlift.conf.settings import DaemonSettings
+from cyclamenlift.conf.watching import SettingsFile
+from cyclamenlift.conf.watching import SettingsWatch
 from cyclamenlift.core.logs import configure_logs
 from cyclamenlift.core.memory import keep_start_up_objects
 from cyclamenlift.core.problems import Problem
@@ -17,10 +19,9 @@
 from cyclamenlift.platform.dialect import PLATFORM_DIALECT
 from cyclamenlift.platform.settings import Fields
 from cyclamenlift.platform.settings import file_stamp
+from cyclamenlift.platform.settings import gossip_seeds
 from cyclamenlift.platform.settings import read_fields
 from cyclamenlift.platform.settings import read_settings
-from cyclamenlift.platform.watching import SettingsWatch
-from cyclamenlift.platform.watching import take_seeds
 
 EXIT_SETTINGS = 2
 EXIT_FAILED = 1
@@ -96,12 +97,19 @@
     """Let a changed settings file take effect on a running process."""
     SettingsWatch(
         node.loop,
+        SettingsFile(read_fields, file_stamp),
         fields,
         stamp,
         lambda new: take_seeds(node.membership, new),
     )
 
 
+def take_seeds(membership, fields: Fields) -> None:
+    """Let membership ask the seeds that the file names now."""
+    seeds = [Address.parse(seed) for seed in gossip_seeds(fields)]
+    membership.set_seeds(seeds)
+
+
 def prepare(kind: type) -> Prepared | None:
     """Read the settings and set up logs; None after telling what is wrong."""
     stamp = file_stamp()
--- a/cyclamenlift/runtime/daemon.py
+++ b/cyclamenlift/runtime/daemon.py
@@ -37,6 +37,7 @@
 from cyclamenlift.routing.state import RoutingState
 from cyclamenlift.runtime.local import local_pair
 from cyclamenlift.runtime.observing import Observer
+from cyclamenlift.runtime.stopping import OrderlyStop
 from cyclamenlift.wire.gen.protocol.ttypes import BodyChunk
 from cyclamenlift.wire.gen.protocol.ttypes import CallStart
 from cyclamenlift.wire.gen.protocol.ttypes import Credit
@@ -46,9 +47,6 @@
 from cyclamenlift.wire.tasks import PeerNetwork
 
 LOG = structlog.get_logger('daemon')
-# Peers need this long to learn of a drain before the gate goes away.
-FAREWELL_SECONDS = 1.0
-IDLE_CHECK_SECONDS = 0.05
 BYTES_OF_MEGABIT = 125_000
 # How often lines are offered again to a reader of logs that stalled.
 LOG_FLUSH_SECONDS = 1.0
@@ -73,7 +71,6 @@
         self.register(self.loop)
         self.scheduler = self.loop.scheduler
         self.stopping = False
-        self.stop_deadline = 0.0
         self.network = self.make_network()
         self.control = [Address.parse(text) for text in settings.control]
         self.routing = RoutingState(settings.data_centre, rng)
@@ -325,37 +322,7 @@
         if self.stopping:
             return
         self.stopping = True
-        now = self.scheduler.clock.now()
-        self.stop_deadline = now + self.settings.drain_seconds
-        LOG.info('stop_began', open_calls=len(self.calls.open_calls))
-        self.entry.begin_closing()
-        farewell = max(FAREWELL_SECONDS, self.settings.farewell_seconds)
-        # The gate works on while callers learn of the stop: its target is
-        # out of use only from its drain until the next daemon has begun.
-        self.scheduler.after(farewell - FAREWELL_SECONDS, self.drain)
-        self.scheduler.after(
-            self.settings.farewell_seconds, self.entry.begin_drain
-        )
-        self.scheduler.after(farewell, self.check_idle)
-
-    def check_idle(self) -> None:
-        now = self.scheduler.clock.now()
-        idle = self.entry.busy == 0 and self.calls.is_idle()
-        idle = idle and not self.claims.errands
-        idle = idle and (self.gate is None or self.gate.is_idle())
-        if not idle and now < self.stop_deadline:
-            self.scheduler.after(IDLE_CHECK_SECONDS, self.check_idle)
-            return
-        self.membership.leave()
-        self.scheduler.after(IDLE_CHECK_SECONDS, self.finish_stop)
-
-    def finish_stop(self) -> None:
-        LOG.info('stopped')
-        self.membership.stop()
-        self.network.close_all()
-        self.entry.close_all()
-        self.admin.http.close_all()
-        self.loop.stop()
+        OrderlyStop(self).begin()
 
     @handler('signal', channel='*')
     def _on_signal(self, event, number, _stack) -> None:
--- a/tests/conf/test_watching.py
+++ b/tests/conf/test_watching.py
@@ -4,13 +4,16 @@
 
 import pytest
 
+from cyclamenlift.conf.watching import SettingsFile
+from cyclamenlift.conf.watching import SettingsWatch
 from cyclamenlift.core.tasks import build_root
 from cyclamenlift.platform.settings import file_stamp
 from cyclamenlift.platform.settings import parse_fields
-from cyclamenlift.platform.watching import SettingsWatch
+from cyclamenlift.platform.settings import read_fields
 from tests.platform.builders import settings_lines
 
 SECONDS = 10.0
+FILE = SettingsFile(read_fields, file_stamp)
 
 
 @pytest.fixture
@@ -36,7 +39,7 @@
     root = build_root()
     root._running = True
     taken = []
-    SettingsWatch(root, fields, stamp, taken.append)
+    SettingsWatch(root, FILE, fields, stamp, taken.append)
     wait_for(root, taken)
     assert taken[0]['new'] == '1'
 
@@ -47,7 +50,7 @@
     root = build_root()
     root._running = True
     taken = []
-    watch = SettingsWatch(root, fields, stamp, taken.append)
+    watch = SettingsWatch(root, FILE, fields, stamp, taken.append)
     path.unlink()
     watch.look()
     assert taken == []
--- a/tests/gate/test_registration.py
+++ b/tests/gate/test_registration.py
@@ -1,11 +1,15 @@
 """Which incarnation of a target counts, whatever comes late."""
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from cyclamenlift.gate.registration import Announced
 from cyclamenlift.gate.registration import Announcement
+from cyclamenlift.gate.registration import ASKED
 from cyclamenlift.gate.registration import Registration
 
 
-def said(name: str, sequence: int = 0, **fields) -> Announcement:
+def said(name: str, sequence: int = ASKED, **fields) -> Announcement:
     return Announcement(name, 'prices', 6, sequence=sequence, **fields)
 
 
@@ -69,3 +73,109 @@
     assert registration.doubted
     registration.announce(said('a', 2), 1.0)
     assert not registration.doubted
+
+
+def started(name: str, born_ms: int, sequence: int, **fields) -> Announcement:
+    return said(name, sequence, born_ms=born_ms, **fields)
+
+
+def test_a_restart_under_the_same_name_is_a_new_incarnation():
+    registration = Registration()
+    registration.announce(started('a', 1000, 9, draining=True), 0.0)
+    again = started('a', 5000, 1)
+    assert registration.announce(again, 1.0) is Announced.NEW
+    assert not registration.draining
+    assert registration.born_ms == 5000
+
+
+def test_a_restart_after_a_farewell_opens_again():
+    registration = Registration()
+    registration.announce(started('a', 1000, 3), 0.0)
+    assert registration.leave('a', 1000)
+    assert registration.announce(started('a', 5000, 1), 1.0) is Announced.NEW
+    assert not registration.draining
+
+
+def test_a_late_word_of_the_life_before_changes_nothing():
+    registration = Registration()
+    registration.announce(started('a', 1000, 3), 0.0)
+    registration.announce(started('a', 5000, 1), 1.0)
+    late = started('a', 1000, 99, draining=True)
+    assert registration.announce(late, 2.0) is Announced.STALE
+    assert not registration.leave('a', 1000)
+    assert not registration.draining
+    assert registration.born_ms == 5000
+
+
+def test_an_older_target_that_was_never_heard_of_does_not_come_in():
+    registration = Registration()
+    registration.announce(started('new', 5000, 1), 0.0)
+    late = started('old', 1000, 9)
+    assert registration.announce(late, 1.0) is Announced.STALE
+    assert registration.incarnation == 'new'
+
+
+def test_twice_started_within_a_second():
+    registration = Registration()
+    registration.announce(started('a', 1000, 1), 0.0)
+    registration.announce(started('a', 1400, 1, draining=True), 0.1)
+    assert registration.announce(started('a', 1800, 1), 0.2) is Announced.NEW
+    assert not registration.draining
+    late = started('a', 1400, 2, draining=True)
+    assert registration.announce(late, 0.3) is Announced.STALE
+    assert not registration.draining
+
+
+def test_one_that_left_before_it_was_known_may_start_again():
+    registration = Registration(unix_ms=lambda: 2000)
+    assert not registration.leave('a')
+    late = started('a', 1000, 7)
+    assert registration.announce(late, 1.0) is Announced.STALE
+    assert registration.announce(started('a', 3000, 1), 2.0) is Announced.NEW
+
+
+def test_a_target_that_tells_its_start_never_leaves_it_out():
+    registration = Registration()
+    registration.announce(started('a', 1000, 1), 0.0)
+    other = said('a', 2, draining=True)
+    assert registration.announce(other, 1.0) is Announced.STALE
+    assert not registration.draining
+
+
+def test_the_page_brings_back_one_that_a_late_word_had_replaced():
+    registration = Registration()
+    registration.announce(said('alive', 4), 0.0)
+    registration.announce(said('dead', 9), 1.0)
+    assert registration.announce(said('alive'), 2.0) is Announced.NEW
+    assert registration.incarnation == 'alive'
+    assert registration.announce(said('alive', 5), 3.0) is Announced.AGAIN
+
+
+def test_the_page_does_not_bring_back_one_that_left():
+    registration = Registration()
+    registration.announce(said('a', 4), 0.0)
+    registration.leave('a')
+    registration.announce(said('b', 1), 1.0)
+    assert registration.announce(said('a'), 2.0) is Announced.STALE
+
+
+def words_of_lives() -> list[Announcement]:
+    """Return what three lives of one name say, the last one not leaving."""
+    words = []
+    for born_ms in (1000, 2000, 3000):
+        words.extend(started('a', born_ms, n) for n in (1, 2, 3))
+        if born_ms < 3000:
+            words.append(started('a', born_ms, 4, draining=True))
+    return words
+
+
+@given(st.permutations(words_of_lives()))
+def test_in_whatever_order_words_come_the_last_life_counts(words):
+    registration = Registration()
+    newest = 0
+    for word in words:
+        registration.announce(word, 0.0)
+        newest = max(newest, word.born_ms)
+        assert registration.born_ms == newest
+    assert not registration.draining
+    assert registration.current.sequence == 3
--- a/tests/platform/test_targets.py
+++ b/tests/platform/test_targets.py
@@ -2,6 +2,8 @@
 
 import json
 
+from hypothesis import given
+from hypothesis import strategies as st
 import pytest
 
 from cyclamenlift.gate.tasks import Gate
@@ -64,8 +66,8 @@
     return asked.status
 
 
-def leave(gate: Gate, name: str) -> int:
-    asked = Asked(f'/v1/Instances.Deregister/{name}', b'')
+def leave(gate: Gate, name: str, body: bytes = b'') -> int:
+    asked = Asked(f'/v1/Instances.Deregister/{name}', body)
     TargetCheckIns(gate, 'prices').take(asked)
     return asked.status
 
@@ -114,6 +116,24 @@
         {'cold_left': 'soon'},
         {'seq': -1},
         {'seq': None},
+        {'slots': '6'},
+        {'slots': True},
+        {'slots': 6.5},
+        {'seq': '6'},
+        {'seq': 1.0e30},
+        {'born': 1.5},
+        {'born': '1700000000000'},
+        {'born': True},
+        {'born': None},
+        {'born': -1},
+        {'born': 0},
+        {'zone': ''},
+        {'zone': 7},
+        {'address': 'nowhere'},
+        {'address': None},
+        {'version': 1},
+        {'cold_left': 3},
+        {'state': ['ready']},
     ],
 )
 def test_a_wrong_check_in_is_refused_and_changes_nothing(gate, changes):
@@ -121,6 +141,61 @@
     assert gate.is_unknown()
 
 
+@pytest.mark.parametrize('missing', sorted(BEAT))
+def test_a_check_in_without_one_of_its_fields_names_no_target(gate, missing):
+    body = json.dumps({k: v for k, v in BEAT.items() if k != missing})
+    asked = Asked('/v1/Instances.Heartbeat/i-1', body.encode())
+    TargetCheckIns(gate, 'prices').take(asked)
+    assert asked.status == 400
+    assert gate.is_unknown()
+
+
+def test_a_restart_under_the_same_name_opens_a_draining_gate(gate):
+    beat(gate, born=1000)
+    beat(gate, born=1000, state='draining', seq=5)
+    assert beat(gate, born=2000, seq=1) == 200
+    assert gate.state.target_state == TargetState.READY
+
+
+def test_a_farewell_of_the_life_before_leaves_the_gate_open(gate):
+    beat(gate, born=2000, seq=1)
+    assert leave(gate, 'i-1', b'{"born":1000}') == 200
+    assert gate.state.target_state == TargetState.READY
+    assert leave(gate, 'i-1', b'{"born":2000}') == 200
+    assert gate.state.target_state == TargetState.DRAINING
+
+
+@pytest.mark.parametrize(
+    'body', [b'{', b'[]', b'\xff\xfe', b'{"born":"1"}', b'{"born":null}']
+)
+def test_a_farewell_that_cannot_be_read_changes_nothing(gate, body):
+    beat(gate)
+    assert leave(gate, 'i-1', body) == 400
+    assert gate.state.target_state == TargetState.READY
+
+
+NESTED = b'[' * 8000 + b']' * 8000
+
+
+@given(
+    place=st.integers(0, 200),
+    wrong=st.one_of(st.binary(max_size=40), st.just(NESTED)),
+)
+def test_bytes_of_another_writer_never_change_who_counts(place, wrong):
+    gate = Gate(
+        quiet_scheduler(), Client(), 'prices', 20, platform_like_dialect()
+    )
+    beat(gate, born=1000)
+    body = json.dumps({**BEAT, 'born': 1000, 'seq': 9}).encode()
+    body = body[:place] + wrong + body[place + len(wrong) :]
+    asked = Asked('/v1/Instances.Heartbeat/i-1', body)
+    TargetCheckIns(gate, 'prices').take(asked)
+    assert asked.status in (200, 400)
+    assert gate.registration.incarnation == 'i-1'
+    if asked.status == 400:
+        assert gate.registration.current.sequence == BEAT['seq']
+
+
 @pytest.mark.parametrize('body', [b'', b'[]', b'{', b'\xff', b'null'])
 def test_an_unreadable_check_in_is_refused(gate, body):
     asked = Asked('/v1/Instances.Heartbeat/i-1', body)
--- a/tests/runtime/builders.py
+++ b/tests/runtime/builders.py
@@ -333,6 +333,9 @@
     def now(self) -> float:
         return 0.0
 
+    def unix_ms(self) -> int:
+        return 0
+
     def at(self, _deadline, _callback) -> None:
         """Run nothing."""
 
--- /dev/null
+++ b/tests/runtime/test_stopping.py
@@ -0,0 +1,143 @@
+"""A daemon stops while its callers go on to use their connections.
+
+The load: callers that keep connections open for many requests and learn of
+the stop only by an answer or a closed connection, so that a request may
+come at any moment until the connection ends.
+"""
+
+import heapq
+import itertools
+import socket
+from types import SimpleNamespace
+
+from cyclamenlift.core.streams import Address
+from cyclamenlift.core.tasks import build_root
+from cyclamenlift.http.limits import HttpLimits
+from cyclamenlift.http.server import HttpServer
+from cyclamenlift.runtime.stopping import IDLE_CHECK_SECONDS
+from cyclamenlift.runtime.stopping import OrderlyStop
+
+FAREWELL = 2.2
+GRACE = 5.3
+
+
+class SteppedClock:
+    """A scheduler whose time moves only when it is told to."""
+
+    def __init__(self):
+        self.clock = self
+        self.time = 0.0
+        self.order = itertools.count()
+        self.heap = []
+
+    def now(self) -> float:
+        return self.time
+
+    def after(self, seconds: float, callback) -> None:
+        due = self.time + seconds
+        heapq.heappush(self.heap, (due, next(self.order), callback))
+
+    def run_until(self, instant: float) -> None:
+        while self.heap and self.heap[0][0] <= instant:
+            self.time, _, callback = heapq.heappop(self.heap)
+            callback()
+        self.time = instant
+
+
+class Bed:
+    """A daemon's parts: a real entry whose calls the test answers."""
+
+    def __init__(self):
+        self.root = build_root()
+        self.root._running = True
+        self.taken = []
+        self.server = HttpServer(
+            self.root.poller, HttpLimits(), self.taken.append, 'entry'
+        ).register(self.root)
+        self.address = self.server.listen(Address('127.0.0.1', 0))
+        self.scheduler = SteppedClock()
+        self.ended = False
+        self.left = False
+        idle = SimpleNamespace(is_idle=lambda: True, open_calls=())
+        nothing = SimpleNamespace(
+            leave=self.leave, stop=lambda: None, close_all=lambda: None
+        )
+        self.entry = self.server
+        self.calls = idle
+        self.gate = None
+        self.claims = SimpleNamespace(errands=())
+        self.settings = SimpleNamespace(
+            drain_seconds=GRACE, farewell_seconds=FAREWELL
+        )
+        self.membership = nothing
+        self.network = nothing
+        self.admin = SimpleNamespace(http=nothing)
+        self.loop = SimpleNamespace(stop=self.end)
+
+    def drain(self) -> None:
+        """Have no gate to drain."""
+
+    def leave(self) -> None:
+        self.left = True
+
+    def end(self) -> None:
+        self.ended = True
+
+    def run_until_it_leaves(self) -> None:
+        """Stop right after the look that found nothing in flight."""
+        while not self.left:
+            self.scheduler.run_until(self.scheduler.time + 0.01)
+
+    def connect(self) -> socket.socket:
+        caller = socket.create_connection(tuple(self.address))
+        self.turn()
+        return caller
+
+    def turn(self) -> None:
+        for _ in range(5):
+            self.root.tick(0.01)
+
+    def ask(self, caller: socket.socket) -> None:
+        caller.sendall(b'GET /p HTTP/1.1\r\nHost: prices\r\n\r\n')
+        self.turn()
+
+
+def test_no_request_is_taken_between_the_last_look_and_the_end():
+    bed = Bed()
+    caller = bed.connect()
+    OrderlyStop(bed).begin()
+    bed.run_until_it_leaves()
+    bed.ask(caller)
+    bed.scheduler.run_until(GRACE)
+    assert bed.ended
+    # It was not read, so its caller may send it again wherever it likes.
+    assert bed.taken == []
+    caller.settimeout(1.0)
+    bed.turn()
+    assert caller.recv(100) == b''
+
+
+def test_a_request_on_a_kept_connection_is_answered_before_the_end():
+    bed = Bed()
+    caller = bed.connect()
+    OrderlyStop(bed).begin()
+    bed.scheduler.run_until(FAREWELL + 0.5 * IDLE_CHECK_SECONDS)
+    bed.ask(caller)
+    bed.scheduler.run_until(FAREWELL + 1.0)
+    assert not bed.ended
+    bed.taken[0].respond(200, [], b'fine')
+    bed.turn()
+    bed.scheduler.run_until(FAREWELL + 2.0)
+    assert bed.ended
+    assert b'fine' in caller.recv(1000)
+
+
+def test_a_call_that_never_ends_does_not_outlast_the_grace_time():
+    bed = Bed()
+    caller = bed.connect()
+    OrderlyStop(bed).begin()
+    bed.ask(caller)
+    bed.scheduler.run_until(GRACE - 0.1)
+    assert not bed.ended
+    bed.scheduler.run_until(GRACE + 3 * IDLE_CHECK_SECONDS)
+    assert bed.ended
