--- a/tools/mutants_calls.py
+++ b/tools/mutants_calls.py
@@ -89,8 +89,8 @@
     ),
     Mutant(
         'a stop does not wait for calls',
-        'cyclamenlift/runtime/daemon.py',
-        'if not idle and now < self.stop_deadline:',
+        'cyclamenlift/runtime/stopping.py',
+        'if not self.is_idle() and now < self.deadline:',
         'if False:',
         SYSTEM + '::test_graceful_stops_cut_off_no_upload',
     ),
@@ -132,8 +132,8 @@
     ),
     Mutant(
         'a stop leaves at once, under load',
-        'cyclamenlift/runtime/daemon.py',
-        'if not idle and now < self.stop_deadline:',
+        'cyclamenlift/runtime/stopping.py',
+        'if not self.is_idle() and now < self.deadline:',
         'if False:',
         'tests/system/test_under_load.py::'
         'test_daemon_that_stops_under_load_costs_no_answer',
