Learn by bands of use how many calls a target is worth running at once

Hypothesis: targets here take 1.7 times as long from eight tenths of their slots on, and the rule that should give the last slots up never did: it compared times that held nested calls, by the calls that ran at the start only, against a usual time that was learned in the same crowd. So calls of 60 ms took 167 ms in calm seconds.

Change: each call is compared with the work of its route, learned where eight tenths of the slots or fewer are in use, less the time of nested calls, at the target's pace, by the mean of the slots in use while it ran. The slots that get most done are used; a gate begins with eight tenths, tries the next band once the base is known and looks again 15 s after it gave one up, only at the usual pace. Calls tell of the work up to 2.5 times the usual time if the pace was the same all the while (the first seconds after a start), and the first guess of a route's work is a third of its objective.

Tests: test_crowding.py names the load.

--- a/cyclamenlift/calls/life.py
+++ b/cyclamenlift/calls/life.py
@@ -6,6 +6,7 @@
 from cyclamenlift.calls.attempt import Try
 from cyclamenlift.calls.intake import Request
 from cyclamenlift.calls.keyed import KeyedEnd
+from cyclamenlift.calls.nested import Parent
 from cyclamenlift.calls.relay import Relay
 from cyclamenlift.calls.relay import relay_headers
 from cyclamenlift.calls.state import CallState
@@ -66,6 +67,7 @@
         self.service_seconds: float | None = None
         self.trail: list[str] = []
         self.caller_gone = False
+        self.parent: Parent | None = None
         self.timer = calls.scheduler.at(request.deadline, self.on_deadline)
 
     # -- the request ------------------------------------------------------
@@ -377,6 +379,7 @@
         collector, which stops the process for milliseconds.
         """
         self.tries.close()
+        self.parent = None
         self.exchange.on_gone = None
         self.exchange.on_broken = None
         self.exchange.on_drained = None
--- a/cyclamenlift/calls/tasks.py
+++ b/cyclamenlift/calls/tasks.py
@@ -17,6 +17,7 @@
 from cyclamenlift.calls.intake import TIMEOUT_HEADER
 from cyclamenlift.calls.life import as_headers
 from cyclamenlift.calls.life import Call
+from cyclamenlift.calls.nested import Parent
 from cyclamenlift.calls.returning import UsualTimes
 from cyclamenlift.calls.shares import ShareTurns
 from cyclamenlift.calls.tries import SLOW_PACE
@@ -94,7 +95,7 @@
         self.probes: dict[int, tuple[str, str]] = {}
         self.finished_hooks: list[Callable[[Call, ResultCode], None]] = []
         # The call that the local target runs and that made another one.
-        self.parent_of: Callable[[str], CallStart | None] = lambda _id: None
+        self.parent_of: Callable[[str], Parent | None] = lambda _id: None
 
     def subscribe(self, network) -> None:
         """Take the messages of gates from the peer network."""
@@ -130,8 +131,8 @@
             request.call_id = self.new_call_id()
         call = Call(self, exchange, request)
         self.open_calls.add(call)
-        if parent is not None and parent.repeated:
-            self.note_repeated_parent(call)
+        if parent is not None:
+            self.note_parent(call, parent)
         call.begin()
         self.send_probes(call.service)
 
@@ -150,9 +151,14 @@
             for budget in self.retry_budgets.values():
                 budget.set_members(entries)
 
-    def note_repeated_parent(self, call: Call) -> None:
-        """Count a call as a repeat, since the one that made it is one."""
-        if self.make_budget is not None:
+    def note_parent(self, call: Call, parent: Parent) -> None:
+        """Tell a call that it waits for this one.
+
+        A call counts as a repeat where the one that made it is one.
+        """
+        call.parent = parent
+        parent.nested_began()
+        if parent.repeated and self.make_budget is not None:
             call.state.budget.debit(1.0)
 
     def refuse(self, exchange: Exchange, problem: Problem) -> None:
@@ -182,6 +188,8 @@
 
     def finished(self, call: Call, code: ResultCode) -> None:
         self.open_calls.discard(call)
+        if call.parent is not None:
+            call.parent.nested_ended()
         self.log_end(call, code)
         for hook in self.finished_hooks:
             hook(call, code)
@@ -254,7 +262,7 @@
             headers.append((dialect.caller_service, self.own_service))
         return as_headers(headers)
 
-    def is_nested(self, exchange: Exchange, parent: CallStart | None) -> bool:
+    def is_nested(self, exchange: Exchange, parent: Parent | None) -> bool:
         """Tell whether a target makes this call while it runs another."""
         depth = exchange.dialect.depth
         if depth and exchange.header(depth) is not None:
--- a/cyclamenlift/calls/tries.py
+++ b/cyclamenlift/calls/tries.py
@@ -7,6 +7,7 @@
 from cyclamenlift.core.clock import time_left
 from cyclamenlift.routing.finish import slowed
 from cyclamenlift.routing.messages import Choice
+from cyclamenlift.routing.messages import Need
 from cyclamenlift.routing.messages import Outcome
 from cyclamenlift.wire.gen.protocol.ttypes import CallStart
 from cyclamenlift.wire.gen.protocol.ttypes import Cancel
@@ -62,9 +63,7 @@
         excluded = frozenset(self.tried)
         if rescue:
             excluded = frozenset(t.instance for t in self.open.values())
-        need = self.calls.routing.need(
-            call.request.route_name, len(call.whole_body)
-        )
+        need = self.need()
         choice = self.calls.routing.choose(self.service, now, excluded, need)
         if choice is None or (hedge and choice.hot and not rescue):
             if not self.open:
@@ -129,6 +128,16 @@
         """Tell whether no open try has left this process."""
         return all(attempt.never_left() for attempt in self.open.values())
 
+    def need(self) -> Need:
+        """Return what is known of the call, for the choice of a target."""
+        request = self.call.request
+        route = request.route
+        return self.calls.routing.need(
+            request.route_name,
+            len(self.call.whole_body),
+            route.objective_seconds if route else 0.0,
+        )
+
     # -- steps ------------------------------------------------------------
 
     def start_message(self, now: float) -> CallStart:
@@ -200,9 +209,7 @@
         if attempt.answering:
             return
         now = self.calls.now()
-        need = self.calls.routing.need(
-            request.route_name, len(call.whole_body)
-        )
+        need = self.need()
         choice = self.calls.routing.choose(
             self.service, now, frozenset((instance,)), need
         )
--- a/cyclamenlift/gate/admission.py
+++ b/cyclamenlift/gate/admission.py
@@ -40,7 +40,8 @@
     objective, or, for a nested call, when its parent gives up; None where
     no route says. ``rank`` 0 is the most urgent. ``repeated`` marks a try
     beyond the first; ``returned`` a call whose caller was refused before
-    and has come back.
+    and has come back. ``objective`` is what is left of the route's
+    objective, in seconds.
     """
 
     key: Hashable
@@ -51,6 +52,7 @@
     repeated: bool = False
     route: str = ''
     returned: bool = False
+    objective: float = 0.0
 
     @property
     def urgency(self) -> tuple[bool, int]:
--- a/cyclamenlift/gate/running.py
+++ b/cyclamenlift/gate/running.py
@@ -10,6 +10,7 @@
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.gate.explaining import explain_refusal
 from cyclamenlift.gate.explaining import explain_unknown
+from cyclamenlift.gate.occupancy import Mark
 from cyclamenlift.gate.verdicts import AnswerVerdict
 from cyclamenlift.gate.verdicts import judge_answer
 from cyclamenlift.http.headers import end_to_end
@@ -59,7 +60,10 @@
         self.wait_timer = None
         self.target_call = None
         self.started_at = 0.0
-        self.beside = 0
+        self.mark: Mark | None = None
+        self.nested_open = 0
+        self.nested_since = 0.0
+        self.nested_seconds = 0.0
         self.ended = False
         self.body: list[bytes] = [start.body] if start.body else []
         self.body_whole = start.body_complete
@@ -79,7 +83,7 @@
     def begin(self, now: float) -> None:
         """Send the request to the target; its slot is taken."""
         self.started_at = now
-        self.beside = len(self.gate.state.running) - 1
+        self.mark = self.gate.state.occupancy.mark(now)
         self.target_call = self.gate.client.request(self.request(), self)
         self.forward_body()
 
@@ -146,6 +150,25 @@
     def was_sent(self) -> bool:
         return self.target_call is not None and self.target_call.sent
 
+    # -- calls that the target makes while it runs this one ---------------
+
+    @property
+    def repeated(self) -> bool:
+        """Whether this is a try beyond the call's first."""
+        return bool(self.start.repeated)
+
+    def nested_began(self) -> None:
+        """Note that the target waits for a call of its own."""
+        if not self.nested_open:
+            self.nested_since = self.gate.now()
+        self.nested_open += 1
+
+    def nested_ended(self) -> None:
+        """Note that such a call is over; those at once count once."""
+        self.nested_open -= 1
+        if not self.nested_open:
+            self.nested_seconds += self.gate.now() - self.nested_since
+
     # -- from the target --------------------------------------------------
 
     def on_head(self, status, headers, length: int | None) -> None:
@@ -176,12 +199,7 @@
             self.end_without_answer()
             return
         if self.start.route_name and self.status < SERVER_ERROR:
-            self.gate.state.note_work(
-                self.start.route_name,
-                seconds,
-                self.beside,
-                self.gate.now(),
-            )
+            self.note_work(seconds)
         self.gate.release(self, seconds, self.status >= SERVER_ERROR)
         if self.streaming:
             self.link.send(BodyChunk(self.start.call_id, b'', True))
@@ -189,6 +207,15 @@
         body = b''.join(self.answer)
         self.link.send(self.head(body, True, seconds))
 
+    def note_work(self, seconds: float) -> None:
+        """Let the gate learn from this call, which was answered."""
+        state = self.gate.state
+        now = self.gate.now()
+        beside = state.occupancy.mean_since(self.mark, now) - 1.0
+        state.note_work(
+            self.start.route_name, seconds, beside, now, self.nested_seconds
+        )
+
     def end_without_answer(self) -> None:
         """Tell the entry of an answer that is none to pass on."""
         self.gate.release(self, None, True)
--- a/cyclamenlift/gate/state.py
+++ b/cyclamenlift/gate/state.py
@@ -17,22 +17,28 @@
 from cyclamenlift.gate.admission import slots_for
 from cyclamenlift.gate.admission import UrgencySeen
 from cyclamenlift.gate.crowding import Crowding
+from cyclamenlift.gate.crowding import LEAST_SAMPLES
 from cyclamenlift.gate.estimates import ErrorShare
 from cyclamenlift.gate.estimates import ServiceTime
+from cyclamenlift.gate.news import is_same_pace
+from cyclamenlift.gate.occupancy import Occupancy
 from cyclamenlift.http.dialects import TargetLoad
 from cyclamenlift.routing.finish import slowed
+from cyclamenlift.routing.work import at_usual_pace
+from cyclamenlift.routing.work import MOST_PACE
 from cyclamenlift.routing.work import WorkTable
 from cyclamenlift.wire.gen.protocol.ttypes import LoadFigures
 from cyclamenlift.wire.gen.protocol.ttypes import TargetState
 
 MIN_RETRY_AFTER = 0.005
+NEVER = float('-inf')
 MILLISECONDS = 1000
 # A target's neighbours come and go in about half a second; a figure on its
 # pace that is older tells nothing.
 PACE_SECONDS = 0.5
-# The pace that is assumed where none was told, and the highest at which a
-# call's time counts as its work, in percent of the usual.
+# The pace that is assumed where none was told, in percent of the usual.
 USUAL_PACE = 100
+# Up to this pace a target is as fast as usual, in percent.
 MOST_USUAL_PACE = 120
 
 
@@ -87,7 +93,11 @@
         self.urgency = UrgencySeen()
         self.work = WorkTable()
         self.slot_time = ServiceTime()
-        self.crowding = Crowding()
+        self.crowding = Crowding(slots)
+        self.limit = self.crowding.chosen
+        self.occupancy = Occupancy()
+        self.steady_pace = 0
+        self.steady_since = NEVER
         self.target_state = TargetState.STARTING
         self.service_time = ServiceTime()
         self.errors = ErrorShare()
@@ -104,7 +114,7 @@
         if now >= deadline:
             return self.refuse(ResultCode.DEADLINE_NOT_RUN)
         if len(self.running) < self.slots and not self.queue:
-            self.running.add(key)
+            self.start(key, now)
             return Admission(Verdict.START)
         if len(self.queue) >= self.queue_limit:
             return self.refuse(ResultCode.OVERLOADED)
@@ -120,16 +130,19 @@
         if now >= asking.deadline:
             return self.refuse(ResultCode.DEADLINE_NOT_RUN)
         self.urgency.note(asking, now)
+        self.update_limit(now)
         ahead = self.count_ahead(asking)
         room = slots_for(asking, self.room, self.urgency, now)
+        guess = self.work_now(asking, now)
         if self.is_wasted(asking, now):
-            uncrowded = self.wait_behind(0, crowded_from(self.slots), now)
+            few = crowded_from(self.slots)
+            uncrowded = self.wait_behind(0, few, now, guess)
             return self.refuse_until(ResultCode.QUEUE_DEADLINE, uncrowded)
         if not ahead and len(self.running) < room:
-            self.running.add(asking.key)
+            self.start(asking.key, now)
             return Admission(Verdict.START)
-        wait = self.wait_behind(ahead, room, now)
-        latest = asking.useful_deadline - self.work_now(asking.route, now)
+        wait = self.wait_behind(ahead, room, now, guess)
+        latest = asking.useful_deadline - guess
         if asking.repeated and not asking.nested:
             return self.refuse_until(ResultCode.OVERLOADED, wait)
         if len(self.queue) >= max(self.queue_limit, self.slots):
@@ -142,11 +155,12 @@
     def hopeless(self, now: float) -> list[Expired]:
         """Take out the queued calls that can no longer be of use."""
         found = []
+        self.update_limit(now)
         for key, asking in list(self.queue.items()):
             if asking.useful_deadline is None:
                 continue
             wait = self.wait_behind(self.count_ahead(asking), self.room, now)
-            work = self.work_now(asking.route, now)
+            work = self.work_now(asking, now)
             if now + wait + work > asking.useful_deadline:
                 del self.queue[key]
                 found.append(Expired(key, ResultCode.QUEUE_DEADLINE))
@@ -161,6 +175,7 @@
         and the figure says nothing.
         """
         self.running.discard(key)
+        self.note_occupancy(now)
         if seconds is not None:
             self.service_time.note(seconds)
         self.errors.note(failed, now)
@@ -169,6 +184,7 @@
     def fill(self, now: float) -> Turn:
         """Give free slots to queued calls that can still be in time."""
         turn = Turn()
+        self.update_limit(now)
         while self.queue and len(self.running) < self.room:
             key = min(self.queue, key=lambda k: self.queue[k].order)
             asking = self.queue.pop(key)
@@ -176,10 +192,29 @@
                 code = ResultCode.DEADLINE_NOT_RUN
                 turn.expired.append(Expired(key, code))
                 continue
-            self.running.add(key)
+            self.start(key, now)
             turn.started.append(key)
         return turn
 
+    def start(self, key: Hashable, now: float) -> None:
+        """Give a call a slot."""
+        self.running.add(key)
+        self.note_occupancy(now)
+
+    def note_occupancy(self, now: float) -> None:
+        self.occupancy.note(len(self.running) + self.foreign, now)
+
+    def set_slots(self, slots: int) -> None:
+        """Take over how many calls the target can run at once."""
+        self.slots = slots
+        self.crowding = Crowding(slots)
+        self.limit = self.crowding.chosen
+
+    def update_limit(self, now: float) -> None:
+        """Take over how many calls are worth running at once now."""
+        usual = self.pace_percent(now) <= MOST_USUAL_PACE
+        self.limit = self.crowding.limit(now, usual)
+
     def withdraw(self, key: Hashable) -> bool:
         """Take a call out of the queue; True proves that it never ran."""
         return self.queue.pop(key, None) is not None
@@ -205,6 +240,10 @@
         self.target_load_at = now
         others = load.running + load.waiting - len(self.running)
         self.foreign = max(0, others)
+        self.note_occupancy(now)
+        if not is_same_pace(load.pace_percent, self.steady_pace):
+            self.steady_pace = load.pace_percent
+            self.steady_since = now
 
     def pace_percent(self, now: float) -> int:
         """Return how long work takes now, 100 as usual, 0 unknown."""
@@ -232,8 +271,7 @@
         slots too: a daemon before this one may have sent them, or they
         were cancelled and run on.
         """
-        room = self.crowding.limit(self.slots)
-        return max(1, room - self.foreign)
+        return max(1, self.limit - self.foreign)
 
     def refuse_until(self, code: ResultCode, wait: float) -> Admission:
         return Admission(Verdict.REFUSED, code, max(MIN_RETRY_AFTER, wait))
@@ -246,17 +284,25 @@
             if other.order <= asking.order and key != asking.key
         )
 
-    def wait_behind(self, ahead: int, room: int, now: float) -> float:
-        """Return the seconds until a slot is free behind ``ahead``."""
-        held = self.slot_time.mean
+    def wait_behind(
+        self, ahead: int, room: int, now: float, guess: float = 0.0
+    ) -> float:
+        """Return the seconds until a slot is free behind ``ahead``.
+
+        ``guess`` is how long a call is taken to hold a slot before any
+        was seen.
+        """
+        held = self.slot_time.mean or guess
         if held:
             held = slowed(held, self.pace_percent(now) or USUAL_PACE, 0.0)
         return seconds_until_slot(ahead, len(self.running), room, held)
 
-    def work_now(self, route: str, now: float) -> float:
-        """Return how long a call of ``route`` takes at the pace now."""
+    def work_now(self, asking: Asking, now: float) -> float:
+        """Return how long a call takes now, those that it makes too."""
         pace = self.pace_percent(now) or USUAL_PACE
-        return slowed(self.work.seconds(route), pace, 0.0)
+        work = self.work.seconds(asking.route, asking.objective)
+        work *= self.crowding.slowness(len(self.running) + 1)
+        return slowed(work, pace, 0.0) + self.work.nested(asking.route)
 
     def is_wasted(self, asking: Asking, now: float) -> bool:
         """Tell whether a slot would be lost to a call that will be late.
@@ -265,20 +311,37 @@
         """
         if len(self.running) < crowded_from(self.slots):
             return False
-        done = now + self.work_now(asking.route, now)
+        done = now + self.work_now(asking, now)
         return done > asking.useful_deadline
 
     def note_work(
-        self, route: str, seconds: float, beside: int, now: float
+        self,
+        route: str,
+        seconds: float,
+        beside: float,
+        now: float,
+        nested: float = 0.0,
     ) -> None:
-        """Learn from a call that ran beside ``beside`` others."""
+        """Learn from a call that ran beside ``beside`` others in the mean.
+
+        ``nested`` is how long it waited for calls of its own. Only a call
+        during which the target kept its pace tells of the work.
+        """
         pace = self.pace_percent(now)
-        if pace > MOST_USUAL_PACE:
+        own = max(0.0, seconds - nested)
+        if pace > MOST_PACE or own <= 0.0:
+            return
+        if self.steady_since > now - seconds:
             return
-        usual = self.work.seconds(route)
-        self.crowding.note(seconds, usual, beside + 1, self.slots)
-        self.work.note(route, seconds, pace, 0)
-        self.slot_time.note(seconds)
+        at_usual = at_usual_pace(own, pace)
+        self.slot_time.note(at_usual + nested)
+        in_use = beside + 1.0
+        if self.work.knows(route, LEAST_SAMPLES):
+            ratio = at_usual / self.work.seconds(route)
+            self.crowding.note(ratio, in_use, now)
+        if self.crowding.is_roomy(in_use):
+            self.work.note(route, own, pace, 0, nested)
+        self.update_limit(now)
 
     def expected_wait(self) -> float:
         """Return the seconds a call would queue, by recent service times."""
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -193,7 +193,7 @@
 
     def set_slots(self, slots: int) -> None:
         """Take over how many calls the target runs at once."""
-        self.state.slots = slots
+        self.state.set_slots(slots)
         for hook in self.slots_hooks:
             hook(slots)
 
@@ -246,7 +246,7 @@
     def is_idle(self) -> bool:
         return self.state.is_idle()
 
-    def parent_of(self, call_id: str) -> CallStart | None:
+    def parent_of(self, call_id: str) -> GateCall | None:
         """Return the call at this target that made another, if one did.
 
         A target that calls on takes the name of the call that it runs and
@@ -254,8 +254,7 @@
         be parents, so a name that merely looks so misleads nobody.
         """
         name = call_id.rpartition(PART_OF_NAME)[0]
-        parent = self.by_name.get(name) if name else None
-        return parent.start if parent is not None else None
+        return self.by_name.get(name) if name else None
 
     def answers_well(self) -> bool:
         """Tell whether the target answered calls lately, most of them."""
@@ -319,7 +318,8 @@
         start = call.start
         if not start.route_name:
             return self.state.admit(call.key, call.deadline, now)
-        useful = call.sent_at + (start.objective_left_us or 0) / MICROSECONDS
+        objective = (start.objective_left_us or 0) / MICROSECONDS
+        useful = call.sent_at + objective
         if start.nested or useful > call.deadline:
             useful = call.deadline
         asking = Asking(
@@ -331,6 +331,7 @@
             repeated=bool(start.repeated),
             route=start.route_name,
             returned=bool(start.returned),
+            objective=objective,
         )
         return self.state.admit_routed(asking, now)
 
--- a/cyclamenlift/routing/state.py
+++ b/cyclamenlift/routing/state.py
@@ -170,11 +170,17 @@
             picked.estimate.pace,
         )
 
-    def need(self, route: str, body_bytes: int) -> Need:
-        """Return what is known of a call of ``route``."""
+    def need(
+        self, route: str, body_bytes: int, objective: float = 0.0
+    ) -> Need:
+        """Return what is known of a call of ``route``.
+
+        ``objective`` is the route's, in seconds, 0 where it has none.
+        """
         kilobytes = body_bytes / 1024.0 + self.work.kilobytes(route)
         seconds = body_bytes / self.link_rate if self.link_rate else 0.0
-        return Need(route, self.work.seconds(route), kilobytes, seconds)
+        work = self.work.seconds(route, objective)
+        return Need(route, work, kilobytes, seconds)
 
     def last_resort(self, group: Group, now: float, exclude) -> list:
         """Return ejected targets that are not excluded."""
--- /dev/null
+++ b/tests/gate/test_crowding.py
@@ -0,0 +1,122 @@
+"""How many calls a target is worth running at once, learned from calls.
+
+The load: more calls than slots for seconds, at targets that take 1.7 times
+as long for every call while more than eight tenths of their 15 slots are in
+use, and at others that do not. Times of calls vary by a third. With 15
+slots in use the first kind gets as much done as 9 would.
+"""
+
+import random
+
+import pytest
+
+from cyclamenlift.gate.crowding import Crowding
+from cyclamenlift.gate.crowding import LOOK_AGAIN_SECONDS
+from cyclamenlift.gate.state import GateState
+from cyclamenlift.http.dialects import TargetLoad
+
+SLOTS = 15
+WORK = {'look-up': 0.060, 'order': 0.078, 'list': 0.150}
+SPREAD = 0.33
+
+
+class Target:
+    """A target under more calls than it has slots: all it may run runs."""
+
+    def __init__(self, knee: float, slower: float, slots: int = SLOTS):
+        self.state = GateState(slots)
+        self.knee = knee * slots
+        self.slower = slower
+        self.rng = random.Random(7)
+        self.now = 0.0
+
+    def answer(self, calls: int, most: int = 10**6) -> list[int]:
+        """Answer so many calls; return how many ran at once each time."""
+        rooms = []
+        for _ in range(calls):
+            running = min(self.state.room, most)
+            rooms.append(running)
+            route = self.rng.choice(sorted(WORK))
+            seconds = WORK[route] * self.rng.lognormvariate(0.0, SPREAD)
+            if running > self.knee:
+                seconds *= self.slower
+            self.now += seconds / running
+            self.state.note_work(route, seconds, running - 1, self.now)
+        return rooms
+
+
+@pytest.mark.parametrize('slots', [6, 13, 15, 18, 40])
+def test_a_target_that_slows_down_runs_what_gets_most_done(slots):
+    target = Target(0.8, 1.7, slots)
+    target.answer(400)
+    rooms = target.answer(2000)
+    best = int(0.8 * slots)
+    assert rooms.count(best) > 0.9 * len(rooms)
+
+
+@pytest.mark.parametrize('slots', [6, 13, 15, 18, 40])
+def test_a_target_that_does_not_slow_down_runs_all_soon(slots):
+    target = Target(2.0, 1.0, slots)
+    rooms = target.answer(3000)
+    assert rooms.index(slots) < 250
+    assert rooms.count(slots) > 0.85 * len(rooms)
+
+
+def test_a_knee_below_the_share_to_start_with_is_found_too():
+    target = Target(0.6, 2.0)
+    target.answer(100, most=9)
+    target.answer(600)
+    rooms = target.answer(1000)
+    assert rooms.count(9) > 0.9 * len(rooms)
+
+
+def test_nothing_is_tried_while_the_target_is_slow_anyway():
+    """The first seconds after a start: every caller is back at once."""
+    target = Target(0.8, 1.7)
+    for _ in range(30):
+        target.state.note_target_load(TargetLoad(0, 0, SLOTS, 200), target.now)
+        assert set(target.answer(10)) == {12}
+
+
+def test_a_target_that_has_become_better_gets_its_slots_back():
+    target = Target(0.8, 1.7)
+    target.answer(400)
+    assert target.state.crowding.chosen == 12
+    target.slower = 1.0
+    begun = target.now
+    while target.state.crowding.chosen < SLOTS:
+        target.answer(50)
+        assert target.now - begun < 3 * LOOK_AGAIN_SECONDS
+
+
+def test_a_band_is_told_by_its_upper_end():
+    crowding = Crowding(SLOTS)
+    assert crowding.is_roomy(12.0)
+    assert not crowding.is_roomy(13.0)
+    assert crowding.slowness(15.0) == 1.0
+
+
+def test_calls_of_a_call_do_not_make_its_target_look_slow():
+    state = GateState(SLOTS)
+    for _ in range(60):
+        state.note_work('order', 0.078, 5, 0.0)
+        state.note_work('order', 0.178, 12, 0.0, nested=0.100)
+    assert state.room > 12
+
+
+def test_a_call_during_which_the_pace_changed_tells_nothing():
+    state = GateState(SLOTS)
+    state.note_target_load(TargetLoad(3, 0, SLOTS, 100), 1.0)
+    state.note_work('list', 0.150, 3, 1.1)
+    assert not state.work.knows('list', 1)
+    state.note_work('list', 0.150, 3, 1.2)
+    assert state.work.knows('list', 1)
+
+
+def test_what_is_learned_while_a_target_is_cold_is_the_usual_work():
+    state = GateState(SLOTS)
+    state.note_target_load(TargetLoad(3, 0, SLOTS, 200), 1.0)
+    for step in range(20):
+        state.note_target_load(TargetLoad(3, 0, SLOTS, 200), 2.0 + step)
+        state.note_work('list', 0.300, 3, 2.0 + step)
+    assert state.work.seconds('list') == pytest.approx(0.150)
