Ask the seeds again soon after a start, and introduce oneself

Cause: after a loss of power everywhere all instances start at once. Ruled out: the election (a leader 0.02 s after the last control instance) and the configuration (in force at all daemons within 0.5 s).

Change: a member asks the seeds that it does not know yet, and somebody that it knows, 0.05 to 2 s after its start, and tells up to 16 of those that a transfer made known that it is there. The configuration is asked for again after 0.1, 0.2, 0.4 s.

--- a/cyclamenlift/events/tasks.py
+++ b/cyclamenlift/events/tasks.py
@@ -24,6 +24,9 @@
 
 POLL_SECONDS = 5.0
 CONFIRM_SECONDS = 0.5
+# The wait after the first question: where all start at once it went to
+# instances that did not listen yet. Doubled until it is the usual one.
+FIRST_CONFIRM_SECONDS = 0.1
 FALL_BACK_SECONDS = 3.0
 PULL_SECONDS = 1.0
 JITTER = 0.5
@@ -66,6 +69,7 @@
         self.fall_back_at = 0.0
         self.asked_at: dict[Address, float] = {}
         self.started = False
+        self.confirm_wait = FIRST_CONFIRM_SECONDS
         network.subscribe(DocumentAnswer, self.on_answer)
         network.subscribe(DocumentRequest, self.on_request)
         self.register(root)
@@ -139,7 +143,8 @@
         """Ask all until confirmed, then one at a time; plan the next."""
         if not self.started:
             return
-        period = POLL_SECONDS if self.confirmed else CONFIRM_SECONDS
+        period = POLL_SECONDS if self.confirmed else self.confirm_wait
+        self.confirm_wait = min(CONFIRM_SECONDS, 2 * self.confirm_wait)
         spread = self.rng.uniform(1 - JITTER, 1 + JITTER)
         self.loop.scheduler.after(period * spread, self.poll)
         if not self.control:
--- a/cyclamenlift/membership/receiving.py
+++ b/cyclamenlift/membership/receiving.py
@@ -39,6 +39,7 @@
         result = handle(self, packet, now)
         if news and is_transfer(packet):
             result.extend(self.pull_more(packet, now))
+            result.extend(self.state.introduce(now))
         if urgent and self.state.budget.room(now):
             result.extend(self.state.push(urgent, FORWARD_FANOUT, now))
         return result
--- a/cyclamenlift/membership/state.py
+++ b/cyclamenlift/membership/state.py
@@ -15,6 +15,8 @@
 from cyclamenlift.membership.digests import write_digests
 from cyclamenlift.membership.digests import write_marks
 from cyclamenlift.membership.dissemination import DisseminationQueue
+from cyclamenlift.membership.joining import INTRODUCE_FANOUT
+from cyclamenlift.membership.joining import Introductions
 from cyclamenlift.membership.packets import is_sound_packet
 from cyclamenlift.membership.packets import Outgoing
 from cyclamenlift.membership.packets import Packer
@@ -89,6 +91,7 @@
         self.versions: list[VersionSeen] = []
         self.left = False
         self.joined = not seeds
+        self.introductions = Introductions(now)
         self.receiver = PacketReceiver(self)
         self.rounds = PeriodRound(self, now)
         self.store(self.first_record(address, unix_ms), now)
@@ -211,6 +214,25 @@
             return []
         return [self.pull(self.rng.choice(seeds), now)]
 
+    def join_step(self, now: float) -> list[Outgoing]:
+        """Ask again soon after the start.
+
+        Seeds that are still unknown may listen by now, and somebody who is
+        known may have got to know others.
+        """
+        if self.left:
+            return []
+        known = {r.gossip_address for r in self.members()}
+        asked = [s for s in self.contacts.seeds if s not in known]
+        asked.extend(r.gossip_address for r in self.sample(1))
+        return [self.pull(address, now) for address in asked]
+
+    def introduce(self, now: float) -> list[Outgoing]:
+        """Tell some of those who became known that this instance is here."""
+        if not self.introductions.take(now):
+            return []
+        return self.push([self.own], INTRODUCE_FANOUT, now)
+
     def pull(self, address: str, now: float) -> Outgoing:
         """Ask one member for the records that differ."""
         packet = self.packer.bare(GossipKind.JOIN, self.prober.next_sequence())
--- a/cyclamenlift/membership/tasks.py
+++ b/cyclamenlift/membership/tasks.py
@@ -9,6 +9,7 @@
 
 from cyclamenlift.core.streams import Address
 from cyclamenlift.core.tasks import Root
+from cyclamenlift.membership.joining import JOIN_STEPS
 from cyclamenlift.membership.packets import MAX_PACKET_BYTES
 from cyclamenlift.membership.packets import Outgoing
 from cyclamenlift.membership.settings import MembershipSettings
@@ -102,6 +103,8 @@
         self.register(self.loop)
         self.loop.poller.addReader(self, sock)
         self.finish(self.state.join(clock.now()))
+        for seconds in JOIN_STEPS:
+            self.loop.scheduler.after(seconds, self.run_join_step)
         self.plan_period()
         return address
 
@@ -147,6 +150,12 @@
             self.settings.period * stray, self.run_period
         )
 
+    def run_join_step(self) -> None:
+        """Ask again, unless this instance has stopped meanwhile."""
+        if self.sock is not None:
+            now = self.loop.scheduler.clock.now()
+            self.finish(self.state.join_step(now))
+
     def run_period(self) -> None:
         self.plan_period()
         self.finish(self.state.on_period(self.loop.scheduler.clock.now()))
