Let a daemon run without any one mechanism of deciding, to tell its worth

Each mechanism of deciding is an entry of a registry that a decorator fills, with a line on what it buys and a function that gives its part a neutral figure or stand-in when the daemon starts (--without, an unknown name is a numbered problem, what is off is logged).

--- a/cyclamenlift/calls/tasks.py
+++ b/cyclamenlift/calls/tasks.py
@@ -20,6 +20,7 @@
 from cyclamenlift.calls.nested import Parent
 from cyclamenlift.calls.returning import UsualTimes
 from cyclamenlift.calls.shares import ShareTurns
+from cyclamenlift.calls.tries import SLOW_ASKED
 from cyclamenlift.calls.tries import SLOW_PACE
 from cyclamenlift.core.codes import is_not_run
 from cyclamenlift.core.codes import ResultCode
@@ -89,6 +90,7 @@
         self.retry_budgets: dict[str, RetryBudget | SharedRetryBudget] = {}
         self.make_budget: Callable[[], SharedRetryBudget] | None = None
         self.entries = 1
+        self.slow_asked = SLOW_ASKED
         self.rules: EventRules | None = None
         self.tries: dict[int, Call] = {}
         self.open_calls: set[Call] = set()
--- a/cyclamenlift/calls/tries.py
+++ b/cyclamenlift/calls/tries.py
@@ -172,7 +172,10 @@
         were asked the call takes what it gets.
         """
         state = self.call.state
-        if not state.gate_refusals_free or state.asked >= SLOW_ASKED:
+        if (
+            not state.gate_refusals_free
+            or state.asked >= self.calls.slow_asked
+        ):
             return 0
         return max(SLOW_PACE, choice.pace_percent)
 
--- a/cyclamenlift/cli/check.py
+++ b/cyclamenlift/cli/check.py
@@ -20,7 +20,7 @@
 from cyclamenlift.conf.settings import ControlSettings
 from cyclamenlift.conf.settings import load_settings
 from cyclamenlift.conf.settings import PREFIX
-from cyclamenlift.conf.settings import split_addresses
+from cyclamenlift.conf.settings import split_list
 from cyclamenlift.conf.settings import unknown_environment
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.problems import Problem
@@ -96,7 +96,7 @@
     if kind is not ControlSettings:
         return ()
     given = flags.get('peers') or os.environ.get(PEERS_VARIABLE) or ''
-    return split_addresses(given)
+    return split_list(given)
 
 
 def check_loaded(settings: CommonSettings) -> list[Problem]:
--- a/cyclamenlift/cli/flags.py
+++ b/cyclamenlift/cli/flags.py
@@ -11,7 +11,7 @@
 from cyclamenlift.conf.settings import ControlSettings
 from cyclamenlift.conf.settings import DaemonSettings
 from cyclamenlift.conf.settings import PREFIX
-from cyclamenlift.conf.settings import split_addresses
+from cyclamenlift.conf.settings import split_list
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.core.streams import Address
@@ -55,7 +55,7 @@
     """Read ``host:port,host:port``; empty means the variable or default."""
     given = text or os.environ.get(CONSOLE_VARIABLE) or CONSOLE_DEFAULT
     try:
-        found = [Address.parse(part) for part in split_addresses(given)]
+        found = [Address.parse(part) for part in split_list(given)]
     except ValueError as error:
         return Failure(wrong(str(error), flag))
     if not found:
--- a/cyclamenlift/conf/settings.py
+++ b/cyclamenlift/conf/settings.py
@@ -41,8 +41,8 @@
 ]
 
 
-def split_addresses(value) -> tuple[str, ...]:
-    """Accept ``a:1,b:2`` as well as a sequence (fire parses commas)."""
+def split_list(value) -> tuple[str, ...]:
+    """Accept ``a,b`` as well as a sequence (fire parses commas)."""
     if isinstance(value, str):
         return tuple(part.strip() for part in value.split(',') if part)
     return value
@@ -52,10 +52,13 @@
 # for either part.
 AddressList = Annotated[
     tuple[AddressText, ...],
-    pydantic.BeforeValidator(split_addresses),
+    pydantic.BeforeValidator(split_list),
 ]
 
 
+NameList = Annotated[tuple[Name, ...], pydantic.BeforeValidator(split_list)]
+
+
 class CommonSettings(pydantic.BaseModel):
     """What every process is told."""
 
@@ -184,6 +187,10 @@
         16, ge=1, le=64, description='deepest chain of calls'
     )
 
+    without: NameList = pydantic.Field(
+        (), description='mechanisms of deciding to run without, by name'
+    )
+
     @pydantic.model_validator(mode='after')
     def check_target(self) -> 'DaemonSettings':
         if bool(self.service) != bool(self.target):
--- a/cyclamenlift/gate/admission.py
+++ b/cyclamenlift/gate/admission.py
@@ -43,6 +43,20 @@
 WAIT_SPREADS = 1.5
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdmissionRules:
+    """The figures that decide who enters; see the constants."""
+
+    reserved_slots: int = RESERVED_SLOTS
+    repeat_share: float = REPEAT_SHARE
+    crowded_share: float = CROWDED_SHARE
+    crowded_spreads: float = CROWDED_SPREADS
+    wait_spreads: float = WAIT_SPREADS
+
+
+DEFAULT_RULES = AdmissionRules()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Asking:
     """A call that asks to enter; instants are monotonic seconds.
@@ -94,25 +108,29 @@
 
 
 def slots_for(
-    asking: Asking, slots: int, seen: UrgencySeen, now: float
+    asking: Asking,
+    slots: int,
+    seen: UrgencySeen,
+    now: float,
+    rules: AdmissionRules = DEFAULT_RULES,
 ) -> int:
     """Return how many running calls still leave a slot for this one."""
     if asking.repeated and not asking.nested:
-        return max(1, int(slots * REPEAT_SHARE))
+        return max(1, int(slots * rules.repeat_share))
     if slots < LEAST_SLOTS_TO_RESERVE:
         return slots
     if seen.more_urgent_come(asking, now):
-        return slots - RESERVED_SLOTS
+        return slots - rules.reserved_slots
     return slots
 
 
-def crowded_from(slots: int) -> int:
+def crowded_from(slots: int, share: float = CROWDED_SHARE) -> int:
     """Return how many running calls make a target crowded.
 
     >>> crowded_from(6), crowded_from(1)
     (3, 1)
     """
-    return max(1, int(slots * CROWDED_SHARE))
+    return max(1, int(slots * share))
 
 
 def seconds_until_slot(
--- a/cyclamenlift/gate/crowding.py
+++ b/cyclamenlift/gate/crowding.py
@@ -152,6 +152,25 @@
         return best
 
 
+class AllSlots:
+    """In the place of ``Crowding``: every slot is used, nothing learned."""
+
+    def __init__(self, slots: int):
+        self.chosen = slots
+
+    def is_roomy(self, _in_use: float) -> bool:
+        return True
+
+    def slowness(self, _in_use: float) -> float:
+        return 1.0
+
+    def limit(self, _now: float, _usual: bool = True) -> int:
+        return self.chosen
+
+    def note(self, _ratio: float, _in_use: float, _now: float) -> None:
+        """Learn nothing."""
+
+
 def make_bands(slots: int) -> list[Band]:
     """Return the bands of so many slots, each of one slot at least.
 
--- a/cyclamenlift/gate/state.py
+++ b/cyclamenlift/gate/state.py
@@ -9,15 +9,15 @@
 from collections.abc import Hashable
 import dataclasses
 import enum
+import operator
 
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.gate.admission import Asking
 from cyclamenlift.gate.admission import crowded_from
-from cyclamenlift.gate.admission import CROWDED_SPREADS
+from cyclamenlift.gate.admission import DEFAULT_RULES
 from cyclamenlift.gate.admission import seconds_until_slot
 from cyclamenlift.gate.admission import slots_for
 from cyclamenlift.gate.admission import UrgencySeen
-from cyclamenlift.gate.admission import WAIT_SPREADS
 from cyclamenlift.gate.crowding import Crowding
 from cyclamenlift.gate.crowding import LEAST_SAMPLES
 from cyclamenlift.gate.estimates import ErrorShare
@@ -95,6 +95,9 @@
         self.urgency = UrgencySeen()
         self.work = WorkTable()
         self.slot_time = ServiceTime()
+        self.rules = DEFAULT_RULES
+        self.order_of = operator.attrgetter('order')
+        self.make_crowding = Crowding
         self.crowding = Crowding(slots)
         self.limit = self.crowding.chosen
         self.occupancy = Occupancy()
@@ -134,18 +137,20 @@
         self.urgency.note(asking, now)
         self.update_limit(now)
         ahead = self.count_ahead(asking)
-        room = slots_for(asking, self.room, self.urgency, now)
+        room = slots_for(asking, self.room, self.urgency, now, self.rules)
         guess = self.work_now(asking, now)
         spread = self.spread_now(asking, now)
         if self.is_wasted(asking, now):
-            few = crowded_from(self.slots)
+            few = self.crowded_slots()
             uncrowded = self.wait_behind(0, few, now, guess)
             return self.refuse_until(ResultCode.QUEUE_DEADLINE, uncrowded)
         if not ahead and len(self.running) < room:
             self.start(asking.key, now)
             return Admission(Verdict.START)
         wait = self.wait_behind(ahead, room, now, guess)
-        latest = asking.useful_deadline - guess - WAIT_SPREADS * spread
+        latest = (
+            asking.useful_deadline - guess - self.rules.wait_spreads * spread
+        )
         if asking.repeated and not asking.nested:
             return self.refuse_until(ResultCode.OVERLOADED, wait)
         if len(self.queue) >= max(self.queue_limit, self.slots):
@@ -189,7 +194,7 @@
         turn = Turn()
         self.update_limit(now)
         while self.queue and len(self.running) < self.room:
-            key = min(self.queue, key=lambda k: self.queue[k].order)
+            key = min(self.queue, key=self.order_in_queue)
             asking = self.queue.pop(key)
             if now >= asking.deadline:
                 code = ResultCode.DEADLINE_NOT_RUN
@@ -210,7 +215,7 @@
     def set_slots(self, slots: int) -> None:
         """Take over how many calls the target can run at once."""
         self.slots = slots
-        self.crowding = Crowding(slots)
+        self.crowding = self.make_crowding(slots)
         self.limit = self.crowding.chosen
 
     def update_limit(self, now: float) -> None:
@@ -281,12 +286,20 @@
 
     def count_ahead(self, asking: Asking) -> int:
         """Return how many queued calls go before this one."""
+        own = self.order_of(asking)
         return sum(
             1
             for key, other in self.queue.items()
-            if other.order <= asking.order and key != asking.key
+            if key != asking.key and self.order_of(other) <= own
         )
 
+    def order_in_queue(self, key: Hashable) -> tuple:
+        return self.order_of(self.queue[key])
+
+    def crowded_slots(self) -> int:
+        """Return how many running calls make the target crowded."""
+        return crowded_from(self.slots, self.rules.crowded_share)
+
     def wait_behind(
         self, ahead: int, room: int, now: float, guess: float = 0.0
     ) -> float:
@@ -318,10 +331,10 @@
 
         Only where others wait for slots; in a roomy target it is served.
         """
-        if len(self.running) < crowded_from(self.slots):
+        if len(self.running) < self.crowded_slots():
             return False
         done = now + self.work_now(asking, now)
-        done += CROWDED_SPREADS * self.spread_now(asking, now)
+        done += self.rules.crowded_spreads * self.spread_now(asking, now)
         return done > asking.useful_deadline
 
     def note_work(
--- a/cyclamenlift/membership/tasks.py
+++ b/cyclamenlift/membership/tasks.py
@@ -44,6 +44,7 @@
         self.sock: socket.socket | None = None
         self.state: MembershipState | None = None
         self.timer = None
+        self.join_steps = JOIN_STEPS
         self.record_hooks: list[RecordHook] = []
         self.version_hooks: list[VersionHook] = []
 
@@ -103,7 +104,7 @@
         self.register(self.loop)
         self.loop.poller.addReader(self, sock)
         self.finish(self.state.join(clock.now()))
-        for seconds in JOIN_STEPS:
+        for seconds in self.join_steps:
             self.loop.scheduler.after(seconds, self.run_join_step)
         self.plan_period()
         return address
--- a/cyclamenlift/platform/programs.py
+++ b/cyclamenlift/platform/programs.py
@@ -55,6 +55,9 @@
         return EXIT_SETTINGS
     fields, stamp, settings = prepared
     node = DaemonNode(settings, random.Random(), PLATFORM_DIALECT)
+    problems = node.leave_out()
+    if problems:
+        return complain(problems)
     ready = Readiness(node.is_ready)
     listen(node.loop, fields['listen.ready'], ready.take, 'ready')
     check_ins = TargetCheckIns(node.gate, settings.service)
--- a/cyclamenlift/routing/finish.py
+++ b/cyclamenlift/routing/finish.py
@@ -65,10 +65,14 @@
     return crowd + waiting * work / slots
 
 
-def distance_cost(kilobytes: float, near: bool) -> float:
+def distance_cost(
+    kilobytes: float, near: bool, far_kilobyte: float = FAR_KILOBYTE
+) -> float:
     """Return what the way of a body counts, in seconds.
 
     >>> distance_cost(60.0, True), distance_cost(1.0, False)
     (0.0, 0.0)
     """
-    return 0.0 if near else max(0.0, kilobytes - FREE_KILOBYTES) * FAR_KILOBYTE
+    if near:
+        return 0.0
+    return max(0.0, kilobytes - FREE_KILOBYTES) * far_kilobyte
--- a/cyclamenlift/routing/group.py
+++ b/cyclamenlift/routing/group.py
@@ -7,6 +7,7 @@
 from cyclamenlift.routing.ejection import eject
 from cyclamenlift.routing.ejection import eject_until
 from cyclamenlift.routing.estimates import Estimate
+from cyclamenlift.routing.finish import FAR_KILOBYTE
 from cyclamenlift.routing.slow_start import ramp_share
 from cyclamenlift.wire.gen.protocol.ttypes import MemberRecord
 from cyclamenlift.wire.gen.protocol.ttypes import MemberState
@@ -90,6 +91,8 @@
         self.data_centre = data_centre
         # The instance of the entry itself, where a body need not travel.
         self.instance = ''
+        # What a kilobyte to another data centre counts, in seconds.
+        self.far_kilobyte = FAR_KILOBYTE
         self.rng: random.Random = rng
         self.candidates: dict[str, Candidate] = {}
         self.live: list[Candidate] = []
--- a/cyclamenlift/routing/policies.py
+++ b/cyclamenlift/routing/policies.py
@@ -188,7 +188,8 @@
     """Return the expected time with errors and distance priced in."""
     estimate = candidate.estimate
     cost = expected_seconds(group, candidate, now, need)
-    cost += distance_cost(need.kilobytes, group.is_near(candidate))
+    near = group.is_near(candidate)
+    cost += distance_cost(need.kilobytes, near, group.far_kilobyte)
     cost += need.work * ERROR_COST * estimate.errors(now)
     if estimate.is_refusing(now):
         cost += REFUSING_LOAD * need.work
--- a/cyclamenlift/routing/state.py
+++ b/cyclamenlift/routing/state.py
@@ -11,6 +11,7 @@
 from cyclamenlift.models.rules import ServiceRule
 from cyclamenlift.routing.ejection import BAD_LEVEL
 from cyclamenlift.routing.estimates import ERROR_WEIGHT
+from cyclamenlift.routing.finish import FAR_KILOBYTE
 from cyclamenlift.routing.group import Candidate
 from cyclamenlift.routing.group import Group
 from cyclamenlift.routing.hedging import HedgeDelay
@@ -63,6 +64,7 @@
         self.instance = ''
         # Bytes a second of this instance's link, 0 if it is not known.
         self.link_rate = 0.0
+        self.far_kilobyte = FAR_KILOBYTE
         self.first_record_at: float | None = None
 
     # Changes from outside.
@@ -76,6 +78,7 @@
             old = kept.get(name)
             group = Group(rule, self.data_centre, self.rng)
             group.instance = self.instance
+            group.far_kilobyte = self.far_kilobyte
             policy = POLICIES.get(rule.policy)()
             state = ServiceState(group, policy, 0.0)
             if old is not None:
--- a/cyclamenlift/runtime/daemon.py
+++ b/cyclamenlift/runtime/daemon.py
@@ -15,6 +15,7 @@
 from cyclamenlift.core.log_sink import SINK
 from cyclamenlift.core.logs import configure_logs
 from cyclamenlift.core.memory import keep_start_up_objects
+from cyclamenlift.core.problems import Problem
 from cyclamenlift.core.streams import Address
 from cyclamenlift.core.tasks import build_root
 from cyclamenlift.events.tasks import ConfigFollower
@@ -47,6 +48,7 @@
 from cyclamenlift.wire.tasks import PeerNetwork
 
 LOG = structlog.get_logger('daemon')
+EXIT_SETTINGS = 2
 BYTES_OF_MEGABIT = 125_000
 # How often lines are offered again to a reader of logs that stalled.
 LOG_FLUSH_SECONDS = 1.0
@@ -256,6 +258,20 @@
 
     # -- start and changes --------------------------------------------------
 
+    def leave_out(self) -> list[Problem]:
+        """Switch off what the settings name; return unknown names."""
+        names = self.settings.without
+        if not names:
+            return []
+        # Only measurements name any, so others do not load the list.
+        from cyclamenlift.runtime.mechanisms import switch_off
+        from cyclamenlift.runtime.mechanisms import unknown_mechanisms
+
+        problems = unknown_mechanisms(names)
+        if not problems:
+            switch_off(self, names)
+        return problems
+
     def start_parts(self) -> None:
         """Join the other daemons and follow the event document."""
         self.follower.subscribe(self.on_rules)
@@ -346,6 +362,11 @@
     """Run a daemon until it is told to stop; return the exit status."""
     configure_logs(settings.log_format, settings.log_level, settings.instance)
     node = DaemonNode(settings, random.Random())
+    problems = node.leave_out()
+    for problem in problems:
+        LOG.error('settings_refused', problem=problem.line())
+    if problems:
+        return EXIT_SETTINGS
     node.start_parts()
     keep_start_up_objects()
     node.loop.run()
