Give up sooner on peers that answer nothing, ask control when it starts

Cause: after a loss of power instances come back within 0.4 s of each other. Ruled out: the election, and the poll, which asked on the same dead connection.

Change: the first connection to an address may take 0.2 s, each further one twice as long, up to 1.0 s; a daemon asks a control instance as soon as it tells of its start, on a new connection if the old one did not come up.

Tests: tests/wire/test_tasks.py, tests/events/test_tasks.py.

--- a/cyclamenlift/calls/tasks.py
+++ b/cyclamenlift/calls/tasks.py
@@ -33,7 +33,6 @@
 from cyclamenlift.wire.gen.protocol.ttypes import AnswerStart
 from cyclamenlift.wire.gen.protocol.ttypes import BodyChunk
 from cyclamenlift.wire.gen.protocol.ttypes import Broken
-from cyclamenlift.wire.gen.protocol.ttypes import CallStart
 from cyclamenlift.wire.gen.protocol.ttypes import Cancelled
 from cyclamenlift.wire.gen.protocol.ttypes import Credit
 from cyclamenlift.wire.gen.protocol.ttypes import Header
--- a/cyclamenlift/events/tasks.py
+++ b/cyclamenlift/events/tasks.py
@@ -111,13 +111,19 @@
         self.poll()
 
     def note_control(self, address: Address, live: bool) -> None:
-        """Learn of a control instance, or that one is gone."""
-        if live and address not in self.control:
-            self.control.append(address)
-            LOG.info('control_found', address=str(address))
+        """Learn of a control instance, or that one is gone.
+
+        One that tells of itself while nothing is confirmed here has just
+        started, as a rule: what it was asked before did not reach it.
+        """
+        if live:
+            if address not in self.control:
+                self.control.append(address)
+                LOG.info('control_found', address=str(address))
             if self.started and not self.confirmed:
+                self.network.give_up_connecting(address)
                 self.ask(address)
-        elif not live and address in self.control and len(self.control) > 1:
+        elif address in self.control and len(self.control) > 1:
             self.control.remove(address)
             LOG.info('control_lost', address=str(address))
 
--- a/cyclamenlift/wire/tasks.py
+++ b/cyclamenlift/wire/tasks.py
@@ -22,7 +22,15 @@
 
 WIRE_VERSION = 2
 HELLO_SECONDS = 3.0
-CONNECT_SECONDS = 1.0
+# How long a connection may take to be established, in seconds: the first
+# one to an address many times the path there and back (25 ms between
+# regions), since a machine that has just lost power answers nothing and its
+# peers ask it again when it is back; each further one twice as long, since
+# on a slow link an answer may wait behind bodies for half a second.
+FIRST_CONNECT_SECONDS = 0.2
+MOST_CONNECT_SECONDS = 1.0
+# Addresses whose waits are remembered: more than there are instances.
+MOST_REMEMBERED = 2048
 MAX_PENDING = 64 * 1024 * 1024
 LOG = structlog.get_logger('wire')
 
@@ -106,6 +114,8 @@
         self.cluster = cluster
         self.numbers = itertools.count(1)
         self.outgoing: dict[Address, Link] = {}
+        # Seconds that the next connection may take, where some failed.
+        self.connect_waits: dict[Address, float] = {}
         self.receivers: dict[str, Callable[[Link, object], None]] = {}
         self.lost_hooks: list[Callable[[Link], None]] = []
         self.refused_frames = 0
@@ -132,9 +142,8 @@
         stream.context = link
         self.outgoing[address] = link
         link.send(self.make_hello())
-        self.root.scheduler.after(
-            CONNECT_SECONDS, lambda: self.check_connected(link)
-        )
+        wait = self.connect_waits.get(address, FIRST_CONNECT_SECONDS)
+        self.root.scheduler.after(wait, lambda: self.check_connected(link))
         return link
 
     def is_linked(self, address: Address) -> bool:
@@ -142,6 +151,16 @@
         link = self.outgoing.get(address)
         return link is not None and not link.closed
 
+    def give_up_connecting(self, address: Address) -> None:
+        """Drop a link to ``address`` that has not come up yet.
+
+        For a peer that is known to be there now: the packets that opened
+        the connection may have come before it was.
+        """
+        link = self.outgoing.get(address)
+        if link is not None and not link.was_up:
+            self.drop(link, None)
+
     def send(self, address: Address, message) -> bool:
         """Send one message to the peer at ``address``."""
         return self.link_to(address).send(message)
@@ -170,7 +189,9 @@
         )
 
     def on_connected(self, stream: Stream) -> None:
-        stream.context.was_up = True
+        link = stream.context
+        link.was_up = True
+        self.connect_waits.pop(link.address, None)
 
     def on_data(self, stream: Stream, data: bytes) -> None:
         link = stream.context
@@ -232,8 +253,15 @@
 
     def check_connected(self, link: Link) -> None:
         """Give up on a peer that does not even accept: nothing was sent."""
-        if not link.was_up and not link.closed:
-            self.drop(link, TimeoutError('not connected in time'))
+        if link.was_up or link.closed:
+            return
+        address = link.address
+        wait = self.connect_waits.get(address, FIRST_CONNECT_SECONDS)
+        LOG.info('peer_not_reached', remote=str(address), seconds=wait)
+        if len(self.connect_waits) >= MOST_REMEMBERED:
+            self.connect_waits.clear()
+        self.connect_waits[address] = min(MOST_CONNECT_SECONDS, 2 * wait)
+        self.drop(link, TimeoutError('not connected in time'))
 
     def check_hello(self, link: Link) -> None:
         if link.hello is None and not link.closed:
--- a/tests/events/test_tasks.py
+++ b/tests/events/test_tasks.py
@@ -156,3 +156,24 @@
     bed.pass_time(HINT_SECONDS)
     bed.network.deliver(CONTROL[0], hint)
     assert stranger not in bed.asked()
+
+
+def test_a_control_instance_that_tells_of_its_start_is_asked_at_once():
+    """Power is back everywhere: the first questions reached nobody."""
+    bed = FollowerBed()
+    bed.follower.start()
+    bed.asked()
+    bed.follower.note_control(CONTROL[1], True)
+    assert bed.asked() == [CONTROL[1]]
+    assert bed.network.given_up == [CONTROL[1]]
+    bed.give(CONTROL[1], 4, committed=True)
+    bed.follower.note_control(CONTROL[1], True)
+    assert bed.asked() == []
+
+
+def test_the_first_questions_are_repeated_soon():
+    bed = FollowerBed()
+    bed.follower.start()
+    bed.asked()
+    bed.pass_time(0.8)
+    assert len(bed.asked()) >= 2 * len(CONTROL)
--- a/tests/ledger/builders.py
+++ b/tests/ledger/builders.py
@@ -118,6 +118,7 @@
     def __init__(self):
         self.links = {a: FakeLink(a, n) for a, n in NAMES.items()}
         self.sent = []
+        self.given_up = []
         self.receivers = {}
         self.lost_hooks = []
 
@@ -134,6 +135,9 @@
     def is_linked(self, address) -> bool:
         return address in self.links
 
+    def give_up_connecting(self, address) -> None:
+        self.given_up.append(address)
+
     def deliver(self, address, message) -> None:
         """Let a message of the peer at ``address`` arrive."""
         link = self.links.get(address) or FakeLink(address, str(address))
--- a/tests/wire/test_tasks.py
+++ b/tests/wire/test_tasks.py
@@ -2,6 +2,7 @@
 
 import socket
 import struct
+import time
 
 import pytest
 
@@ -162,3 +163,57 @@
     assert link.withdraw(behind)
     assert link.stream.outbound[-1] is last
     assert link.pending == sum(map(len, link.stream.outbound))
+
+
+def unanswered(bed) -> tuple[socket.socket, list[socket.socket]]:
+    """Return a listener whose queue is full, so that nobody gets through.
+
+    A machine that has lost power looks the same to those who connect.
+    """
+    listener = socket.create_server(tuple(LOCAL), backlog=0)
+    address = listener.getsockname()
+    fillers = []
+    for _ in range(4):
+        filler = socket.socket()
+        filler.setblocking(False)
+        filler.connect_ex(address)
+        fillers.append(filler)
+    return listener, fillers
+
+
+def test_a_peer_that_answers_nothing_is_given_up_later_each_time(bed):
+    listener, fillers = unanswered(bed)
+    address = Address(*listener.getsockname())
+    waits = []
+    for _ in range(4):
+        begun = time.monotonic()
+        link = bed.first.link_to(address)
+        bed.run_until(lambda link=link: link.closed)
+        waits.append(time.monotonic() - begun)
+        assert not link.was_up
+    assert [round(w, 1) for w in waits] == [0.2, 0.4, 0.8, 1.0]
+    listener.close()
+    for filler in fillers:
+        filler.close()
+
+
+def test_a_connection_that_comes_up_begins_anew_with_the_short_wait(bed):
+    bed.first.connect_waits[bed.address] = 1.0
+    link = bed.first.link_to(bed.address)
+    bed.run_until(lambda: link.was_up)
+    assert bed.address not in bed.first.connect_waits
+
+
+def test_a_connection_is_begun_anew_for_a_peer_that_is_there_now(bed):
+    listener, fillers = unanswered(bed)
+    address = Address(*listener.getsockname())
+    stuck = bed.first.link_to(address)
+    bed.first.give_up_connecting(address)
+    assert stuck.closed
+    link = bed.first.link_to(bed.address)
+    bed.run_until(lambda: link.was_up)
+    bed.first.give_up_connecting(bed.address)
+    assert not link.closed
+    listener.close()
+    for filler in fillers:
+        filler.close()
