Let callers of a target that sheds come back at once

A refused call may move on as far as the retry budget goes; then its caller was told to come back after 0.1 s, half of the objective of 200 ms. Ruled out: a full target (it told of free slots each time).

Change: where a target refuses although it has room, Retry-After is 10 ms; where it is full, 0.1 s as before.

Test: doctest of wait_when_refused.

--- a/cyclamenlift/gate/admission.py
+++ b/cyclamenlift/gate/admission.py
@@ -41,6 +41,13 @@
 # means alone, 399 and 192 with about one and a half.
 CROWDED_SPREADS = 0.5
 WAIT_SPREADS = 1.5
+# When a target that refused for itself may have room again, in seconds: a
+# few answers' time at the usual work of tens of milliseconds.
+TARGET_FULL_WAIT = 0.1
+# The same where it has room by all that is known: it refuses some calls,
+# whatever its load, and the next one is as likely to be taken now as later.
+# Callers whose objective is 200 ms have lost half of it after 100 ms.
+TARGET_SHEDS_WAIT = 0.01
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -147,3 +154,12 @@
     """
     frees = ahead + 1 - max(0, slots - running)
     return max(0, frees) * work / slots
+
+
+def wait_when_refused(running: int, room: int) -> float:
+    """Return when to come back after the target itself refused a call.
+
+    >>> wait_when_refused(12, 12), wait_when_refused(4, 12)
+    (0.1, 0.01)
+    """
+    return TARGET_FULL_WAIT if running >= room else TARGET_SHEDS_WAIT
--- a/cyclamenlift/gate/running.py
+++ b/cyclamenlift/gate/running.py
@@ -8,6 +8,7 @@
 import typing
 
 from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.gate.admission import wait_when_refused
 from cyclamenlift.gate.explaining import explain_refusal
 from cyclamenlift.gate.explaining import explain_unknown
 from cyclamenlift.gate.occupancy import Mark
@@ -38,9 +39,6 @@
 MILLISECONDS = 1000
 MICROSECONDS = 1_000_000
 SERVER_ERROR = 500
-# When a target that refused for itself may have room again, in seconds:
-# a few answers' time at the usual work of tens of milliseconds.
-TARGET_REFUSED_WAIT = 0.1
 
 
 class GateCall:
@@ -228,7 +226,9 @@
             code = ResultCode.TARGET_REPLACED
             self.gate.doubt_target()
         detail = f'status {self.status}, says it did not run'
-        self.tell_refused(code, detail, TARGET_REFUSED_WAIT)
+        state = self.gate.state
+        wait = wait_when_refused(len(state.running), state.room)
+        self.tell_refused(code, detail, wait)
 
     def on_drained(self) -> None:
         if self.owed_credit:
