Send frames in the compact protocol

Change: frames between processes are in thrift's compact protocol, wire version 3; what is kept on disks stays in the binary one.

--- a/cyclamenlift/wire/tasks.py
+++ b/cyclamenlift/wire/tasks.py
@@ -20,7 +20,7 @@
 from cyclamenlift.wire.codec import FrameReader
 from cyclamenlift.wire.gen.protocol.ttypes import Hello
 
-WIRE_VERSION = 2
+WIRE_VERSION = 3
 HELLO_SECONDS = 3.0
 # How long a connection may take to be established, in seconds: the first
 # one to an address many times the path there and back (25 ms between
