Keep what a gate learns apart from whom it admits

Pace, work, crowding and slot time are in gate/learning.py now; the state asks it. A gate logs when another number of slots gets most done, with the ratios that decided it.

--- a/cyclamenlift/gate/explaining.py
+++ b/cyclamenlift/gate/explaining.py
@@ -35,6 +35,27 @@
     write_line('gate_unknown', gate, call, code, detail, ran_ms=ran_ms)
 
 
+def explain_slots(gate: 'Gate', before: int) -> None:
+    """Write that another number of slots gets most done, and why.
+
+    ``ratios`` holds for each band that is known its upper end and how much
+    longer calls take there.
+    """
+    crowding = gate.state.learning.crowding
+    LOG.info(
+        'slots_chosen',
+        before=before,
+        chosen=crowding.chosen,
+        slots=crowding.slots,
+        ratios={
+            band.most: round(band.ratio, 2)
+            for band in crowding.bands
+            if band.known
+        },
+        incarnation=gate.registration.incarnation,
+    )
+
+
 def write_line(
     event: str,
     gate: 'Gate',
@@ -58,7 +79,7 @@
         queued=len(state.queue),
         room=state.room,
         pace_percent=state.pace_percent(now),
-        pace_age_ms=int((now - state.target_load_at) * MILLISECONDS),
+        pace_age_ms=int((now - state.learning.pace.told_at) * MILLISECONDS),
         state=TargetState(state.target_state).name,
         incarnation=gate.registration.incarnation,
         **fields,
--- a/cyclamenlift/gate/health.py
+++ b/cyclamenlift/gate/health.py
@@ -69,7 +69,7 @@
             return False
         if now - self.asked_at >= HEALTH_ITSELF_SECONDS:
             return False
-        age = now - gate.state.target_load_at
+        age = now - gate.state.learning.pace.told_at
         return age < self.settings.health_seconds
 
     def path(self) -> str:
--- a/cyclamenlift/gate/running.py
+++ b/cyclamenlift/gate/running.py
@@ -10,6 +10,7 @@
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.gate.admission import wait_when_refused
 from cyclamenlift.gate.explaining import explain_refusal
+from cyclamenlift.gate.explaining import explain_slots
 from cyclamenlift.gate.explaining import explain_unknown
 from cyclamenlift.gate.occupancy import Mark
 from cyclamenlift.gate.verdicts import AnswerVerdict
@@ -210,9 +211,12 @@
         state = self.gate.state
         now = self.gate.now()
         beside = state.occupancy.mean_since(self.mark, now) - 1.0
+        before = state.learning.crowding.chosen
         state.note_work(
             self.start.route_name, seconds, beside, now, self.nested_seconds
         )
+        if state.learning.crowding.chosen != before:
+            explain_slots(self.gate, before)
 
     def end_without_answer(self) -> None:
         """Tell the entry of an answer that is none to pass on."""
--- a/cyclamenlift/gate/state.py
+++ b/cyclamenlift/gate/state.py
@@ -18,30 +18,16 @@
 from cyclamenlift.gate.admission import seconds_until_slot
 from cyclamenlift.gate.admission import slots_for
 from cyclamenlift.gate.admission import UrgencySeen
-from cyclamenlift.gate.crowding import Crowding
-from cyclamenlift.gate.crowding import LEAST_SAMPLES
 from cyclamenlift.gate.estimates import ErrorShare
 from cyclamenlift.gate.estimates import ServiceTime
-from cyclamenlift.gate.news import is_same_pace
+from cyclamenlift.gate.learning import Learning
 from cyclamenlift.gate.occupancy import Occupancy
 from cyclamenlift.http.dialects import TargetLoad
-from cyclamenlift.routing.finish import slowed
-from cyclamenlift.routing.work import at_usual_pace
-from cyclamenlift.routing.work import MOST_PACE
-from cyclamenlift.routing.work import WorkTable
 from cyclamenlift.wire.gen.protocol.ttypes import LoadFigures
 from cyclamenlift.wire.gen.protocol.ttypes import TargetState
 
 MIN_RETRY_AFTER = 0.005
-NEVER = float('-inf')
 MILLISECONDS = 1000
-# A target's neighbours come and go in about half a second; a figure on its
-# pace that is older tells nothing.
-PACE_SECONDS = 0.5
-# The pace that is assumed where none was told, in percent of the usual.
-USUAL_PACE = 100
-# Up to this pace a target is as fast as usual, in percent.
-MOST_USUAL_PACE = 120
 
 
 class Verdict(enum.Enum):
@@ -93,21 +79,14 @@
             collections.OrderedDict()
         )
         self.urgency = UrgencySeen()
-        self.work = WorkTable()
-        self.slot_time = ServiceTime()
+        self.learning = Learning(slots)
+        self.limit = self.learning.limit(0.0)
         self.rules = DEFAULT_RULES
         self.order_of = operator.attrgetter('order')
-        self.make_crowding = Crowding
-        self.crowding = Crowding(slots)
-        self.limit = self.crowding.chosen
         self.occupancy = Occupancy()
-        self.steady_pace = 0
-        self.steady_since = NEVER
         self.target_state = TargetState.STARTING
         self.service_time = ServiceTime()
         self.errors = ErrorShare()
-        self.target_load: TargetLoad | None = None
-        self.target_load_at = 0.0
         self.foreign = 0
 
     # -- commands ---------------------------------------------------------
@@ -139,7 +118,7 @@
         ahead = self.count_ahead(asking)
         room = slots_for(asking, self.room, self.urgency, now, self.rules)
         guess = self.work_now(asking, now)
-        spread = self.spread_now(asking, now)
+        spread = self.learning.spread_now(asking, now)
         if self.is_wasted(asking, now):
             few = self.crowded_slots()
             uncrowded = self.wait_behind(0, few, now, guess)
@@ -215,13 +194,12 @@
     def set_slots(self, slots: int) -> None:
         """Take over how many calls the target can run at once."""
         self.slots = slots
-        self.crowding = self.make_crowding(slots)
-        self.limit = self.crowding.chosen
+        self.learning.set_slots(slots)
+        self.limit = self.learning.crowding.chosen
 
     def update_limit(self, now: float) -> None:
         """Take over how many calls are worth running at once now."""
-        usual = self.pace_percent(now) <= MOST_USUAL_PACE
-        self.limit = self.crowding.limit(now, usual)
+        self.limit = self.learning.limit(now)
 
     def withdraw(self, key: Hashable) -> bool:
         """Take a call out of the queue; True proves that it never ran."""
@@ -237,28 +215,29 @@
     def renew(self, cold: bool) -> None:
         """Begin with a new incarnation, whatever the one before did."""
         self.target_state = TargetState.STARTING
-        self.target_load = None
+        self.learning.pace.forget()
         self.foreign = 0
         if cold:
             self.errors = ErrorShare()
 
     def note_target_load(self, load: TargetLoad, now: float) -> None:
         """Take over what the target itself told of its load."""
-        self.target_load = load
-        self.target_load_at = now
+        self.learning.pace.note(load, now)
         others = load.running + load.waiting - len(self.running)
         self.foreign = max(0, others)
         self.note_occupancy(now)
-        if not is_same_pace(load.pace_percent, self.steady_pace):
-            self.steady_pace = load.pace_percent
-            self.steady_since = now
 
-    def pace_percent(self, now: float) -> int:
-        """Return how long work takes now, 100 as usual, 0 unknown."""
-        load = self.target_load
-        if load is None or now - self.target_load_at > PACE_SECONDS:
-            return 0
-        return load.pace_percent
+    def note_work(
+        self,
+        route: str,
+        seconds: float,
+        beside: float,
+        now: float,
+        nested: float = 0.0,
+    ) -> None:
+        """Learn from a call that was answered; see ``Learning.note``."""
+        self.learning.note(route, seconds, beside, now, nested)
+        self.update_limit(now)
 
     def set_target_state(self, state: TargetState) -> None:
         """Note what the target is; a drain is not taken back by health."""
@@ -308,23 +287,16 @@
         ``guess`` is how long a call is taken to hold a slot before any
         was seen.
         """
-        held = self.slot_time.mean or guess
-        if held:
-            held = slowed(held, self.pace_percent(now) or USUAL_PACE, 0.0)
+        held = self.learning.held_now(guess, now)
         return seconds_until_slot(ahead, len(self.running), room, held)
 
     def work_now(self, asking: Asking, now: float) -> float:
         """Return how long a call takes now, those that it makes too."""
-        pace = self.pace_percent(now) or USUAL_PACE
-        work = self.work.seconds(asking.route, asking.objective)
-        work *= self.crowding.slowness(len(self.running) + 1)
-        return slowed(work, pace, 0.0) + self.work.nested(asking.route)
+        return self.learning.work_now(asking, len(self.running), now)
 
-    def spread_now(self, asking: Asking, now: float) -> float:
-        """Return how far a call's time may well lie from ``work_now``."""
-        pace = self.pace_percent(now) or USUAL_PACE
-        spread = self.work.spread(asking.route, asking.objective)
-        return slowed(spread, pace, 0.0)
+    def pace_percent(self, now: float) -> int:
+        """Return how long work takes now, 100 as usual, 0 unknown."""
+        return self.learning.pace.percent(now)
 
     def is_wasted(self, asking: Asking, now: float) -> bool:
         """Tell whether a slot would be lost to a call that will be late.
@@ -334,38 +306,11 @@
         if len(self.running) < self.crowded_slots():
             return False
         done = now + self.work_now(asking, now)
-        done += self.rules.crowded_spreads * self.spread_now(asking, now)
+        done += self.rules.crowded_spreads * self.learning.spread_now(
+            asking, now
+        )
         return done > asking.useful_deadline
 
-    def note_work(
-        self,
-        route: str,
-        seconds: float,
-        beside: float,
-        now: float,
-        nested: float = 0.0,
-    ) -> None:
-        """Learn from a call that ran beside ``beside`` others in the mean.
-
-        ``nested`` is how long it waited for calls of its own. Only a call
-        during which the target kept its pace tells of the work.
-        """
-        pace = self.pace_percent(now)
-        own = max(0.0, seconds - nested)
-        if pace > MOST_PACE or own <= 0.0:
-            return
-        if self.steady_since > now - seconds:
-            return
-        at_usual = at_usual_pace(own, pace)
-        self.slot_time.note(at_usual + nested)
-        in_use = beside + 1.0
-        if self.work.knows(route, LEAST_SAMPLES):
-            ratio = at_usual / self.work.seconds(route)
-            self.crowding.note(ratio, in_use, now)
-        if self.crowding.is_roomy(in_use):
-            self.work.note(route, own, pace, 0, nested)
-        self.update_limit(now)
-
     def expected_wait(self) -> float:
         """Return the seconds a call would queue, by recent service times."""
         ahead = len(self.queue) + 1
--- a/cyclamenlift/runtime/mechanisms.py
+++ b/cyclamenlift/runtime/mechanisms.py
@@ -78,7 +78,7 @@
 @mechanism('slots_by_crowding', 'runs as many calls as get most done')
 def without_slots_by_crowding(node: 'DaemonNode') -> None:
     state = node.gate.state
-    state.make_crowding = AllSlots
+    state.learning.make_crowding = AllSlots
     state.set_slots(state.slots)
 
 
--- a/tests/gate/test_crowding.py
+++ b/tests/gate/test_crowding.py
@@ -81,10 +81,10 @@
 def test_a_target_that_has_become_better_gets_its_slots_back():
     target = Target(0.8, 1.7)
     target.answer(400)
-    assert target.state.crowding.chosen == 12
+    assert target.state.learning.crowding.chosen == 12
     target.slower = 1.0
     begun = target.now
-    while target.state.crowding.chosen < SLOTS:
+    while target.state.learning.crowding.chosen < SLOTS:
         target.answer(50)
         assert target.now - begun < 3 * LOOK_AGAIN_SECONDS
 
@@ -108,9 +108,9 @@
     state = GateState(SLOTS)
     state.note_target_load(TargetLoad(3, 0, SLOTS, 100), 1.0)
     state.note_work('list', 0.150, 3, 1.1)
-    assert not state.work.knows('list', 1)
+    assert not state.learning.work.knows('list', 1)
     state.note_work('list', 0.150, 3, 1.2)
-    assert state.work.knows('list', 1)
+    assert state.learning.work.knows('list', 1)
 
 
 def test_what_is_learned_while_a_target_is_cold_is_the_usual_work():
@@ -119,4 +119,4 @@
     for step in range(20):
         state.note_target_load(TargetLoad(3, 0, SLOTS, 200), 2.0 + step)
         state.note_work('list', 0.300, 3, 2.0 + step)
-    assert state.work.seconds('list') == pytest.approx(0.150)
+    assert state.learning.work.seconds('list') == pytest.approx(0.150)
