Tell from logs when and why calls were lost

cyclamenlift losses counts the logs of all processes by time: answered, refused and lost with their codes, calls of running work that failed, and whether gates refused because they were full or their target slow.

--- a/cyclamenlift/cli/program.py
+++ b/cyclamenlift/cli/program.py
@@ -19,6 +19,7 @@
     'event_show',
     'event_validate',
     'explain',
+    'losses',
     'replace_storage',
     'report_burn',
     'status',
