--- a/cyclamenlift/gate/admission.py
+++ b/cyclamenlift/gate/admission.py
@@ -38,7 +38,7 @@
 # calls as in its test: 1,374 in time and 521 late by means alone, 1,666 and
 # 217 with one spread, 1,698 and 116 with two, where slots begin to stay
 # free. In a whole fleet, two seconds after a restart of all: 267 and 340 of
-# 964 by means alone, 399 and 192 with about one and a half.
+# 964 by means alone, 360 and 221 with about one and a half.
 CROWDED_SPREADS = 0.5
 WAIT_SPREADS = 1.5
 # When a target that refused for itself may have room again, in seconds: a
--- a/cyclamenlift/gate/crowding.py
+++ b/cyclamenlift/gate/crowding.py
@@ -8,9 +8,9 @@
 So it is learned: what calls took against the usual work of their route, by
 the share of the slots that was in use while they ran.
 
-On the heaviest days of a deployment with such targets callers got 0.75 and
-0.68 of the credit that was owed with all slots in use, 0.81 and 0.79 with
-the slots that get most done.
+On two heavy days of a deployment with such targets, credit less costs came
+to 0.66 and 0.63 with the slots that get most done, to 0.55 and 0.54 with all
+slots in use, one run of each day.
 """
 
 # Upper ends of the bands of use that are told apart, as shares of the
--- a/cyclamenlift/membership/joining.py
+++ b/cyclamenlift/membership/joining.py
@@ -4,7 +4,7 @@
 the few addresses that it was told. Where nobody listens there yet the
 question is lost, and where somebody does, he knows only those who asked him
 before. With one question a period it took up to 3.3 s after a loss of power
-until daemons knew the targets of each service, in which they refused 60 to
+until daemons knew the targets of each service, in which they refused 30 to
 120 calls in each fifth of a second. With further questions soon after the
 first all know each other 0.5 s after the last of them has started.
 """
