Hold calls until a slow spell is over; ask for the pace before they begin

Cause: a call keeps the pace at which its target began it, to its end, also when the spell that made it slow (half a second) is long over. A call of 660 ms that begins in a spell takes 4.6 s.

Change: one place says how a call is done soonest, begun now or held until the end of the spell (routing/finish.best_start); gates learn how long spells last, and whether calls keep their pace at all (gate/spells). Gates hold, entries ask all gates they may before one holds a call. The gate asks its target for the pace before a call begins where an old figure may cost more than the question. Answers tell the pace at which the call began, so entries learn work from it and the line of a call shows it. Slots that slow calls hold count as taken to their end.

--- a/cyclamenlift/calls/attempt.py
+++ b/cyclamenlift/calls/attempt.py
@@ -29,6 +29,8 @@
     window: int = 0
     sending: bool = False
     status: int = 0
+    # The pace at which its target began it, in percent; 0 if not told.
+    pace_percent: int = 0
     headers: list[Header] = dataclasses.field(default_factory=list)
     length: int = -1
     answering: bool = False
--- a/cyclamenlift/calls/life.py
+++ b/cyclamenlift/calls/life.py
@@ -138,9 +138,11 @@
     def note_trail(self, attempt: Try, ending: Ending, now: float) -> None:
         """Keep how a try ended, for the line that explains the call."""
         milliseconds = int((now - attempt.started_at) * MILLISECONDS)
+        pace = f' begun at {attempt.pace_percent}%'
         self.trail.append(
             f'{attempt.instance} {ending.kind.value} {int(ending.code)} '
-            f'{milliseconds}ms {ending.detail}'.rstrip()
+            f'{milliseconds}ms{pace if attempt.pace_percent else ""} '
+            f'{ending.detail}'.rstrip()
         )
 
     def end_unsent(self, attempt: Try) -> None:
@@ -211,6 +213,7 @@
         attempt.answering = True
         self.service_seconds = answer.service_time_us / MICROSECONDS
         attempt.status = answer.status
+        attempt.pace_percent = answer.begun_pace_percent or 0
         attempt.headers = answer.headers
         attempt.length = answer.body_length
         if answer.body:
--- a/cyclamenlift/calls/tasks.py
+++ b/cyclamenlift/calls/tasks.py
@@ -297,7 +297,7 @@
         self.routing.work.note(
             route,
             answer.service_time_us / MICROSECONDS,
-            answer.load.pace_percent or 0,
+            answer.begun_pace_percent or 0,
             len(answer.body or b''),
         )
 
--- a/cyclamenlift/calls/tries.py
+++ b/cyclamenlift/calls/tries.py
@@ -3,9 +3,10 @@
 import typing
 
 from cyclamenlift.calls.attempt import Try
+from cyclamenlift.calls.state import MOST_ASKED
 from cyclamenlift.core.clock import machine_seconds
 from cyclamenlift.core.clock import time_left
-from cyclamenlift.routing.finish import slowed
+from cyclamenlift.routing.finish import PERCENT
 from cyclamenlift.routing.messages import Choice
 from cyclamenlift.routing.messages import Need
 from cyclamenlift.routing.messages import Outcome
@@ -29,7 +30,7 @@
 # A gate whose target is slower than this, in percent of the usual, and
 # slower than was known, sends a call back while it has other choices.
 SLOW_PACE = 200
-SLOW_ASKED = 3
+SLOW_ASKED = MOST_ASKED - 1
 # The pace of a slow spell, in percent, as measured on the sites.
 SLOW_PACE_LIKELY = 700
 
@@ -217,7 +218,7 @@
             self.service, now, frozenset((instance,)), need
         )
         done = now - attempt.started_at
-        left = slowed(max(0.0, need.work - done), SLOW_PACE_LIKELY, 0.0)
+        left = max(0.0, need.work - done) * SLOW_PACE_LIKELY / PERCENT
         if choice is None or choice.hot or choice.seconds >= left:
             return
         if call.state.may_hedge():
--- a/cyclamenlift/gate/admission.py
+++ b/cyclamenlift/gate/admission.py
@@ -10,6 +10,7 @@
 """
 
 from collections.abc import Hashable
+from collections.abc import Iterable
 import dataclasses
 
 # Slots that are left to more urgent calls, while some come: one is enough,
@@ -156,6 +157,28 @@
     return max(0, frees) * work / slots
 
 
+def typical_hold(running: Iterable[float], usual: float) -> float:
+    """Return how long calls hold a slot, by those that run now.
+
+    What counts is how often slots are freed, so a call that is seven times
+    as slow frees its slot a seventh as often. Calls of unknown length count
+    as usual ones.
+
+    >>> typical_hold([], 0.1), typical_hold([0.1, 0.1], 0.2)
+    (0.1, 0.1)
+    >>> round(typical_hold([0.1, 0.7], 0.1), 3)
+    0.175
+    """
+    count = 0
+    rate = 0.0
+    for seconds in running:
+        seconds = seconds or usual
+        if seconds:
+            count += 1
+            rate += 1.0 / seconds
+    return count / rate if count else usual
+
+
 def wait_when_refused(running: int, room: int) -> float:
     """Return when to come back after the target itself refused a call.
 
--- a/cyclamenlift/gate/explaining.py
+++ b/cyclamenlift/gate/explaining.py
@@ -27,12 +27,28 @@
         write_line('gate_refused', gate, call, code, detail, wait_ms=wait_ms)
 
 
+def explain_hold(gate: 'Gate', call: 'GateCall', held: float) -> None:
+    """Write that a call is held until a slow spell of the target is over."""
+    held_ms = int(held * MILLISECONDS)
+    write_line(
+        'gate_held', gate, call, ResultCode.TARGET_SLOW, '', held_ms=held_ms
+    )
+
+
 def explain_unknown(
     gate: 'Gate', call: 'GateCall', code: ResultCode, detail: str
 ) -> None:
     """Write that nobody knows whether a call ran."""
     ran_ms = int((gate.now() - call.started_at) * MILLISECONDS)
-    write_line('gate_unknown', gate, call, code, detail, ran_ms=ran_ms)
+    write_line(
+        'gate_unknown',
+        gate,
+        call,
+        code,
+        detail,
+        ran_ms=ran_ms,
+        begun_pace_percent=call.begun_pace_percent,
+    )
 
 
 def explain_slots(gate: 'Gate', before: int) -> None:
--- a/cyclamenlift/gate/health.py
+++ b/cyclamenlift/gate/health.py
@@ -55,6 +55,7 @@
             self.gate.set_target_state(TargetState.READY)
             return
         self.gate.doubt_hooks.append(self.ask)
+        self.gate.ask_pace = self.ask_now
         self.ask()
         self.gate.scheduler.every(self.settings.health_seconds, self.ask)
 
@@ -83,10 +84,17 @@
         """Send one request, unless one is out or the budget is used up."""
         if self.call is not None or not self.path():
             return
-        if self.heard_lately():
-            return
+        if not self.heard_lately():
+            self.ask_now()
+
+    def ask_now(self) -> bool:
+        """See to it that an answer is under way; False if it can't be."""
+        if self.call is not None:
+            return True
+        if not self.path():
+            return False
         if self.gate.rule and not self.gate.budget.take(self.gate.now()):
-            return
+            return False
         self.asked += 1
         self.asked_at = self.gate.now()
         request = TargetRequest(
@@ -101,6 +109,7 @@
         self.status = 0
         self.call = self.client.request(request, self)
         self.call.send_body(b'', True)
+        return True
 
     def on_timeout(self) -> None:
         if self.call is not None:
--- a/cyclamenlift/gate/learning.py
+++ b/cyclamenlift/gate/learning.py
@@ -1,12 +1,20 @@
 """What a gate learns from its target's answers: pace, work and crowding."""
 
+import dataclasses
+import math
+
 from cyclamenlift.gate.admission import Asking
 from cyclamenlift.gate.crowding import BASE_SAMPLES
 from cyclamenlift.gate.crowding import Crowding
 from cyclamenlift.gate.estimates import ServiceTime
 from cyclamenlift.gate.news import is_same_pace
+from cyclamenlift.gate.spells import PaceKeeping
+from cyclamenlift.gate.spells import Progress
+from cyclamenlift.gate.spells import Spells
 from cyclamenlift.http.dialects import TargetLoad
-from cyclamenlift.routing.finish import slowed
+from cyclamenlift.routing.finish import best_start
+from cyclamenlift.routing.finish import PERCENT
+from cyclamenlift.routing.finish import Start
 from cyclamenlift.routing.work import at_usual_pace
 from cyclamenlift.routing.work import MOST_PACE
 from cyclamenlift.routing.work import WorkTable
@@ -15,10 +23,24 @@
 # A target's neighbours come and go in about half a second; a figure on its
 # pace that is older tells nothing.
 PACE_SECONDS = 0.5
+# What it costs a call to ask the target for its pace first, in seconds: the
+# way to the own instance and back, and its processor time on a small core.
+ASKING_SECONDS = 0.002
 # The pace that is assumed where none was told, in percent of the usual.
 USUAL_PACE = 100
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Begun:
+    """The target's pace when a call began there, 0 if it was not known.
+
+    ``progress`` is what ``Progress`` had counted by then.
+    """
+
+    pace_percent: int
+    progress: float
+
+
 class TargetPace:
     """How long work takes at the target now, as it tells itself."""
 
@@ -27,8 +49,14 @@
         self.told_at = 0.0
         self.steady_percent = 0
         self.steady_since = NEVER
+        self.spells = Spells()
+        self.progress = Progress()
 
     def note(self, load: TargetLoad, now: float) -> None:
+        if self.age(now) > PACE_SECONDS:
+            self.spells.lose_sight()
+        self.spells.note(load.pace_percent, now)
+        self.progress.note(load.pace_percent, now)
         self.load = load
         self.told_at = now
         if not is_same_pace(load.pace_percent, self.steady_percent):
@@ -38,14 +66,29 @@
     def forget(self) -> None:
         """Begin with another target."""
         self.load = None
+        self.spells.lose_sight()
+
+    def age(self, now: float) -> float:
+        """Return how old the newest figure is, in seconds."""
+        return now - self.told_at if self.load is not None else math.inf
 
     def percent(self, now: float) -> int:
         """Return how long work takes now, 100 as usual, 0 unknown."""
-        if self.load is None or now - self.told_at > PACE_SECONDS:
+        if self.age(now) > PACE_SECONDS:
             return 0
         return self.load.pace_percent
 
-    def tells_of_work(self, now: float) -> bool:
+    def begun(self, now: float) -> Begun:
+        """Return the pace for a call that begins now."""
+        return Begun(self.percent(now), self.progress.until(now))
+
+    def spell_left(self, now: float) -> float:
+        """Return how much longer a slow spell should last, in seconds."""
+        if self.percent(now) <= MOST_PACE:
+            return 0.0
+        return self.spells.left(now)
+
+    def is_usual(self, now: float) -> bool:
         """Tell whether the target is in no slow spell."""
         return self.percent(now) <= MOST_PACE
 
@@ -53,16 +96,13 @@
         """Tell whether the pace has been the same for so long."""
         return self.steady_since <= now - seconds
 
-    def slowed(self, seconds: float, now: float) -> float:
-        """Return how long takes now what usually takes ``seconds``."""
-        return slowed(seconds, self.percent(now) or USUAL_PACE, 0.0)
-
 
 class Learning:
     """What calls of each route take at this target, alone and in a crowd."""
 
     def __init__(self, slots: int) -> None:
         self.pace = TargetPace()
+        self.keeping = PaceKeeping()
         self.work = WorkTable()
         # How long a call holds a slot at the usual pace, of any route.
         self.slot_time = ServiceTime()
@@ -80,18 +120,28 @@
         beside: float,
         now: float,
         nested: float = 0.0,
+        begun: Begun | None = None,
     ) -> None:
         """Learn from a call that ran beside ``beside`` others in the mean.
 
-        ``nested`` is how long it waited for calls of its own. Only a call
-        during which the target kept its pace tells of the work.
+        ``nested`` is how long it waited for calls of its own, ``begun`` the
+        pace at its start. Where that is not told, or calls do not keep their
+        pace, only one during which the target kept its own tells of the
+        work.
         """
         own = max(0.0, seconds - nested)
-        if own <= 0.0 or not self.pace.tells_of_work(now):
-            return
-        if not self.pace.was_kept(seconds, now):
+        changed = not self.pace.was_kept(seconds, now)
+        if begun is None:
+            if changed:
+                return
+            begun = self.pace.begun(now)
+        if own <= 0.0 or not self.tells_of_work(begun):
             return
-        pace = self.pace.percent(now)
+        if changed:
+            self.note_changed(route, own, begun, now, nested)
+            if not self.keeping.kept:
+                return
+        pace = begun.pace_percent
         at_usual = at_usual_pace(own, pace)
         self.slot_time.note(at_usual + nested)
         in_use = beside + 1.0
@@ -101,25 +151,77 @@
         if self.crowding.is_roomy(in_use):
             self.work.note(route, own, pace, 0, nested)
 
+    def tells_of_work(self, begun: Begun) -> bool:
+        """Tell whether a call that began so shows what its work is.
+
+        Targets that never tell their pace are taken to keep the usual one.
+        """
+        if not begun.pace_percent:
+            return self.pace.load is None or not self.pace.load.pace_percent
+        return begun.pace_percent <= MOST_PACE
+
+    def note_changed(
+        self, route: str, own: float, begun: Begun, now: float, nested: float
+    ) -> None:
+        """Learn whether calls keep their pace from one whose pace changed."""
+        if nested or not begun.pace_percent:
+            return
+        if not self.work.knows(route, BASE_SAMPLES):
+            return
+        usual = self.work.seconds(route)
+        followed = self.pace.progress.until(now) - begun.progress
+        keeping = at_usual_pace(own, begun.pace_percent)
+        self.keeping.note(keeping / usual, followed / usual)
+
+    def is_doubtful(self, route: str, objective: float, now: float) -> bool:
+        """Tell whether asking for the pace pays before a call begins."""
+        work = self.work.seconds(route, objective)
+        age = self.pace.age(now)
+        return self.pace.spells.risk(work, age, now) > ASKING_SECONDS
+
     def limit(self, now: float) -> int:
         """Return how many calls are worth running at once now."""
-        return self.crowding.limit(now, self.pace.tells_of_work(now))
+        return self.crowding.limit(now, self.pace.is_usual(now))
 
-    def work_now(self, asking: Asking, running: int, now: float) -> float:
-        """Return how long a call takes beside ``running`` others now.
+    def expect(self, asking: Asking, running: int, now: float) -> Start:
+        """Return how a call beside ``running`` others is done soonest.
 
         The calls that it makes are a part of it.
         """
         work = self.work.seconds(asking.route, asking.objective)
         work *= self.crowding.slowness(running + 1)
-        return self.pace.slowed(work, now) + self.work.nested(asking.route)
-
-    def spread_now(self, asking: Asking, now: float) -> float:
-        """Return how far a call's time may well lie from ``work_now``."""
+        start = self.best_start(work, now)
+        nested = self.work.nested(asking.route)
+        return Start(start.held, start.seconds + nested)
+
+    def best_start(self, work: float, now: float) -> Start:
+        """Return how ``work`` is done soonest at the pace of now."""
+        percent = self.pace.percent(now) or USUAL_PACE
+        left = self.pace.spell_left(now)
+        if not self.keeping.kept:
+            return Start(0.0, followed_work(work, percent, left))
+        return best_start(work, percent, left)
+
+    def spread(self, asking: Asking, start: Start, now: float) -> float:
+        """Return how far a call's time may well lie from its mean."""
         spread = self.work.spread(asking.route, asking.objective)
-        return self.pace.slowed(spread, now)
-
-    def held_now(self, guess: float, now: float) -> float:
-        """Return how long a call holds a slot, ``guess`` if none was seen."""
-        held = self.slot_time.mean or guess
-        return self.pace.slowed(held, now) if held else 0.0
+        if start.held or not self.keeping.kept:
+            return spread
+        return spread * max(1.0, self.pace.percent(now) / PERCENT)
+
+    def slot_seconds(self, guess: float) -> float:
+        """Return how long a call usually holds a slot, or ``guess``."""
+        return self.slot_time.mean or guess
+
+
+def followed_work(work: float, pace_percent: int, spell_left: float) -> float:
+    """Return how long work takes that is as fast as the target each moment.
+
+    >>> followed_work(0.1, 100, 0.0), round(followed_work(0.1, 700, 0.4), 3)
+    (0.1, 0.443)
+    """
+    factor = max(1.0, pace_percent / PERCENT)
+    done_in_spell = spell_left / factor
+    if pace_percent <= MOST_PACE or work <= done_in_spell:
+        return work * factor
+    return spell_left + work - done_in_spell
--- a/cyclamenlift/gate/running.py
+++ b/cyclamenlift/gate/running.py
@@ -12,6 +12,7 @@
 from cyclamenlift.gate.explaining import explain_refusal
 from cyclamenlift.gate.explaining import explain_slots
 from cyclamenlift.gate.explaining import explain_unknown
+from cyclamenlift.gate.learning import Begun
 from cyclamenlift.gate.occupancy import Mark
 from cyclamenlift.gate.verdicts import AnswerVerdict
 from cyclamenlift.gate.verdicts import judge_answer
@@ -60,6 +61,7 @@
         self.target_call = None
         self.started_at = 0.0
         self.mark: Mark | None = None
+        self.begun: Begun | None = None
         self.nested_open = 0
         self.nested_since = 0.0
         self.nested_seconds = 0.0
@@ -83,6 +85,7 @@
         """Send the request to the target; its slot is taken."""
         self.started_at = now
         self.mark = self.gate.state.occupancy.mark(now)
+        self.begun = self.gate.state.learning.pace.begun(now)
         self.target_call = self.gate.client.request(self.request(), self)
         self.forward_body()
 
@@ -149,6 +152,11 @@
     def was_sent(self) -> bool:
         return self.target_call is not None and self.target_call.sent
 
+    @property
+    def begun_pace_percent(self) -> int:
+        """The target's pace when it began this call, 0 if unknown."""
+        return self.begun.pace_percent if self.begun else 0
+
     # -- calls that the target makes while it runs this one ---------------
 
     @property
@@ -213,7 +221,12 @@
         beside = state.occupancy.mean_since(self.mark, now) - 1.0
         before = state.learning.crowding.chosen
         state.note_work(
-            self.start.route_name, seconds, beside, now, self.nested_seconds
+            self.start.route_name,
+            seconds,
+            beside,
+            now,
+            self.nested_seconds,
+            self.begun,
         )
         if state.learning.crowding.chosen != before:
             explain_slots(self.gate, before)
@@ -260,6 +273,7 @@
             body_complete=whole,
             load=self.gate.figures(self.link),
             service_time_us=int(seconds * MICROSECONDS),
+            begun_pace_percent=self.begun_pace_percent,
         )
 
     def start_streaming(self) -> None:
--- a/cyclamenlift/gate/state.py
+++ b/cyclamenlift/gate/state.py
@@ -17,12 +17,15 @@
 from cyclamenlift.gate.admission import DEFAULT_RULES
 from cyclamenlift.gate.admission import seconds_until_slot
 from cyclamenlift.gate.admission import slots_for
+from cyclamenlift.gate.admission import typical_hold
 from cyclamenlift.gate.admission import UrgencySeen
 from cyclamenlift.gate.estimates import ErrorShare
 from cyclamenlift.gate.estimates import ServiceTime
+from cyclamenlift.gate.learning import Begun
 from cyclamenlift.gate.learning import Learning
 from cyclamenlift.gate.occupancy import Occupancy
 from cyclamenlift.http.dialects import TargetLoad
+from cyclamenlift.routing.finish import Start
 from cyclamenlift.wire.gen.protocol.ttypes import LoadFigures
 from cyclamenlift.wire.gen.protocol.ttypes import TargetState
 
@@ -43,13 +46,15 @@
     """A verdict; ``retry_after`` is in seconds and only for REFUSED.
 
     ``latest_start`` is when a QUEUED call should be sent back if it still
-    waits, 0 if it may wait until its deadline.
+    waits, 0 if it may wait until its deadline. ``held`` is how long it is
+    held for the end of a slow spell, in seconds, 0 if it waits for a slot.
     """
 
     verdict: Verdict
     code: ResultCode = ResultCode.ANSWERED
     retry_after: float = 0.0
     latest_start: float = 0.0
+    held: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,6 +80,8 @@
         self.slots = slots
         self.queue_limit = queue_limit
         self.running: set[Hashable] = set()
+        # How long each running call should hold its slot in all, seconds.
+        self.holds: dict[Hashable, float] = {}
         self.queue: collections.OrderedDict[Hashable, Asking] = (
             collections.OrderedDict()
         )
@@ -115,18 +122,19 @@
             return self.refuse(ResultCode.DEADLINE_NOT_RUN)
         self.urgency.note(asking, now)
         self.update_limit(now)
-        ahead = self.count_ahead(asking)
+        ahead = self.count_ahead(asking, now)
         room = slots_for(asking, self.room, self.urgency, now, self.rules)
-        guess = self.work_now(asking, now)
-        spread = self.learning.spread_now(asking, now)
-        if self.is_wasted(asking, now):
+        best = self.expect(asking, now)
+        guess = best.seconds - best.held
+        spread = self.learning.spread(asking, best, now)
+        if self.is_wasted(asking, best, now):
             few = self.crowded_slots()
-            uncrowded = self.wait_behind(0, few, now, guess)
+            uncrowded = self.wait_behind(0, few, guess)
             return self.refuse_until(ResultCode.QUEUE_DEADLINE, uncrowded)
-        if not ahead and len(self.running) < room:
-            self.start(asking.key, now)
+        if not best.held and not ahead and len(self.running) < room:
+            self.start(asking.key, now, guess)
             return Admission(Verdict.START)
-        wait = self.wait_behind(ahead, room, now, guess)
+        wait = max(best.held, self.wait_behind(ahead, room, guess))
         latest = (
             asking.useful_deadline - guess - self.rules.wait_spreads * spread
         )
@@ -137,7 +145,7 @@
         if now + wait > latest:
             return self.refuse_until(ResultCode.QUEUE_DEADLINE, wait)
         self.queue[asking.key] = asking
-        return Admission(Verdict.QUEUED, latest_start=latest)
+        return Admission(Verdict.QUEUED, latest_start=latest, held=best.held)
 
     def hopeless(self, now: float) -> list[Expired]:
         """Take out the queued calls that can no longer be of use."""
@@ -146,9 +154,10 @@
         for key, asking in list(self.queue.items()):
             if asking.useful_deadline is None:
                 continue
-            wait = self.wait_behind(self.count_ahead(asking), self.room, now)
-            work = self.work_now(asking, now)
-            if now + wait + work > asking.useful_deadline:
+            best = self.expect(asking, now)
+            wait = self.wait_behind(self.count_ahead(asking, now), self.room)
+            done = now + max(wait, best.held) + best.seconds - best.held
+            if done > asking.useful_deadline:
                 del self.queue[key]
                 found.append(Expired(key, ResultCode.QUEUE_DEADLINE))
         return found
@@ -162,6 +171,7 @@
         and the figure says nothing.
         """
         self.running.discard(key)
+        self.holds.pop(key, None)
         self.note_occupancy(now)
         if seconds is not None:
             self.service_time.note(seconds)
@@ -169,23 +179,30 @@
         return self.fill(now)
 
     def fill(self, now: float) -> Turn:
-        """Give free slots to queued calls that can still be in time."""
+        """Give free slots to queued calls that need not be held."""
         turn = Turn()
         self.update_limit(now)
-        while self.queue and len(self.running) < self.room:
-            key = min(self.queue, key=self.order_in_queue)
-            asking = self.queue.pop(key)
+        for key in sorted(self.queue, key=self.order_in_queue):
+            if len(self.running) >= self.room:
+                break
+            asking = self.queue[key]
             if now >= asking.deadline:
+                del self.queue[key]
                 code = ResultCode.DEADLINE_NOT_RUN
                 turn.expired.append(Expired(key, code))
                 continue
-            self.start(key, now)
+            best = self.expect(asking, now)
+            if best.held:
+                continue
+            del self.queue[key]
+            self.start(key, now, best.seconds)
             turn.started.append(key)
         return turn
 
-    def start(self, key: Hashable, now: float) -> None:
-        """Give a call a slot."""
+    def start(self, key: Hashable, now: float, seconds: float = 0.0) -> None:
+        """Give a call a slot, which it should hold for ``seconds``."""
         self.running.add(key)
+        self.holds[key] = seconds
         self.note_occupancy(now)
 
     def note_occupancy(self, now: float) -> None:
@@ -234,9 +251,10 @@
         beside: float,
         now: float,
         nested: float = 0.0,
+        begun: Begun | None = None,
     ) -> None:
         """Learn from a call that was answered; see ``Learning.note``."""
-        self.learning.note(route, seconds, beside, now, nested)
+        self.learning.note(route, seconds, beside, now, nested, begun)
         self.update_limit(now)
 
     def set_target_state(self, state: TargetState) -> None:
@@ -263,13 +281,19 @@
     def refuse_until(self, code: ResultCode, wait: float) -> Admission:
         return Admission(Verdict.REFUSED, code, max(MIN_RETRY_AFTER, wait))
 
-    def count_ahead(self, asking: Asking) -> int:
-        """Return how many queued calls go before this one."""
+    def count_ahead(self, asking: Asking, now: float) -> int:
+        """Return how many queued calls go before this one.
+
+        Calls that are held for the end of a spell leave free slots to those
+        that are not.
+        """
         own = self.order_of(asking)
         return sum(
             1
             for key, other in self.queue.items()
-            if key != asking.key and self.order_of(other) <= own
+            if key != asking.key
+            and self.order_of(other) <= own
+            and not self.expect(other, now).held
         )
 
     def order_in_queue(self, key: Hashable) -> tuple:
@@ -279,36 +303,35 @@
         """Return how many running calls make the target crowded."""
         return crowded_from(self.slots, self.rules.crowded_share)
 
-    def wait_behind(
-        self, ahead: int, room: int, now: float, guess: float = 0.0
-    ) -> float:
+    def wait_behind(self, ahead: int, room: int, guess: float = 0.0) -> float:
         """Return the seconds until a slot is free behind ``ahead``.
 
         ``guess`` is how long a call is taken to hold a slot before any
         was seen.
         """
-        held = self.learning.held_now(guess, now)
+        usual = self.learning.slot_seconds(guess)
+        held = typical_hold(self.holds.values(), usual)
         return seconds_until_slot(ahead, len(self.running), room, held)
 
-    def work_now(self, asking: Asking, now: float) -> float:
-        """Return how long a call takes now, those that it makes too."""
-        return self.learning.work_now(asking, len(self.running), now)
+    def expect(self, asking: Asking, now: float) -> Start:
+        """Return how a call is done soonest, those that it makes too."""
+        if asking.useful_deadline is None:
+            return Start(0.0, self.service_time.mean)
+        return self.learning.expect(asking, len(self.running), now)
 
     def pace_percent(self, now: float) -> int:
         """Return how long work takes now, 100 as usual, 0 unknown."""
         return self.learning.pace.percent(now)
 
-    def is_wasted(self, asking: Asking, now: float) -> bool:
+    def is_wasted(self, asking: Asking, best: Start, now: float) -> bool:
         """Tell whether a slot would be lost to a call that will be late.
 
         Only where others wait for slots; in a roomy target it is served.
         """
         if len(self.running) < self.crowded_slots():
             return False
-        done = now + self.work_now(asking, now)
-        done += self.rules.crowded_spreads * self.learning.spread_now(
-            asking, now
-        )
+        spread = self.learning.spread(asking, best, now)
+        done = now + best.seconds + self.rules.crowded_spreads * spread
         return done > asking.useful_deadline
 
     def expected_wait(self) -> float:
@@ -333,4 +356,7 @@
             pace_percent=self.pace_percent(now),
             lag_ms=int(lag * MILLISECONDS),
             body_wait_ms=int(body_wait * MILLISECONDS),
+            spell_left_ms=int(
+                self.learning.pace.spell_left(now) * MILLISECONDS
+            ),
         )
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -9,6 +9,7 @@
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.gate.admission import Asking
 from cyclamenlift.gate.delays import Delays
+from cyclamenlift.gate.explaining import explain_hold
 from cyclamenlift.gate.news import GateNews
 from cyclamenlift.gate.probes import ProbeBudget
 from cyclamenlift.gate.registration import Announced
@@ -43,6 +44,10 @@
 # When a caller may come back whose call waited in vain, in seconds: about
 # the half second after which a slow spell is over.
 WAITED_RETRY = 0.25
+# How long a call waits for the target's word on its pace, in seconds, before
+# it is decided on without: the page is on the same instance and answers in
+# less than a millisecond when the instance is not overloaded.
+PACE_ANSWER_SECONDS = 0.02
 # Answers of the last few seconds, faded by age, that outweigh a health page
 # that says otherwise, and the share of failures from which they do not.
 WELL_ANSWERED = 3.0
@@ -84,6 +89,10 @@
         self.slots_hooks: list[Callable[[int], None]] = []
         self.doubt_hooks: list[Callable[[], None]] = []
         self.refused = 0
+        # Asks the target for its pace; False if that can not be done now.
+        self.ask_pace: Callable[[], bool] = lambda: False
+        # Calls that wait for the target's word on its pace, in their order.
+        self.undecided: dict[Hashable, GateCall] = {}
 
     def subscribe(self, network) -> None:
         """Take the messages of entries from the peer network."""
@@ -115,6 +124,7 @@
         waiting = self.state.drain()
         LOG.info('gate_draining', queued=len(waiting))
         self.follow(Turn(expired=waiting))
+        self.decide_all()
         self.tell_state()
         self.check_idle()
 
@@ -206,6 +216,10 @@
                 now = self.now()
                 self.state.note_target_load(load, now)
                 self.tell_news(now)
+                if self.state.queue:
+                    self.follow(self.state.fill(now))
+                if self.undecided:
+                    self.decide_all()
 
     def tell_news(self, now: float) -> None:
         """Tell entries of a change of pace; send back what it makes late."""
@@ -244,7 +258,7 @@
         return due / self.link_rate
 
     def is_idle(self) -> bool:
-        return self.state.is_idle()
+        return self.state.is_idle() and not self.undecided
 
     def parent_of(self, call_id: str) -> GateCall | None:
         """Return the call at this target that made another, if one did.
@@ -292,27 +306,63 @@
             call.tell_refused(ResultCode.NO_TARGET, 'no target known yet')
             return
         self.news.note_call(link, now)
-        if self.is_too_slow(start, now):
-            call.tell_refused(ResultCode.TARGET_SLOW)
-            return
-        admission = self.admit(call, now)
-        if admission.verdict is Verdict.REFUSED:
-            call.tell_refused(admission.code, '', admission.retry_after)
-            return
         self.calls[call.key] = call
         self.by_name[start.trace_id] = call
         call.timer = self.scheduler.at(
             call.deadline, lambda: self.on_deadline(call)
         )
+        if self.is_pace_doubtful(call, now) and self.ask_pace():
+            self.undecided[call.key] = call
+            call.wait_timer = self.scheduler.at(
+                now + PACE_ANSWER_SECONDS, self.decide_all
+            )
+        else:
+            self.decide(call, now)
+
+    def is_pace_doubtful(self, call: GateCall, now: float) -> bool:
+        """Tell whether to ask the target for its pace before a call."""
+        start = call.start
+        if not (self.dialect.load and start.route_name):
+            return False
+        objective = (start.objective_left_us or 0) / MICROSECONDS
+        return self.state.learning.is_doubtful(
+            start.route_name, objective, now
+        )
+
+    def decide_all(self) -> None:
+        """Decide on the calls that waited for the target's pace."""
+        waiting = list(self.undecided.values())
+        self.undecided.clear()
+        for call in waiting:
+            cancel_timer(call.wait_timer)
+            self.decide(call, self.now())
+
+    def decide(self, call: GateCall, now: float) -> None:
+        """Let a call in, to the target or its queue, or send it back."""
+        if self.is_too_slow(call.start, now):
+            slow = Admission(Verdict.REFUSED, ResultCode.TARGET_SLOW)
+            self.send_back(call, slow)
+            return
+        admission = self.admit(call, now)
+        if admission.verdict is Verdict.REFUSED:
+            self.send_back(call, admission)
+            return
         if admission.verdict is Verdict.START:
             call.begin(now)
         elif admission.latest_start:
             call.wait_timer = self.scheduler.at(
                 admission.latest_start, lambda: self.on_wait_over(call)
             )
+        if admission.held:
+            explain_hold(self, call, admission.held)
         if not call.ended:
             call.ask_for_body()
 
+    def send_back(self, call: GateCall, admission: Admission) -> None:
+        """Tell the entry that a call was not let in."""
+        self.forget(call)
+        call.tell_refused(admission.code, '', admission.retry_after)
+
     def admit(self, call: GateCall, now: float) -> Admission:
         """Decide on a call, by its route's objective if it has one."""
         start = call.start
@@ -406,7 +456,8 @@
 
     def cut(self, call: GateCall) -> None:
         """Take a call out, wherever it is."""
-        if self.state.withdraw(call.key):
+        waited = self.undecided.pop(call.key, None) is not None
+        if waited or self.state.withdraw(call.key):
             self.forget(call)
             self.check_idle()
             return
@@ -417,10 +468,8 @@
         call.ended = True
         self.calls.pop(call.key, None)
         self.by_name.pop(call.start.trace_id, None)
-        if call.timer is not None:
-            call.timer.cancel()
-        if call.wait_timer is not None:
-            call.wait_timer.cancel()
+        cancel_timer(call.timer)
+        cancel_timer(call.wait_timer)
 
     def follow(self, turn: Turn) -> None:
         """Refuse what expired and begin what has its turn."""
@@ -434,7 +483,7 @@
                 call.begin(self.now())
 
     def check_idle(self) -> None:
-        if self.state.is_idle():
+        if self.is_idle():
             for hook in self.idle_hooks:
                 hook()
 
@@ -443,6 +492,12 @@
             hook(self.state.target_state)
 
 
+def cancel_timer(timer) -> None:
+    """Stop a timer, if there is one."""
+    if timer is not None:
+        timer.cancel()
+
+
 def refuse_call(link, start: CallStart, code: ResultCode) -> None:
     """Refuse a call where there is no gate at all."""
     link.send(Refused(start.call_id, int(code), 'no target here', 0, None))
--- a/cyclamenlift/routing/estimates.py
+++ b/cyclamenlift/routing/estimates.py
@@ -55,6 +55,7 @@
         'pace_at',
         'refused_deadline',
         'slots',
+        'spell_left',
         'starts',
     )
 
@@ -68,6 +69,7 @@
         self.slots = 0
         self.pace = 0
         self.pace_at = 0.0
+        self.spell_left = 0.0
         self.lag = 0.0
         self.body_wait = 0.0
         self.load_at = 0.0
@@ -118,6 +120,7 @@
         self.slots = figures.slots or 0
         self.pace = figures.pace_percent or 0
         self.pace_at = now
+        self.spell_left = (figures.spell_left_ms or 0) / MILLISECONDS
         self.lag = (figures.lag_ms or 0) / MILLISECONDS
         self.body_wait = (figures.body_wait_ms or 0) / MILLISECONDS
         self.gate_latency = (figures.latency_us or 0) / MICROSECONDS
--- a/cyclamenlift/routing/finish.py
+++ b/cyclamenlift/routing/finish.py
@@ -1,16 +1,24 @@
 """When an answer may be expected from a target: pure arithmetic.
 
 The load that this answers: an instance's neighbours make its work several
-times slower for some hundred milliseconds, then it is as fast as before.
-On the sites that were measured a slow spell took about half a second, came
-a quarter of the time and made work seven times as long, while a call's work
-took 40 to 210 ms. So whether a target is in a spell now matters more than
-how many calls it has, as long as it has slots left.
+times slower for some hundred milliseconds, then it is as fast as before. On
+the sites that were measured a slow spell took about half a second, came a
+quarter of the time and made work four or seven times as long. A call keeps
+the pace at which its target began it to its end, also when the spell is
+long over. So a call of 660 ms that begins in a spell takes 4.6 s, and one
+that waits for the end of the spell first about a second.
 """
 
-# What is left of a slow spell when one hears of it, in seconds: half of a
-# spell, since news come at any point of it, and now and then another one
-# (33 spells were logged: 0.5 s most often, 0.63 s in the mean).
+import dataclasses
+
+# Beyond this pace, in percent of the usual, a target is in a slow spell that
+# passes within a second or so. Targets that have just started keep about
+# twice the usual for seconds, which is not worth waiting for.
+SPELL_PACE = 250
+# What is left of a slow spell when one hears of it, in seconds, where nobody
+# tells: half of a spell, since news come at any point of it, and now and
+# then another one (33 spells were logged: 0.5 s most often, 0.63 s in the
+# mean).
 SPELL_LEFT = 0.4
 # A figure of a pace older than this, in seconds, tells nothing. Until then
 # it holds: a gate tells the entries that called it lately of each change.
@@ -30,25 +38,56 @@
 PERCENT = 100.0
 
 
-def slowed(work: float, pace_percent: int, age: float) -> float:
-    """Return how long ``work`` takes at a pace told ``age`` seconds ago.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """The better of two ways to run a call: begin it now, or hold it.
+
+    ``held`` is how long it is held until the pace should be usual again, 0
+    if it begins now; ``seconds`` is when it should be done, from now. Both
+    in seconds.
+    """
+
+    held: float
+    seconds: float
+
+
+def best_start(work: float, pace_percent: int, spell_left: float) -> Start:
+    """Return how ``work`` is done soonest at a target with this pace.
+
+    ``spell_left`` is how much longer the spell should last, in seconds.
+
+    >>> best_start(0.66, 100, 0.0)
+    Start(held=0.0, seconds=0.66)
+    >>> best_start(0.66, 700, 0.25)
+    Start(held=0.25, seconds=0.91)
+    >>> best_start(0.015, 700, 0.25)
+    Start(held=0.0, seconds=0.105)
+    """
+    begun_now = work * max(1.0, pace_percent / PERCENT)
+    held = spell_left + work
+    if pace_percent <= SPELL_PACE or begun_now <= held:
+        return Start(0.0, begun_now)
+    return Start(spell_left, held)
+
+
+def expected_work(
+    work: float, pace_percent: int, spell_left: float, age: float
+) -> float:
+    """Return how long ``work`` takes by what was told ``age`` seconds ago.
+
+    Gates hold a call while that is better, so entries count on it.
 
-    >>> slowed(0.1, 100, 0.0)
+    >>> expected_work(0.1, 100, 0.0, 0.0)
     0.1
-    >>> round(slowed(0.1, 700, 0.0), 3)
-    0.443
-    >>> round(slowed(0.02, 700, 0.0), 3)
+    >>> round(expected_work(0.1, 700, 0.3, 0.1), 3)
+    0.3
+    >>> round(expected_work(0.02, 700, 0.3, 0.0), 3)
     0.14
     """
     if pace_percent <= 0 or age >= PACE_FRESH:
         return work * UNKNOWN_FACTOR
-    factor = pace_percent / PERCENT
-    if factor <= 1.0:
-        return work
-    done_in_spell = SPELL_LEFT / factor
-    if work <= done_in_spell:
-        return work * factor
-    return SPELL_LEFT + work - done_in_spell
+    left = max(0.0, (spell_left or SPELL_LEFT) - age)
+    return best_start(work, pace_percent, left).seconds
 
 
 def queueing(load: float, slots: float, work: float) -> float:
--- a/cyclamenlift/routing/policies.py
+++ b/cyclamenlift/routing/policies.py
@@ -9,8 +9,8 @@
 
 from cyclamenlift.core.registry import Registry
 from cyclamenlift.routing.finish import distance_cost
+from cyclamenlift.routing.finish import expected_work
 from cyclamenlift.routing.finish import queueing
-from cyclamenlift.routing.finish import slowed
 from cyclamenlift.routing.group import Candidate
 from cyclamenlift.routing.group import Group
 from cyclamenlift.routing.messages import Need
@@ -175,7 +175,8 @@
     load = estimate.load(need.work, now)
     slots = estimate.slots or candidate.slots
     slots = max(1.0, slots * group.ramp(candidate, now))
-    seconds = slowed(need.work, estimate.pace, now - estimate.pace_at)
+    age = now - estimate.pace_at
+    seconds = expected_work(need.work, estimate.pace, estimate.spell_left, age)
     seconds += estimate.lag_now(now)
     if need.body_seconds and candidate.instance != group.instance:
         seconds += need.body_seconds + estimate.body_wait_now(now)
--- a/cyclamenlift/routing/work.py
+++ b/cyclamenlift/routing/work.py
@@ -1,5 +1,8 @@
 """How long the calls of each route take at a target that is not slowed."""
 
+from cyclamenlift.routing.finish import PERCENT
+from cyclamenlift.routing.finish import SPELL_PACE
+
 WEIGHT = 0.05
 # A sample counts for at most this many times the mean: one long call
 # must not make all seem long.
@@ -15,10 +18,8 @@
 SPREAD_GUESS = 0.25
 # Answers of targets up to this pace, in percent of the usual, tell of the
 # work: a target that has just started keeps about twice the usual for
-# seconds, and all that is learned then is of use at once. Beyond it are
-# spells that begin or end while a call runs.
-MOST_PACE = 250
-USUAL_PACE = 100.0
+# seconds, and all that is learned then is of use at once.
+MOST_PACE = SPELL_PACE
 FIRST_KILOBYTES = 1.0
 
 
@@ -112,4 +113,4 @@
     >>> at_usual_pace(0.2, 200), at_usual_pace(0.2, 100), at_usual_pace(0.2, 0)
     (0.1, 0.2, 0.2)
     """
-    return seconds / max(1.0, pace_percent / USUAL_PACE)
+    return seconds / max(1.0, pace_percent / PERCENT)
--- a/cyclamenlift/runtime/mechanisms.py
+++ b/cyclamenlift/runtime/mechanisms.py
@@ -15,8 +15,11 @@
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.core.registry import Registry
 from cyclamenlift.gate.crowding import AllSlots
+from cyclamenlift.routing.finish import PERCENT
+from cyclamenlift.routing.finish import Start
 
 if TYPE_CHECKING:
+    from cyclamenlift.gate.learning import Learning
     from cyclamenlift.runtime.daemon import DaemonNode
 
 LOG = structlog.get_logger('mechanisms')
@@ -122,6 +125,23 @@
     node.gate.send_hopeless_back = lambda _now: None
 
 
+@mechanism('hold_in_spells', 'holds calls while their target is slow')
+def without_holding(node: 'DaemonNode') -> None:
+    learning = node.gate.state.learning
+    learning.best_start = lambda work, now: begin_now(learning, work, now)
+
+
+def begin_now(learning: 'Learning', work: float, now: float) -> Start:
+    """Return how long ``work`` takes that begins whatever the pace is."""
+    percent = learning.pace.percent(now) or PERCENT
+    return Start(0.0, work * max(1.0, percent / PERCENT))
+
+
+@mechanism('ask_pace', 'asks a target for its pace before a call begins')
+def without_asking(node: 'DaemonNode') -> None:
+    node.gate.is_pace_doubtful = lambda _call, _now: False
+
+
 @mechanism('path_lag', 'takes the time on a slow link off the time left')
 def without_path_lag(node: 'DaemonNode') -> None:
     node.gate.lag_of = lambda _link, _start: 0.0
--- a/cyclamenlift/wire/cyclamenlift.thrift
+++ b/cyclamenlift/wire/cyclamenlift.thrift
@@ -54,7 +54,9 @@
   8: i32 lag_ms,
   // How long the link of the gate's instance takes for the bodies that are
   // still to come; 0: nothing, or the rate of the link is not known.
-  9: i32 body_wait_ms
+  9: i32 body_wait_ms,
+  // How much longer a slow spell there should last; 0: none, or not known.
+  10: i32 spell_left_ms
 }
 
 // Entry to gate. A body that fits is carried whole (body_complete).
@@ -115,7 +117,9 @@
   5: binary body,
   6: bool body_complete,
   7: LoadFigures load,
-  8: i32 service_time_us
+  8: i32 service_time_us,
+  // The pace at which the target began it; 0: not told.
+  9: i32 begun_pace_percent
 }
 
 // The gate proves that the target never saw the call.
--- a/cyclamenlift/wire/gen/protocol/ttypes.py
+++ b/cyclamenlift/wire/gen/protocol/ttypes.py
@@ -236,11 +236,12 @@
      - pace_percent
      - lag_ms
      - body_wait_ms
+     - spell_left_ms
 
     """
 
 
-    def __init__(self, in_flight=None, queued=None, slots=None, latency_us=None, error_permille=None, state=None, pace_percent=None, lag_ms=None, body_wait_ms=None,):
+    def __init__(self, in_flight=None, queued=None, slots=None, latency_us=None, error_permille=None, state=None, pace_percent=None, lag_ms=None, body_wait_ms=None, spell_left_ms=None,):
         self.in_flight = in_flight
         self.queued = queued
         self.slots = slots
@@ -250,6 +251,7 @@
         self.pace_percent = pace_percent
         self.lag_ms = lag_ms
         self.body_wait_ms = body_wait_ms
+        self.spell_left_ms = spell_left_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -305,6 +307,11 @@
                     self.body_wait_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.spell_left_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -351,6 +358,10 @@
             oprot.writeFieldBegin('body_wait_ms', TType.I32, 9)
             oprot.writeI32(self.body_wait_ms)
             oprot.writeFieldEnd()
+        if self.spell_left_ms is not None:
+            oprot.writeFieldBegin('spell_left_ms', TType.I32, 10)
+            oprot.writeI32(self.spell_left_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -871,11 +882,12 @@
      - body_complete
      - load
      - service_time_us
+     - begun_pace_percent
 
     """
 
 
-    def __init__(self, call_id=None, status=None, headers=None, body_length=None, body=None, body_complete=None, load=None, service_time_us=None,):
+    def __init__(self, call_id=None, status=None, headers=None, body_length=None, body=None, body_complete=None, load=None, service_time_us=None, begun_pace_percent=None,):
         self.call_id = call_id
         self.status = status
         self.headers = headers
@@ -884,6 +896,7 @@
         self.body_complete = body_complete
         self.load = load
         self.service_time_us = service_time_us
+        self.begun_pace_percent = begun_pace_percent
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -941,6 +954,11 @@
                     self.service_time_us = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.begun_pace_percent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -986,6 +1004,10 @@
             oprot.writeFieldBegin('service_time_us', TType.I32, 8)
             oprot.writeI32(self.service_time_us)
             oprot.writeFieldEnd()
+        if self.begun_pace_percent is not None:
+            oprot.writeFieldBegin('begun_pace_percent', TType.I32, 9)
+            oprot.writeI32(self.begun_pace_percent)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4001,6 +4023,7 @@
     (7, TType.I32, 'pace_percent', None, None, ),  # 7
     (8, TType.I32, 'lag_ms', None, None, ),  # 8
     (9, TType.I32, 'body_wait_ms', None, None, ),  # 9
+    (10, TType.I32, 'spell_left_ms', None, None, ),  # 10
 )
 all_structs.append(CallStart)
 CallStart.thrift_spec = (
@@ -4056,6 +4079,7 @@
     (6, TType.BOOL, 'body_complete', None, None, ),  # 6
     (7, TType.STRUCT, 'load', [LoadFigures, None], None, ),  # 7
     (8, TType.I32, 'service_time_us', None, None, ),  # 8
+    (9, TType.I32, 'begun_pace_percent', None, None, ),  # 9
 )
 all_structs.append(Refused)
 Refused.thrift_spec = (
--- /dev/null
+++ b/tests/gate/test_slow_spells.py
@@ -0,0 +1,230 @@
+"""Calls longer than the slow spells of their target.
+
+The load: calls of 660 ms, give or take a third, each of use for 2.2 s, come
+at random to a target with eight slots that could serve twelve a second and
+is asked for two. For half a second in each two, on average, all that begins
+there takes seven times as long, to its end: 4.6 s. This is the load of a
+fleet of hundreds whose slots are used to a fifth, and where a quarter of
+all calls that begin blindly are late.
+
+The other kind of target is as fast at each moment as its machine is, so a
+call that a spell meets takes up to half a second longer and holding it would
+gain nothing.
+"""
+
+import dataclasses
+import heapq
+import random
+
+import pytest
+
+from cyclamenlift.gate.admission import Asking
+from cyclamenlift.gate.learning import Begun
+from cyclamenlift.gate.state import GateState
+from cyclamenlift.gate.state import Verdict
+from cyclamenlift.http.dialects import TargetLoad
+from cyclamenlift.routing.finish import Start
+
+SLOTS = 8
+WORK = 0.660
+SPREAD = 0.33
+OBJECTIVE = 2.2
+DEADLINE = 6.6
+SPELL = 0.5
+GAP = 1.5
+SLOW = 700
+USUAL = 100
+# How often the target tells its pace.
+FIGURES = 0.02
+SECONDS = 120.0
+
+
+@dataclasses.dataclass(slots=True)
+class Running:
+    """A call at the target."""
+
+    key: object
+    at: float
+    seconds: float
+    mark: object
+    begun: Begun
+
+
+class SpellDay:
+    """One gate and a target with slow spells, on an event heap."""
+
+    def __init__(self, keeps: bool, seed: int, rate: float = 2.0):
+        self.keeps = keeps
+        self.rng = random.Random(seed)
+        self.rate = rate
+        self.state = GateState(SLOTS)
+        self.spells = draw_spells(self.rng)
+        self.heap: list = []
+        self.number = 0
+        self.in_time = 0
+        self.late = 0
+        self.refused = 0
+        self.push(0.0, self.come)
+        self.push(0.0, self.tell)
+
+    def push(self, instant: float, what, *detail) -> None:
+        self.number += 1
+        heapq.heappush(self.heap, (instant, self.number, what, detail))
+
+    def run(self) -> float:
+        """Play the day; return the share of the calls in time."""
+        while self.heap:
+            now, _, what, detail = heapq.heappop(self.heap)
+            if now > SECONDS:
+                break
+            what(now, *detail)
+        return self.in_time / (self.in_time + self.late + self.refused)
+
+    def pace(self, now: float) -> int:
+        """Return the target's pace at an instant."""
+        slow = any(at <= now < at + SPELL for at in self.spells)
+        return SLOW if slow else USUAL
+
+    def tell(self, now: float) -> None:
+        self.push(now + FIGURES, self.tell)
+        load = TargetLoad(len(self.state.running), 0, SLOTS, self.pace(now))
+        self.state.note_target_load(load, now)
+        self.follow(now, self.state.hopeless(now))
+        turn = self.state.fill(now)
+        self.follow(now, turn.expired, turn.started)
+
+    def follow(self, now: float, expired, started=()) -> None:
+        self.refused += len(expired)
+        for key in started:
+            self.begin(key, now)
+
+    def come(self, now: float) -> None:
+        self.push(now + self.rng.expovariate(self.rate), self.come)
+        key = (self.number, now)
+        asking = Asking(
+            key,
+            now + DEADLINE,
+            now + OBJECTIVE,
+            route='look-up',
+            objective=OBJECTIVE,
+        )
+        admission = self.state.admit_routed(asking, now)
+        if admission.verdict is Verdict.START:
+            self.begin(key, now)
+        elif admission.verdict is Verdict.REFUSED:
+            self.refused += 1
+        else:
+            self.push(admission.latest_start, self.waited, key)
+
+    def waited(self, _now: float, key) -> None:
+        if self.state.withdraw(key):
+            self.refused += 1
+
+    def begin(self, key, now: float) -> None:
+        work = WORK * self.rng.lognormvariate(0.0, SPREAD)
+        call = Running(
+            key,
+            now,
+            self.seconds(work, now),
+            self.state.occupancy.mark(now),
+            self.state.learning.pace.begun(now),
+        )
+        self.push(now + call.seconds, self.end, call)
+
+    def seconds(self, work: float, now: float) -> float:
+        """Return how long the target takes for a call that begins now."""
+        if self.keeps:
+            return work * self.pace(now) / USUAL
+        at = now
+        for spell in self.spells:
+            if spell + SPELL <= at:
+                continue
+            before = max(0.0, spell - at)
+            if work <= before:
+                break
+            work -= before
+            at += before
+            done = (spell + SPELL - at) * USUAL / SLOW
+            if work <= done:
+                return at - now + work * SLOW / USUAL
+            work -= done
+            at = spell + SPELL
+        return at - now + work
+
+    def end(self, now: float, call: Running) -> None:
+        beside = self.state.occupancy.mean_since(call.mark, now) - 1.0
+        self.state.note_work(
+            'look-up', call.seconds, beside, now, 0.0, call.begun
+        )
+        if now - call.key[1] <= OBJECTIVE:
+            self.in_time += 1
+        else:
+            self.late += 1
+        turn = self.state.finish(call.key, call.seconds, False, now)
+        self.follow(now, turn.expired, turn.started)
+
+
+def draw_spells(rng: random.Random) -> list[float]:
+    """Return the instants at which slow spells begin."""
+    found = []
+    now = 0.0
+    while now < SECONDS + DEADLINE:
+        now += rng.expovariate(1 / GAP)
+        found.append(now)
+        now += SPELL
+    return found
+
+
+def begin_at_once(day: SpellDay) -> None:
+    """Let the gate begin each call whatever the pace is."""
+    day.state.learning.best_start = lambda work, _now: Start(0.0, work)
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_calls_held_to_the_end_of_a_spell_are_in_time(seed):
+    # Eight seeds: 0.983 to 1.0 in time; begun at once 0.68 to 0.83.
+    day = SpellDay(True, seed)
+    blind = SpellDay(True, seed)
+    begin_at_once(blind)
+    share = day.run()
+    assert share > 0.97
+    assert share > blind.run() + 0.1
+    assert day.state.learning.keeping.kept
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_where_calls_follow_the_pace_nothing_is_lost(seed):
+    # Eight seeds: 0.955 to 1.0 in time, 0.962 to 1.0 begun at once.
+    day = SpellDay(False, seed)
+    blind = SpellDay(False, seed)
+    begin_at_once(blind)
+    assert day.run() > blind.run() - 0.02
+    assert not day.state.learning.keeping.kept
+
+
+def test_short_calls_are_not_held():
+    day = SpellDay(True, 1)
+    day.state.note_target_load(TargetLoad(0, 0, SLOTS, SLOW), 0.0)
+    short = Asking('short', 1.0, 0.5, route='check', objective=0.04)
+    assert day.state.admit_routed(short, 0.0).verdict is Verdict.START
+
+
+def test_a_call_that_can_not_wait_for_the_end_is_sent_back():
+    state = GateState(SLOTS)
+    state.note_target_load(TargetLoad(0, 0, SLOTS, SLOW), 0.0)
+    urgent = Asking('urgent', 2.0, 0.6, route='look-up', objective=0.6)
+    admission = state.admit_routed(urgent, 0.0)
+    assert admission.verdict is Verdict.REFUSED
+    assert admission.retry_after == pytest.approx(0.5)
+
+
+def test_slots_that_slow_calls_hold_count_as_taken_to_their_end():
+    """Six of eight slots are held for 4.6 s: others wait for the rest."""
+    state = GateState(SLOTS)
+    for number in range(SLOTS):
+        state.start(number, 0.0, WORK * 7 if number < 6 else WORK)
+    usual = GateState(SLOTS)
+    for number in range(SLOTS):
+        usual.start(number, 0.0, WORK)
+    wait = state.wait_behind(0, SLOTS, WORK)
+    assert wait > 2 * usual.wait_behind(0, SLOTS, WORK)
