Ask a quiet target for its load six times less often

Cause: a daemon asked its target each 80 ms, 4 to 5 times for each call on the small twin of the large deployment, so that entries hear of spells. Since the gate asks before a call begins, and entries get a call back at once from a slow target, most of these questions tell nobody anything.

Ruled out: none at all (held calls wait for the figure that ends a spell; health itself is asked for each second).

Change: 0.48 s, 80 ms while calls are held or queue.

--- a/cyclamenlift/gate/health.py
+++ b/cyclamenlift/gate/health.py
@@ -23,6 +23,9 @@
 FAILURES_BEFORE_UNHEALTHY = 2
 # How often health is asked for at least, in seconds.
 HEALTH_ITSELF_SECONDS = 1.0
+# How many periods old the load may be where no call waits for it: the gate
+# asks before a call begins, so all that is told later is news to entries.
+QUIET_PERIODS = 6.0
 GOOD_STATUS = range(200, 400)
 
 
@@ -71,7 +74,16 @@
         if now - self.asked_at >= HEALTH_ITSELF_SECONDS:
             return False
         age = now - gate.state.learning.pace.told_at
-        return age < self.settings.health_seconds
+        return age < self.oldest_figure()
+
+    def oldest_figure(self) -> float:
+        """Return how old the target's load may grow before it is asked for.
+
+        Calls that are held wait for the figure that ends a spell.
+        """
+        if self.gate.state.queue:
+            return self.settings.health_seconds
+        return QUIET_PERIODS * self.settings.health_seconds
 
     def path(self) -> str:
         """Return the health page: the document's or the settings' one."""
--- a/tests/gate/test_health.py
+++ b/tests/gate/test_health.py
@@ -49,3 +49,32 @@
         gate.state.errors.note(True, 0.0)
     judge(health, False, 2)
     assert gate.state.target_state == TargetState.UNHEALTHY
+
+
+class Period:
+    """Settings of which only the period counts."""
+
+    health_seconds = 0.08
+
+
+def aged(gate: Gate, health: HealthCheck, age: float) -> HealthCheck:
+    """Let the newest figure of the target's load be ``age`` seconds old."""
+    health.settings = Period()
+    gate.note_answer_head([('x-load', '0,0,6,100')])
+    gate.state.learning.pace.told_at -= age
+    health.asked_at = gate.now()
+    return health
+
+
+def test_a_quiet_target_is_asked_for_its_load_less_often():
+    """The gate asks before each long call, so all else is only news."""
+    gate, health = checked()
+    assert aged(gate, health, 0.4).heard_lately()
+    assert not aged(gate, health, 0.5).heard_lately()
+
+
+def test_held_calls_hear_of_the_end_of_a_spell_soon():
+    gate, health = checked()
+    aged(gate, health, 0.1)
+    gate.state.queue['held'] = None
+    assert not health.heard_lately()
