Send urgent news to members of the own data centre, and one far away

Cause: a fifth to a third of the bytes between data centres were gossip, and of these most were pushes of urgent changes: each member that hears of one sends it to four others, four in five of them far away. At the start of 24 daemons that were 3,300 packets of 480 bytes, and it grows with the square of the fleet.

Change: one of the members that get a push is in another data centre, the others are near; where few are near, far ones make up for them.

--- a/cyclamenlift/membership/state.py
+++ b/cyclamenlift/membership/state.py
@@ -36,6 +36,10 @@
 
 ANNOUNCE_FANOUT = 8
 FORWARD_FANOUT = 4
+# Members of other data centres among those that news are sent to at once:
+# bytes between data centres are dear, and with one each a data centre of a
+# handful of members still hears of a change several times from outside.
+FAR_PUSHES = 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -140,6 +144,21 @@
         others = [r for r in self.others() if r.instance != without]
         return self.rng.sample(others, min(count, len(others)))
 
+    def sample_near(self, count: int) -> list[MemberRecord]:
+        """Return up to ``count`` others, one of another data centre.
+
+        News that each member passes on reach every member of a data centre
+        from inside it, and come over many ways from outside all the same,
+        since each member sends them to one far away.
+        """
+        own = self.settings.data_centre
+        others = self.others()
+        self.rng.shuffle(others)
+        near = [r for r in others if r.data_centre == own]
+        far = [r for r in others if r.data_centre != own]
+        chosen = near[: max(count - FAR_PUSHES, count - len(far))]
+        return chosen + far[: count - len(chosen)]
+
     # -- records ----------------------------------------------------------
 
     def store(
@@ -245,9 +264,9 @@
     def push(
         self, records: list[MemberRecord], fanout: int, now: float
     ) -> list[Outgoing]:
-        """Send records to some random members at once."""
+        """Send records to some members at once, most of them near."""
         result = []
-        for member in self.sample(fanout):
+        for member in self.sample_near(fanout):
             packet = self.packer.bare(GossipKind.SYNC, 0)
             sent = self.packer.finish(
                 member.gossip_address, packet, records, now
--- /dev/null
+++ b/tests/membership/test_near_news.py
@@ -0,0 +1,57 @@
+"""News that must reach all at once, over few bytes between data centres.
+
+The load: each of two dozen members in five data centres passes a drain on as
+it hears of it. Sent to members whatever their place, four packets in five
+went to another data centre.
+"""
+
+import pytest
+
+from cyclamenlift.membership.state import FAR_PUSHES
+from cyclamenlift.membership.state import FORWARD_FANOUT
+from tests.membership.builders import record
+from tests.membership.builders import state
+
+PLACES = 5
+MEMBERS = 24
+
+
+def member(places: int = PLACES):
+    """Return a member of the first data centre that knows all others."""
+    one = state(others='')
+    own = one.settings.data_centre
+    for number in range(1, MEMBERS):
+        place = own if number % places == 0 else f'far-{number % places}'
+        known = record(f'm{number}', data_centre=place)
+        one.store(known, 0.0, spread=False)
+    return one
+
+
+def places_of(one, sample) -> list[bool]:
+    """Tell for each member of a sample whether it is near."""
+    return [r.data_centre == one.settings.data_centre for r in sample]
+
+
+def test_all_but_one_are_near():
+    one = member()
+    for _ in range(50):
+        near = places_of(one, one.sample_near(FORWARD_FANOUT))
+        assert len(near) == FORWARD_FANOUT
+        assert near.count(False) == FAR_PUSHES
+
+
+@pytest.mark.parametrize('count', [4, 8])
+def test_where_few_are_near_the_far_ones_make_up_for_them(count):
+    one = member(places=MEMBERS)
+    assert len(one.sample_near(count)) == count
+
+
+def test_where_all_are_near_none_is_left_out():
+    one = member(places=1)
+    assert places_of(one, one.sample_near(4)) == [True] * 4
+
+
+def test_no_member_is_named_twice():
+    one = member()
+    names = [r.instance for r in one.sample_near(12)]
+    assert len(set(names)) == len(names)
