Keep calls that wait for the pace in a module of their own

Now one class asks, keeps what goes on, and has one timer. No behaviour changes but that: the tests of gates, runtime and tools pass.

--- a/cyclamenlift/gate/health.py
+++ b/cyclamenlift/gate/health.py
@@ -58,7 +58,7 @@
             self.gate.set_target_state(TargetState.READY)
             return
         self.gate.doubt_hooks.append(self.ask)
-        self.gate.ask_pace = self.ask_now
+        self.gate.questions.ask = self.ask_now
         self.ask()
         self.gate.scheduler.every(self.settings.health_seconds, self.ask)
 
--- a/cyclamenlift/gate/running.py
+++ b/cyclamenlift/gate/running.py
@@ -8,6 +8,7 @@
 import typing
 
 from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.gate.admission import Asking
 from cyclamenlift.gate.admission import wait_when_refused
 from cyclamenlift.gate.explaining import explain_refusal
 from cyclamenlift.gate.explaining import explain_slots
@@ -184,6 +185,25 @@
         """The target's pace when it began this call, 0 if unknown."""
         return self.begun.pace_percent if self.begun else 0
 
+    def asking(self) -> Asking:
+        """Return what decides on this call, which is of a route."""
+        start = self.start
+        objective = (start.objective_left_us or 0) / MICROSECONDS
+        useful = self.sent_at + objective
+        if start.nested or useful > self.deadline:
+            useful = self.deadline
+        return Asking(
+            key=self.key,
+            deadline=self.deadline,
+            useful_deadline=useful,
+            rank=start.rank or 0,
+            nested=bool(start.nested),
+            repeated=bool(start.repeated),
+            route=start.route_name,
+            returned=bool(start.returned),
+            objective=objective,
+        )
+
     # -- calls that the target makes while it runs this one ---------------
 
     @property
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -7,11 +7,11 @@
 
 from cyclamenlift.core.clock import machine_seconds
 from cyclamenlift.core.codes import ResultCode
-from cyclamenlift.gate.admission import Asking
 from cyclamenlift.gate.delays import Delays
 from cyclamenlift.gate.explaining import explain_hold
 from cyclamenlift.gate.news import GateNews
 from cyclamenlift.gate.probes import ProbeBudget
+from cyclamenlift.gate.questions import PaceQuestions
 from cyclamenlift.gate.registration import Announced
 from cyclamenlift.gate.registration import Announcement
 from cyclamenlift.gate.registration import Registration
@@ -44,10 +44,6 @@
 # When a caller may come back whose call waited in vain, in seconds: about
 # the half second after which a slow spell is over.
 WAITED_RETRY = 0.25
-# How long a call waits for the target's word on its pace, in seconds, before
-# it is decided on without: the page is on the same instance and answers in
-# less than a millisecond when the instance is not overloaded.
-PACE_ANSWER_SECONDS = 0.02
 # Answers of the last few seconds, faded by age, that outweigh a health page
 # that says otherwise, and the share of failures from which they do not.
 WELL_ANSWERED = 3.0
@@ -89,12 +85,7 @@
         self.slots_hooks: list[Callable[[int], None]] = []
         self.doubt_hooks: list[Callable[[], None]] = []
         self.refused = 0
-        # Asks the target for its pace; False if that can not be done now.
-        self.ask_pace: Callable[[], bool] = lambda: False
-        # Calls that wait for the target's word on its pace, in their order.
-        self.undecided: dict[Hashable, GateCall] = {}
-        # The same with a slot and a body that has come.
-        self.unread: dict[Hashable, GateCall] = {}
+        self.questions = PaceQuestions(scheduler)
 
     def subscribe(self, network) -> None:
         """Take the messages of entries from the peer network."""
@@ -126,7 +117,7 @@
         waiting = self.state.drain()
         LOG.info('gate_draining', queued=len(waiting))
         self.follow(Turn(expired=waiting))
-        self.decide_all()
+        self.questions.answered()
         for call in list(self.calls.values()):
             if call.gathering:
                 self.take_slot_back(call)
@@ -223,10 +214,7 @@
                 self.tell_news(now)
                 if self.state.queue:
                     self.follow(self.state.fill(now))
-                if self.unread:
-                    self.begin_gathered()
-                if self.undecided:
-                    self.decide_all()
+                self.questions.answered()
 
     def tell_news(self, now: float) -> None:
         """Tell entries of a change of pace; send back what it makes late."""
@@ -265,7 +253,7 @@
         return due / self.link_rate
 
     def is_idle(self) -> bool:
-        return self.state.is_idle() and not self.undecided
+        return self.state.is_idle() and not self.questions.waiting
 
     def parent_of(self, call_id: str) -> GateCall | None:
         """Return the call at this target that made another, if one did.
@@ -318,13 +306,7 @@
         call.timer = self.scheduler.at(
             call.deadline, lambda: self.on_deadline(call)
         )
-        if self.is_pace_doubtful(call, now) and self.ask_pace():
-            self.undecided[call.key] = call
-            call.wait_timer = self.scheduler.at(
-                now + PACE_ANSWER_SECONDS, self.decide_all
-            )
-        else:
-            self.decide(call, now)
+        self.with_pace(call, self.decide)
 
     def is_pace_doubtful(self, call: GateCall, now: float) -> bool:
         """Tell whether to ask the target for its pace before a call."""
@@ -336,13 +318,13 @@
             start.route_name, objective, now
         )
 
-    def decide_all(self) -> None:
-        """Decide on the calls that waited for the target's pace."""
-        waiting = list(self.undecided.values())
-        self.undecided.clear()
-        for call in waiting:
-            cancel_timer(call.wait_timer)
-            self.decide(call, self.now())
+    def with_pace(self, call: GateCall, go_on: Callable) -> None:
+        """Go on with a call at once, or when its target has told its pace."""
+        if self.is_pace_doubtful(call, self.now()) and self.questions.put(
+            call.key, lambda: go_on(call, self.now())
+        ):
+            return
+        go_on(call, self.now())
 
     def decide(self, call: GateCall, now: float) -> None:
         """Let a call in, to the target or its queue, or send it back."""
@@ -367,35 +349,20 @@
 
     def on_body_gathered(self, call: GateCall) -> None:
         """Begin a call whose body has come, by the pace of now."""
-        now = self.now()
-        if self.is_pace_doubtful(call, now) and self.ask_pace():
-            self.unread[call.key] = call
-            call.wait_timer = self.scheduler.at(
-                now + PACE_ANSWER_SECONDS, self.begin_gathered
-            )
-        else:
-            self.begin_or_hold(call, now)
-
-    def begin_gathered(self) -> None:
-        """Begin the calls whose bodies came while the pace was asked for."""
-        waiting = list(self.unread.values())
-        self.unread.clear()
-        for call in waiting:
-            cancel_timer(call.wait_timer)
-            self.begin_or_hold(call, self.now())
+        self.with_pace(call, self.begin_or_hold)
 
     def take_slot_back(self, call: GateCall) -> None:
         """Send a call back whose body is on its way to a target that goes.
 
         The target would get it long after it said so.
         """
-        self.unread.pop(call.key, None)
+        self.questions.withdraw(call.key)
         self.release(call, None, False)
         call.tell_refused(ResultCode.DRAINING)
 
     def begin_or_hold(self, call: GateCall, now: float) -> None:
         """Begin a call that has a slot, unless a spell is to be held out."""
-        admission = self.state.reconsider(self.asking_of(call), now)
+        admission = self.state.reconsider(call.asking(), now)
         if admission.held:
             explain_hold(self, call, admission.held)
             call.gathering = False
@@ -414,26 +381,7 @@
         """Decide on a call, by its route's objective if it has one."""
         if not call.start.route_name:
             return self.state.admit(call.key, call.deadline, now)
-        return self.state.admit_routed(self.asking_of(call), now)
-
-    def asking_of(self, call: GateCall) -> Asking:
-        """Return what decides on a call of a route."""
-        start = call.start
-        objective = (start.objective_left_us or 0) / MICROSECONDS
-        useful = call.sent_at + objective
-        if start.nested or useful > call.deadline:
-            useful = call.deadline
-        return Asking(
-            key=call.key,
-            deadline=call.deadline,
-            useful_deadline=useful,
-            rank=start.rank or 0,
-            nested=bool(start.nested),
-            repeated=bool(start.repeated),
-            route=start.route_name,
-            returned=bool(start.returned),
-            objective=objective,
-        )
+        return self.state.admit_routed(call.asking(), now)
 
     def lag_of(self, link, start: CallStart) -> float:
         """Return how late a call came; 0 where its sender tells no time."""
@@ -506,9 +454,9 @@
 
     def cut(self, call: GateCall) -> None:
         """Take a call out, wherever it is."""
-        self.unread.pop(call.key, None)
-        waited = self.undecided.pop(call.key, None) is not None
-        if waited or self.state.withdraw(call.key):
+        asked = self.questions.withdraw(call.key)
+        undecided = asked and call.key not in self.state.running
+        if undecided or self.state.withdraw(call.key):
             self.forget(call)
             self.check_idle()
             return
--- a/tests/gate/builders.py
+++ b/tests/gate/builders.py
@@ -49,7 +49,7 @@
         )
         self.gate.announce(Announcement('i-1', 'prices', 8))
         self.gate.set_target_state(TargetState.READY)
-        self.gate.ask_pace = self.ask
+        self.gate.questions.ask = self.ask
         self.entry_end, self.gate_end = local_pair(iter(range(1, 9)))
         self.told = []
         for kind in (Refused, Cancelled):
