--- a/tests/runtime/test_control_metrics.py
+++ b/tests/runtime/test_control_metrics.py
@@ -107,6 +107,6 @@
     cluster.publish(change('x', 0))
     found = {name: values_of(cluster.text(name)) for name in NAMES}
     leaders = [n for n in NAMES if found[n]['role', 'leader'] == 1]
-    assert leaders == [leader]
+    assert leaders == [leader], {name: cluster.log(name) for name in NAMES}
     assert found[leader]['config_version',] == 1
     assert found[leader]['commits_total',] >= 2
