--- a/cyclamenlift/gate/learning.py
+++ b/cyclamenlift/gate/learning.py
@@ -23,8 +23,9 @@
 # A target's neighbours come and go in about half a second; a figure on its
 # pace that is older tells nothing.
 PACE_SECONDS = 0.5
-# What it costs a call to ask the target for its pace first, in seconds: the
-# way to the own instance and back, and its processor time on a small core.
+# What it is taken to cost a call to ask the target for its pace first, in
+# seconds: the way to the own instance and back, and its processor time on a
+# small core. Chosen, not measured.
 ASKING_SECONDS = 0.002
 # The pace that is assumed where none was told, in percent of the usual.
 USUAL_PACE = 100
--- a/cyclamenlift/gate/questions.py
+++ b/cyclamenlift/gate/questions.py
@@ -2,15 +2,15 @@
 
 The load that this answers: a call of 660 ms that begins in a slow spell takes
 4.6 s, and spells begin at any moment, so a figure of the pace that is 80 ms
-old is wrong for one call in twenty. Asking takes less than a millisecond.
+old is wrong for about one call in twenty, where spells come each 1.5 s.
 """
 
 from collections.abc import Callable
 from collections.abc import Hashable
 
-# How long a call waits for the word, in seconds, before it goes on without:
-# the page is on the same instance and answers in less than a millisecond when
-# the instance is not overloaded.
+# How long a call waits for the word, in seconds, before it goes on without.
+# Chosen, not measured: the page is on the same instance, so an answer that
+# takes longer means that the instance is overloaded.
 ANSWER_SECONDS = 0.02
 
 
--- a/cyclamenlift/membership/state.py
+++ b/cyclamenlift/membership/state.py
@@ -37,8 +37,9 @@
 ANNOUNCE_FANOUT = 8
 FORWARD_FANOUT = 4
 # Members of other data centres among those that news are sent to at once:
-# bytes between data centres are dear, and with one each a data centre of a
-# handful of members still hears of a change several times from outside.
+# bytes between data centres are dear, and as each member that hears of a
+# change sends it to one far away, all of them together send many. How soon
+# all of 200 members have heard was not measured with it.
 FAR_PUSHES = 1
 
 
--- a/cyclamenlift/routing/hedging.py
+++ b/cyclamenlift/routing/hedging.py
@@ -9,7 +9,8 @@
 LEAST_SECONDS = 0.002
 # A second target is taken to need this many times the usual work. Objectives
 # are about three times the work, so when it is asked the first one has had
-# 1.75 times the work, which one call in thirty takes at the usual pace.
+# 1.75 times the work, which one call in twenty takes at the usual pace if
+# times vary by a third.
 HEDGE_WORK = 1.25
 
 
