Tell in logs who asked whom for a document, and how large it was

Logs could not tell why a daemon had a version late: when it heard of it, whom it asked, how long the answer took and how many bytes it had, and what a sender had under way to others. document_asked, document_given and new fields of document_in_force tell; lines of one event are bounded as all are. No logic is changed.

--- a/cyclamenlift/events/server.py
+++ b/cyclamenlift/events/server.py
@@ -4,6 +4,7 @@
 import random
 
 from returns.result import Success
+import structlog
 
 from cyclamenlift.events.state import EventStore
 from cyclamenlift.wire.gen.protocol.ttypes import DocumentAnswer
@@ -13,6 +14,7 @@
 
 LINKS_KEPT = 1024
 LINKS_TOLD = 8
+LOG = structlog.get_logger('events')
 
 
 def answer_from(
@@ -29,6 +31,22 @@
     )
 
 
+def log_given(
+    link: Link, request: DocumentRequest, answer: DocumentAnswer
+) -> None:
+    """Tell that a document went out: to whom, how large, behind what."""
+    if not answer.packed_document:
+        return
+    LOG.info(
+        'document_given',
+        version=answer.version,
+        known=request.known_version,
+        packed_bytes=len(answer.packed_document),
+        peer=link.hello.instance if link.hello else '',
+        pending=link.pending,
+    )
+
+
 class DocumentServer:
     """Answers what is in force, and tells a few of a new version at once.
 
@@ -77,7 +95,7 @@
         if self.replica.leader != self.instance:
             if not self.replica.leader:
                 self.unsure[link.number] = (link, request)
-            link.send(self.answer(request, False))
+            self.give(link, request, False)
             return
         self.waiting.append((link, request))
         if not self.reading:
@@ -105,12 +123,19 @@
             self.reading = False
             committed = isinstance(result, Success)
             for link, request in batch:
-                link.send(self.answer(request, committed))
+                self.give(link, request, committed)
             if self.waiting:
                 self.read_for_waiting()
 
         self.replica.read_barrier(finish)
 
+    def give(
+        self, link: Link, request: DocumentRequest, committed: bool
+    ) -> None:
+        answer = self.answer(request, committed)
+        link.send(answer)
+        log_given(link, request, answer)
+
     def answer(
         self, request: DocumentRequest, committed: bool
     ) -> DocumentAnswer:
@@ -127,7 +152,7 @@
         links = list(self.links.values())
         chosen = self.rng.sample(links, min(LINKS_TOLD, len(links)))
         for link in chosen:
-            link.send(self.answer(DocumentRequest(0, 0), False))
+            self.give(link, DocumentRequest(0, 0), False)
 
     def on_link_lost(self, link: Link) -> None:
         self.links.pop(link.number, None)
--- a/cyclamenlift/events/tasks.py
+++ b/cyclamenlift/events/tasks.py
@@ -9,6 +9,7 @@
 from returns.result import Result
 import structlog
 
+from cyclamenlift.core.clock import MILLISECONDS
 from cyclamenlift.core.packing import pack
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.core.streams import Address
@@ -16,6 +17,7 @@
 from cyclamenlift.events.adoption import Adoption
 from cyclamenlift.events.adoption import Offer
 from cyclamenlift.events.server import answer_from
+from cyclamenlift.events.server import log_given
 from cyclamenlift.models.rules import EventRules
 from cyclamenlift.wire.gen.protocol.ttypes import DocumentAnswer
 from cyclamenlift.wire.gen.protocol.ttypes import DocumentRequest
@@ -67,7 +69,7 @@
         self.pulling_version = 0
         self.pull_deadline = 0.0
         self.fall_back_at = 0.0
-        self.asked_at: dict[Address, float] = {}
+        self.asked_at: dict[str, float] = {}
         self.started = False
         self.confirm_wait = FIRST_CONFIRM_SECONDS
         network.subscribe(DocumentAnswer, self.on_answer)
@@ -171,10 +173,17 @@
                 self.ask(address)
 
     def ask(self, address: Address) -> None:
-        self.asked_at[address] = self.now()
+        self.asked_at[str(address)] = self.now()
         request = DocumentRequest(next(self.numbers), self.version)
         self.network.send(address, request)
 
+    def asked_ms(self, source: str) -> int:
+        """Return how long ago ``source`` was last asked, -1 for never."""
+        asked_at = self.asked_at.get(source)
+        if asked_at is None:
+            return -1
+        return round((self.now() - asked_at) * MILLISECONDS)
+
     def pull(self, version: int, peer_address: str) -> None:
         """Fetch a version from a peer, one pull at a time."""
         now = self.now()
@@ -186,6 +195,12 @@
             return
         self.pulling_version = version
         self.pull_deadline = now + PULL_SECONDS
+        LOG.info(
+            'document_asked',
+            version=version,
+            known=self.version,
+            peer=peer_address,
+        )
         self.ask(address)
 
     def try_fall_back(self) -> None:
@@ -198,7 +213,7 @@
         if not best.document:
             self.pull(best.version, best.source)
             return
-        self.conclude(self.adoption.fall_back())
+        self.conclude(self.adoption.fall_back(), best)
 
     # -- messages ---------------------------------------------------------
 
@@ -211,7 +226,7 @@
             document=packed_of(answer),
             majority=from_control and bool(answer.committed),
         )
-        self.conclude(self.adoption.consider(offer))
+        self.conclude(self.adoption.consider(offer), offer)
         if from_control and answer.leader_address:
             self.follow_hint(answer.leader_address)
 
@@ -224,7 +239,7 @@
         except ValueError:
             LOG.warning('leader_hint_unreadable', address=leader_address[:100])
             return
-        asked_at = self.asked_at.get(address, NEVER)
+        asked_at = self.asked_at.get(str(address), NEVER)
         if self.now() - asked_at < HINT_SECONDS:
             return
         if address in self.control:
@@ -234,11 +249,13 @@
 
     def on_request(self, link: Link, request: DocumentRequest) -> None:
         """Give a peer what is in force here."""
-        link.send(
-            answer_from(self.version, self.document, request, self.confirmed)
+        answer = answer_from(
+            self.version, self.document, request, self.confirmed
         )
+        link.send(answer)
+        log_given(link, request, answer)
 
-    def conclude(self, result: Result[bool, Problem]) -> None:
+    def conclude(self, result: Result[bool, Problem], offer: Offer) -> None:
         """Log what was refused, pass on what came into force."""
         if isinstance(result, Failure):
             problem = result.failure()
@@ -250,6 +267,9 @@
             'document_in_force',
             version=self.version,
             confirmed=self.confirmed,
+            source=offer.source,
+            packed_bytes=len(offer.document),
+            asked_ms=self.asked_ms(offer.source),
         )
         for hook in self.hooks:
             hook(self.rules)
--- a/tests/ledger/builders.py
+++ b/tests/ledger/builders.py
@@ -105,6 +105,7 @@
         )
         self.number = number
         self.was_up = True
+        self.pending = 0
         self.sent = []
 
     def send(self, message) -> bool:
