Send daemons what changed, once, from a link that has room

Cause: every version travelled whole to every daemon, whatever it changed, and nothing bounded the copies under way: all who heard of a version from one peer asked that peer, and a daemon that starts asked five control instances for the document again and again. On links of 2 Mbit/s copies of 80 to 125 KB waited for seconds, in front of calls.

Change: daemons hold a document as lines, one for each route, without the text that operators sent; answers carry the steps from the version that the asker has, checked by a digest; routes that are known are not read again. A majority read names the version, the document is then pulled from one. A daemon bounds the documents in its link to 0.25 s and sends others on; a pull that brings nothing for 0.5 s goes to a control instance. Peers of an earlier release get whole documents as before.

--- a/cyclamenlift/events/server.py
+++ b/cyclamenlift/events/server.py
@@ -4,9 +4,14 @@
 import random
 
 from returns.result import Success
-import structlog
 
+from cyclamenlift.events.giving import bare_answer
+from cyclamenlift.events.giving import lacks
+from cyclamenlift.events.giving import log_given
+from cyclamenlift.events.history import DocumentHistory
+from cyclamenlift.events.history import packed_size
 from cyclamenlift.events.state import EventStore
+from cyclamenlift.models.lines import lines_from_canonical
 from cyclamenlift.wire.gen.protocol.ttypes import DocumentAnswer
 from cyclamenlift.wire.gen.protocol.ttypes import DocumentRequest
 from cyclamenlift.wire.tasks import Link
@@ -14,37 +19,9 @@
 
 LINKS_KEPT = 1024
 LINKS_TOLD = 8
-LOG = structlog.get_logger('events')
-
-
-def answer_from(
-    version: int, packed: bytes, request: DocumentRequest, committed: bool
-) -> DocumentAnswer:
-    """Return the answer; the document only to one who lacks it."""
-    lacks = version > (request.known_version or 0)
-    return DocumentAnswer(
-        request_id=request.request_id or 0,
-        version=version,
-        document=b'',
-        committed=committed,
-        packed_document=packed if lacks else b'',
-    )
-
-
-def log_given(
-    link: Link, request: DocumentRequest, answer: DocumentAnswer
-) -> None:
-    """Tell that a document went out: to whom, how large, behind what."""
-    if not answer.packed_document:
-        return
-    LOG.info(
-        'document_given',
-        version=answer.version,
-        known=request.known_version,
-        packed_bytes=len(answer.packed_document),
-        peer=link.hello.instance if link.hello else '',
-        pending=link.pending,
-    )
+# A change that is told unasked, in bytes: one packet. Several instances may
+# tell the same daemon, and a larger one is fetched by whoever lacks it.
+MOST_TOLD_BYTES = 1_400
 
 
 class DocumentServer:
@@ -55,8 +32,8 @@
     off, answers what it has without that mark, and a follower says where
     the leader is. Those who asked while no leader was known hear again once
     there is one: after a restart of all they wait for just that. A new
-    version goes to a few daemons unasked; the rest learn of it from each
-    other.
+    version is told to a few daemons unasked; the rest learn of it from each
+    other. Who takes changes gets those since the version that he has.
 
     ``names_leader`` is for instances that know each other by membership,
     where all use one address. One that only control was told may not be
@@ -77,9 +54,11 @@
         self.store = store
         self.instance = instance
         self.rng = rng
-        self.links: collections.OrderedDict[int, Link] = (
-            collections.OrderedDict()
-        )
+        self.history = DocumentHistory()
+        # Who asked lately, by the number of the link, and how.
+        self.links: collections.OrderedDict[
+            int, tuple[Link, DocumentRequest]
+        ] = collections.OrderedDict()
         self.waiting: list[tuple[Link, DocumentRequest]] = []
         # Who asked while no leader was known, by the number of the link.
         self.unsure: dict[int, tuple[Link, DocumentRequest]] = {}
@@ -89,7 +68,7 @@
         replica.leader_hooks.append(self.on_leader)
 
     def on_request(self, link: Link, request: DocumentRequest) -> None:
-        self.links[link.number] = link
+        self.links[link.number] = (link, request)
         while len(self.links) > LINKS_KEPT:
             self.links.popitem(last=False)
         if self.replica.leader != self.instance:
@@ -139,20 +118,47 @@
     def answer(
         self, request: DocumentRequest, committed: bool
     ) -> DocumentAnswer:
-        packed = self.store.packed_document()
-        answer = answer_from(self.store.version, packed, request, committed)
+        history = self.newest()
+        answer = bare_answer(history.version, request, committed)
+        if lacks(history, request):
+            if request.takes_changes:
+                answer.changes = history.since(request.known_version or 0)
+            else:
+                answer.packed_document = self.store.packed_document()
         follows = self.replica.leader not in ('', self.instance)
         if follows and self.names_leader:
             address = self.replica.address_of(self.replica.leader)
             answer.leader_address = str(address) if address else ''
         return answer
 
+    def newest(self) -> DocumentHistory:
+        """Return the history, once it holds what is in the store."""
+        version = self.store.version
+        if version < self.history.version:
+            # The store begins anew, as after a disk that failed.
+            self.history = DocumentHistory()
+        if version > self.history.version:
+            lines = lines_from_canonical(self.store.document())
+            self.history.put(version, lines)
+        return self.history
+
     def tell(self, version: int) -> None:
-        """Send a new version to a few of those who asked lately."""
-        links = list(self.links.values())
-        chosen = self.rng.sample(links, min(LINKS_TOLD, len(links)))
-        for link in chosen:
-            self.give(link, DocumentRequest(0, 0), False)
+        """Tell a few of those who asked lately of a new version."""
+        asked = list(self.links.values())
+        chosen = self.rng.sample(asked, min(LINKS_TOLD, len(asked)))
+        for link, request in chosen:
+            link.send(self.news(request))
+
+    def news(self, request: DocumentRequest) -> DocumentAnswer:
+        """Return what one is told unasked: the newest change if small."""
+        if not request.takes_changes:
+            return self.answer(DocumentRequest(0, 0), False)
+        history = self.newest()
+        answer = bare_answer(history.version, DocumentRequest(0, 0), False)
+        last = history.last()
+        if packed_size(last) <= MOST_TOLD_BYTES:
+            answer.changes = last
+        return answer
 
     def on_link_lost(self, link: Link) -> None:
         self.links.pop(link.number, None)
--- a/cyclamenlift/events/tasks.py
+++ b/cyclamenlift/events/tasks.py
@@ -16,8 +16,14 @@
 from cyclamenlift.core.tasks import Root
 from cyclamenlift.events.adoption import Adoption
 from cyclamenlift.events.adoption import Offer
-from cyclamenlift.events.server import answer_from
-from cyclamenlift.events.server import log_given
+from cyclamenlift.events.giving import bare_answer
+from cyclamenlift.events.giving import given_bytes
+from cyclamenlift.events.giving import lacks
+from cyclamenlift.events.giving import LinkShare
+from cyclamenlift.events.giving import log_given
+from cyclamenlift.events.pulling import Pull
+from cyclamenlift.events.pulling import PULL_SECONDS
+from cyclamenlift.models.lines import canonical_from_lines
 from cyclamenlift.models.rules import EventRules
 from cyclamenlift.wire.gen.protocol.ttypes import DocumentAnswer
 from cyclamenlift.wire.gen.protocol.ttypes import DocumentRequest
@@ -30,7 +36,6 @@
 # instances that did not listen yet. Doubled until it is the usual one.
 FIRST_CONFIRM_SECONDS = 0.1
 FALL_BACK_SECONDS = 3.0
-PULL_SECONDS = 1.0
 JITTER = 0.5
 # A leader that is named by several is asked once within this time, in
 # seconds: longer than a way there and back, shorter than a poll.
@@ -45,8 +50,10 @@
     New versions come from three sides: gossip names one (``note_version``)
     and it is pulled from that peer; a control instance tells a few daemons
     unasked; and a slow poll of one control instance at a time finds what
-    both missed. Until a majority read has confirmed the version, all
-    control instances are asked, twice a second.
+    both missed. A peer that is slow or busy is left for a control instance,
+    whose link is wide. Until a majority read has confirmed the version, all
+    control instances are asked which one there is, twice a second; the
+    document is then pulled from one.
     """
 
     channel = 'configuration'
@@ -66,14 +73,17 @@
         self.adoption = Adoption()
         self.numbers = itertools.count(1)
         self.hooks: list[Callable[[EventRules], None]] = []
-        self.pulling_version = 0
-        self.pull_deadline = 0.0
+        self.under_way: Pull | None = None
+        self.share = LinkShare()
+        # Whether the next document must come whole: the last one did not fit.
+        self.wants_whole = False
         self.fall_back_at = 0.0
         self.asked_at: dict[str, float] = {}
         self.started = False
         self.confirm_wait = FIRST_CONFIRM_SECONDS
         network.subscribe(DocumentAnswer, self.on_answer)
         network.subscribe(DocumentRequest, self.on_request)
+        network.subscribe_lost(self.on_link_lost)
         self.register(root)
 
     # -- queries ----------------------------------------------------------
@@ -93,11 +103,6 @@
         """The version in force, 0 for none."""
         return self.adoption.version
 
-    @property
-    def document(self) -> bytes:
-        """The packed document in force, empty for none."""
-        return self.adoption.document
-
     # -- commands ---------------------------------------------------------
 
     def subscribe(self, hook: Callable[[EventRules], None]) -> None:
@@ -124,7 +129,7 @@
                 LOG.info('control_found', address=str(address))
             if self.started and not self.confirmed:
                 self.network.give_up_connecting(address)
-                self.ask(address)
+                self.ask(address, with_document=False)
         elif address in self.control and len(self.control) > 1:
             self.control.remove(address)
             LOG.info('control_lost', address=str(address))
@@ -163,7 +168,7 @@
             self.ask(self.rng.choice(self.control))
             return
         for address in self.control:
-            self.ask(address)
+            self.ask(address, with_document=False)
         self.try_fall_back()
 
     def ask_strangers(self) -> None:
@@ -172,9 +177,15 @@
             if not self.network.is_linked(address):
                 self.ask(address)
 
-    def ask(self, address: Address) -> None:
+    def ask(self, address: Address, with_document: bool = True) -> None:
+        """Ask one instance for the newest version, or only which it is."""
         self.asked_at[str(address)] = self.now()
-        request = DocumentRequest(next(self.numbers), self.version)
+        request = DocumentRequest(
+            request_id=next(self.numbers),
+            known_version=0 if self.wants_whole else self.version,
+            takes_changes=True,
+            without_document=not with_document,
+        )
         self.network.send(address, request)
 
     def asked_ms(self, source: str) -> int:
@@ -184,24 +195,68 @@
             return -1
         return round((self.now() - asked_at) * MILLISECONDS)
 
+    # -- pulling ----------------------------------------------------------
+
     def pull(self, version: int, peer_address: str) -> None:
-        """Fetch a version from a peer, one pull at a time."""
-        now = self.now()
-        if version <= self.pulling_version and now < self.pull_deadline:
+        """Fetch a version from a peer, one pull of a version at a time."""
+        under_way = self.under_way
+        if under_way is not None and under_way.covers(version, self.now()):
             return
         try:
             address = Address.parse(peer_address)
         except ValueError:
             return
-        self.pulling_version = version
-        self.pull_deadline = now + PULL_SECONDS
+        self.begin_pull(version, address)
+
+    def begin_pull(self, version: int, address: Address) -> None:
+        received = self.network.received_from(address)
+        self.under_way = Pull(version, address, self.now(), received)
         LOG.info(
             'document_asked',
             version=version,
             known=self.version,
-            peer=peer_address,
+            peer=str(address),
         )
         self.ask(address)
+        self.watch(self.under_way)
+
+    def watch(self, pull: Pull) -> None:
+        """Look after a pull once its document should have come."""
+        self.loop.scheduler.after(PULL_SECONDS, lambda: self.check(pull))
+
+    def check(self, pull: Pull) -> None:
+        """Go on waiting while bytes come, else ask somebody else."""
+        if not self.awaits(pull):
+            return
+        received = self.network.received_from(pull.address)
+        if pull.goes_on(received, self.now()):
+            self.watch(pull)
+        else:
+            self.pull_elsewhere(pull)
+
+    def awaits(self, pull: Pull) -> bool:
+        """Tell whether this pull is the latest and not done."""
+        return self.started and (
+            pull is self.under_way and pull.version > self.version
+        )
+
+    def pull_elsewhere(self, pull: Pull) -> None:
+        """Ask a control instance for what a peer did not give."""
+        others = [a for a in self.control if a != pull.address]
+        if others:
+            self.begin_pull(pull.version, self.rng.choice(others))
+
+    def on_link_lost(self, link: Link) -> None:
+        """Ask another one at once when the one who was asked is gone.
+
+        Not for a connection that never came up: it may fail at once again
+        and again.
+        """
+        pull = self.under_way
+        if pull is None or link.address != pull.address or not link.was_up:
+            return
+        if self.awaits(pull):
+            self.pull_elsewhere(pull)
 
     def try_fall_back(self) -> None:
         """Without a majority for long: take the highest that peers have."""
@@ -210,7 +265,7 @@
         best = self.adoption.best_heard()
         if best is None:
             return
-        if not best.document:
+        if not best.is_whole:
             self.pull(best.version, best.source)
             return
         self.conclude(self.adoption.fall_back(), best)
@@ -225,11 +280,25 @@
             version=answer.version or 0,
             document=packed_of(answer),
             majority=from_control and bool(answer.committed),
+            changes=tuple(answer.changes or ()),
         )
         self.conclude(self.adoption.consider(offer), offer)
+        self.go_on(offer, bool(answer.busy))
         if from_control and answer.leader_address:
             self.follow_hint(answer.leader_address)
 
+    def go_on(self, offer: Offer, busy: bool) -> None:
+        """Pull what an answer named and did not bring."""
+        pull = self.under_way
+        if not self.adoption.believes(offer.version):
+            return
+        if offer.version <= self.version:
+            return
+        if busy and pull is not None and str(pull.address) == offer.source:
+            self.pull_elsewhere(pull)
+        else:
+            self.pull(offer.version, offer.source)
+
     def follow_hint(self, leader_address: str) -> None:
         """Ask the leader that a follower named, unless it was just asked."""
         if self.confirmed or not self.started:
@@ -243,32 +312,46 @@
         if self.now() - asked_at < HINT_SECONDS:
             return
         if address in self.control:
-            self.ask(address)
+            self.ask(address, with_document=False)
         else:
             self.note_control(address, True)
 
     def on_request(self, link: Link, request: DocumentRequest) -> None:
-        """Give a peer what is in force here."""
-        answer = answer_from(
-            self.version, self.document, request, self.confirmed
-        )
+        """Give a peer what it lacks, or send it on while others get theirs."""
+        history = self.adoption.history
+        answer = bare_answer(history.version, request, self.confirmed)
+        if lacks(history, request):
+            self.fill(answer, request)
         link.send(answer)
         log_given(link, request, answer)
 
+    def fill(self, answer: DocumentAnswer, request: DocumentRequest) -> None:
+        history = self.adoption.history
+        if request.takes_changes:
+            answer.changes = history.since(request.known_version or 0)
+        else:
+            answer.packed_document = pack(canonical_from_lines(history.lines))
+        if not self.share.take(given_bytes(answer), self.now()):
+            answer.changes = []
+            answer.packed_document = b''
+            answer.busy = True
+
     def conclude(self, result: Result[bool, Problem], offer: Offer) -> None:
         """Log what was refused, pass on what came into force."""
         if isinstance(result, Failure):
             problem = result.failure()
             LOG.warning('document_refused', problem=problem.line())
+            self.wants_whole = True
             return
         if not result.unwrap():
             return
+        self.wants_whole = False
         LOG.info(
             'document_in_force',
             version=self.version,
             confirmed=self.confirmed,
             source=offer.source,
-            packed_bytes=len(offer.document),
+            packed_bytes=offer.packed_bytes,
             asked_ms=self.asked_ms(offer.source),
         )
         for hook in self.hooks:
--- a/cyclamenlift/runtime/daemon.py
+++ b/cyclamenlift/runtime/daemon.py
@@ -85,6 +85,7 @@
         self.follower = ConfigFollower(
             self.loop, self.network, self.control, rng
         )
+        self.follower.share.link_rate = settings.link_mbps * BYTES_OF_MEGABIT
         self.entry = self.make_entry()
         self.entry_address = self.entry.listen(
             Address.parse(settings.entry_listen)
--- a/cyclamenlift/wire/cyclamenlift.thrift
+++ b/cyclamenlift/wire/cyclamenlift.thrift
@@ -162,9 +162,21 @@
 
 // --- configuration -------------------------------------------------------
 
+// takes_changes: the sender can be given what changed since known_version.
+// without_document: it only asks which version there is.
 struct DocumentRequest {
   1: i64 request_id,
-  2: i64 known_version
+  2: i64 known_version,
+  3: bool takes_changes,
+  4: bool without_document
+}
+
+// What makes the lines of one version those of a later one; base_version 0
+// holds all lines. The format is that of events/changes.py.
+struct DocumentChange {
+  1: i64 base_version,
+  2: i64 version,
+  3: binary packed
 }
 
 // version 0 means that the sender has no document. committed says that a
@@ -177,7 +189,11 @@
   4: bool committed,
   5: binary packed_document,
   // Where the leader can be asked, as a follower knows it; else empty.
-  6: string leader_address
+  6: string leader_address,
+  // One after the other, for a sender that takes changes.
+  7: list<DocumentChange> changes,
+  // The document is left out, since others are being given it: ask elsewhere.
+  8: bool busy
 }
 
 // --- ledger --------------------------------------------------------------
--- a/cyclamenlift/wire/gen/protocol/ttypes.py
+++ b/cyclamenlift/wire/gen/protocol/ttypes.py
@@ -1498,13 +1498,17 @@
     Attributes:
      - request_id
      - known_version
+     - takes_changes
+     - without_document
 
     """
 
 
-    def __init__(self, request_id=None, known_version=None,):
+    def __init__(self, request_id=None, known_version=None, takes_changes=None, without_document=None,):
         self.request_id = request_id
         self.known_version = known_version
+        self.takes_changes = takes_changes
+        self.without_document = without_document
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1525,6 +1529,16 @@
                     self.known_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.takes_changes = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.without_document = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1543,6 +1557,93 @@
             oprot.writeFieldBegin('known_version', TType.I64, 2)
             oprot.writeI64(self.known_version)
             oprot.writeFieldEnd()
+        if self.takes_changes is not None:
+            oprot.writeFieldBegin('takes_changes', TType.BOOL, 3)
+            oprot.writeBool(self.takes_changes)
+            oprot.writeFieldEnd()
+        if self.without_document is not None:
+            oprot.writeFieldBegin('without_document', TType.BOOL, 4)
+            oprot.writeBool(self.without_document)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class DocumentChange(object):
+    """
+    Attributes:
+     - base_version
+     - version
+     - packed
+
+    """
+
+
+    def __init__(self, base_version=None, version=None, packed=None,):
+        self.base_version = base_version
+        self.version = version
+        self.packed = packed
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.base_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.packed = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DocumentChange')
+        if self.base_version is not None:
+            oprot.writeFieldBegin('base_version', TType.I64, 1)
+            oprot.writeI64(self.base_version)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.packed is not None:
+            oprot.writeFieldBegin('packed', TType.STRING, 3)
+            oprot.writeBinary(self.packed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1570,17 +1671,21 @@
      - committed
      - packed_document
      - leader_address
+     - changes
+     - busy
 
     """
 
 
-    def __init__(self, request_id=None, version=None, document=None, committed=None, packed_document=None, leader_address=None,):
+    def __init__(self, request_id=None, version=None, document=None, committed=None, packed_document=None, leader_address=None, changes=None, busy=None,):
         self.request_id = request_id
         self.version = version
         self.document = document
         self.committed = committed
         self.packed_document = packed_document
         self.leader_address = leader_address
+        self.changes = changes
+        self.busy = busy
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1621,6 +1726,22 @@
                     self.leader_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.changes = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = DocumentChange()
+                        _elem19.read(iprot)
+                        self.changes.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.busy = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1655,6 +1776,17 @@
             oprot.writeFieldBegin('leader_address', TType.STRING, 6)
             oprot.writeString(self.leader_address.encode('utf-8') if sys.version_info[0] == 2 else self.leader_address)
             oprot.writeFieldEnd()
+        if self.changes is not None:
+            oprot.writeFieldBegin('changes', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.changes))
+            for iter20 in self.changes:
+                iter20.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.busy is not None:
+            oprot.writeFieldBegin('busy', TType.BOOL, 8)
+            oprot.writeBool(self.busy)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1830,11 +1962,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = Header()
-                        _elem19.read(iprot)
-                        self.headers.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = Header()
+                        _elem26.read(iprot)
+                        self.headers.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1865,8 +1997,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter20 in self.headers:
-                iter20.write(oprot)
+            for iter27 in self.headers:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -2580,11 +2712,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = LogEntry()
-                        _elem26.read(iprot)
-                        self.entries.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = LogEntry()
+                        _elem33.read(iprot)
+                        self.entries.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2627,8 +2759,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter27 in self.entries:
-                iter27.write(oprot)
+            for iter34 in self.entries:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.commit_index is not None:
@@ -3627,11 +3759,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = MemberRecord()
-                        _elem33.read(iprot)
-                        self.records.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = MemberRecord()
+                        _elem40.read(iprot)
+                        self.records.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3691,8 +3823,8 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter34 in self.records:
-                iter34.write(oprot)
+            for iter41 in self.records:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_version is not None:
@@ -4127,6 +4259,15 @@
     None,  # 0
     (1, TType.I64, 'request_id', None, None, ),  # 1
     (2, TType.I64, 'known_version', None, None, ),  # 2
+    (3, TType.BOOL, 'takes_changes', None, None, ),  # 3
+    (4, TType.BOOL, 'without_document', None, None, ),  # 4
+)
+all_structs.append(DocumentChange)
+DocumentChange.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'base_version', None, None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.STRING, 'packed', 'BINARY', None, ),  # 3
 )
 all_structs.append(DocumentAnswer)
 DocumentAnswer.thrift_spec = (
@@ -4137,6 +4278,8 @@
     (4, TType.BOOL, 'committed', None, None, ),  # 4
     (5, TType.STRING, 'packed_document', 'BINARY', None, ),  # 5
     (6, TType.STRING, 'leader_address', 'UTF8', None, ),  # 6
+    (7, TType.LIST, 'changes', (TType.STRUCT, [DocumentChange, None], False), None, ),  # 7
+    (8, TType.BOOL, 'busy', None, None, ),  # 8
 )
 all_structs.append(ClaimRequest)
 ClaimRequest.thrift_spec = (
--- a/cyclamenlift/wire/tasks.py
+++ b/cyclamenlift/wire/tasks.py
@@ -50,6 +50,7 @@
         'network',
         'number',
         'reader',
+        'received',
         'stream',
         'was_up',
     )
@@ -62,6 +63,8 @@
         self.hello: Hello | None = None
         self.was_up = False
         self.closed = False
+        # Bytes that came over it, to tell a slow answer from none.
+        self.received = 0
         self.number = next(network.numbers)
 
     def send(self, message) -> bool:
@@ -151,6 +154,11 @@
         link = self.outgoing.get(address)
         return link is not None and not link.closed
 
+    def received_from(self, address: Address) -> int:
+        """Return the bytes that came over the link to ``address``."""
+        link = self.outgoing.get(address)
+        return link.received if link is not None else 0
+
     def give_up_connecting(self, address: Address) -> None:
         """Drop a link to ``address`` that has not come up yet.
 
@@ -195,6 +203,7 @@
 
     def on_data(self, stream: Stream, data: bytes) -> None:
         link = stream.context
+        link.received += len(data)
         try:
             messages = link.reader.feed(data)
         except FrameError as error:
--- a/tests/events/fleet.py
+++ b/tests/events/fleet.py
@@ -112,6 +112,10 @@
     def is_linked(self, address) -> bool:
         return address in self.links
 
+    def received_from(self, address) -> int:
+        link = self.links.get(address)
+        return link.received if link is not None else 0
+
     def give_up_connecting(self, address) -> None:
         """All connections are up."""
 
@@ -153,7 +157,7 @@
             fleet.control_addresses,
             random.Random(fleet.rng.random()),
         )
-        self.follower.link_rate = DAEMON_RATE
+        self.follower.share.link_rate = DAEMON_RATE
         self.at: dict[int, float] = {}
         self.follower.subscribe(self.on_rules)
 
--- a/tests/events/test_adoption.py
+++ b/tests/events/test_adoption.py
@@ -2,9 +2,14 @@
 
 import pytest
 from returns.result import Failure
+from returns.result import Success
 
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.events.adoption import Adoption
+from cyclamenlift.events.adoption import Offer
+from cyclamenlift.events.history import DocumentHistory
+from cyclamenlift.models.lines import lines_from_canonical
+from tests.events.builders import document
 from tests.events.builders import offer
 
 BROKEN = b'{"event": 1}'
@@ -32,6 +37,15 @@
         (offer(2, 'c', majority=True), 3, True),
         (offer(2, 'p'), 3, True),
     ],
+    'what a majority named may come from anybody': [
+        (offer(5, 'c', majority=True, data=b''), 0, False),
+        (offer(4, 'p'), 0, False),
+        (offer(5, 'p'), 5, True),
+    ],
+    'also a later one, since all that is offered was committed': [
+        (offer(5, 'c', majority=True, data=b''), 0, False),
+        (offer(6, 'p'), 6, True),
+    ],
     'a version without its bytes is no document': [
         (offer(3, 'c', majority=True), 3, True),
         (offer(4, 'p', data=b''), 3, True),
@@ -87,3 +101,52 @@
     adoption.fall_back()
     adoption.consider(offer(6, 'c', majority=True, data=b''))
     assert adoption.confirmed
+
+
+def history_of(*versions) -> DocumentHistory:
+    history = DocumentHistory()
+    for version in versions:
+        lines = lines_from_canonical(document(f'v{version}'))
+        history.put(version, lines)
+    return history
+
+
+def changes_offer(history, known) -> Offer:
+    changes = tuple(history.since(known))
+    return Offer('p', history.version, changes=changes)
+
+
+def test_changes_lead_from_the_version_in_force_to_the_newest():
+    adoption = Adoption()
+    adoption.consider(offer(3, 'c', majority=True))
+    sender = history_of(2, 3, 5, 9)
+    assert adoption.consider(changes_offer(sender, 3)) == Success(True)
+    assert (adoption.version, adoption.rules.event) == (9, 'v9')
+    # Its own history serves those who are behind in turn.
+    assert [c.version for c in adoption.history.since(3)] == [5, 9]
+
+
+def test_changes_that_begin_earlier_are_taken_from_where_they_fit():
+    adoption = Adoption()
+    adoption.consider(offer(5, 'c', majority=True))
+    sender = history_of(3, 5, 9)
+    assert adoption.consider(changes_offer(sender, 3)) == Success(True)
+    assert adoption.rules.event == 'v9'
+
+
+def test_changes_of_a_version_that_is_not_here_change_nothing():
+    adoption = Adoption()
+    adoption.consider(offer(3, 'c', majority=True))
+    sender = history_of(4, 5)
+    assert adoption.consider(changes_offer(sender, 4)) == Success(False)
+    assert (adoption.version, adoption.rules.event) == (3, 'v3')
+
+
+def test_a_change_that_was_cut_short_is_refused_whole():
+    adoption = Adoption()
+    adoption.consider(offer(3, 'c', majority=True, data=document('other')))
+    sender = history_of(3, 5)
+    sender.changes[-1].packed = sender.changes[-1].packed[:-1]
+    result = adoption.consider(changes_offer(sender, 3))
+    assert isinstance(result, Failure)
+    assert (adoption.version, adoption.rules.event) == (3, 'other')
--- a/tests/events/test_control_side.py
+++ b/tests/events/test_control_side.py
@@ -17,6 +17,8 @@
 from cyclamenlift.events.reports import report_to_json
 from cyclamenlift.events.server import DocumentServer
 from cyclamenlift.events.server import LINKS_TOLD
+from cyclamenlift.events.server import MOST_TOLD_BYTES
+from cyclamenlift.runtime.machine import ControlMachine
 from cyclamenlift.wire.gen.protocol.ttypes import DocumentRequest
 from tests.events.builders import control_context
 from tests.events.builders import document
@@ -221,3 +223,65 @@
     server.on_request(link, DocumentRequest(2, 0))
     assert link.sent[2].leader_address == '10.0.0.1:7100'
     assert not any(a.committed for a in link.sent)
+
+
+def takes_changes(known) -> DocumentRequest:
+    return DocumentRequest(1, known, takes_changes=True)
+
+
+def test_who_takes_changes_gets_those_that_he_lacks():
+    context = control_context(leader='b')
+    server, link = server_of(context), FakeLink()
+    server.on_request(link, takes_changes(0))
+    context.replica.leader = 'a'
+    for base in range(3):
+        text = document(f'v{base}').decode()
+        run(publish, context, publication(f'x{base}', base, text))
+        server.tell(base + 1)
+    context.replica.leader = 'b'
+    link.sent.clear()
+    for known in (0, 1, 2, 3):
+        server.on_request(link, takes_changes(known))
+    steps = [
+        [(c.base_version, c.version) for c in answer.changes]
+        for answer in link.sent
+    ]
+    assert steps == [[(0, 3)], [(1, 2), (2, 3)], [(2, 3)], []]
+    assert not any(answer.packed_document for answer in link.sent)
+
+
+def test_who_only_asks_for_the_version_gets_no_document():
+    context = control_context(leader='b')
+    context.replica.leader = 'a'
+    run(publish, context, publication())
+    context.replica.leader = 'b'
+    server, link = server_of(context), FakeLink()
+    request = DocumentRequest(1, 0, takes_changes=True, without_document=True)
+    server.on_request(link, request)
+    (answer,) = link.sent
+    assert (answer.version, answer.changes) == (1, [])
+    assert not answer.packed_document
+
+
+def test_a_large_change_is_named_and_a_small_one_is_sent_unasked():
+    context = control_context(leader='b')
+    server, link = server_of(context), FakeLink()
+    server.on_request(link, takes_changes(0))
+    context.replica.leader = 'a'
+    noise = random.Random(1).randbytes(MOST_TOLD_BYTES).hex()
+    texts = [document('one').decode(), document('two').decode()]
+    texts.append(texts[1].replace('/sale', f'/{noise}'))
+    for base, text in enumerate(texts):
+        run(publish, context, publication(f'x{base}', base, text))
+        server.tell(base + 1)
+    told = [(answer.version, len(answer.changes)) for answer in link.sent[1:]]
+    assert told == [(1, 0), (2, 1), (3, 0)]
+
+
+def test_a_store_that_begins_anew_begins_its_history_anew():
+    context = control_context(leader='a')
+    run(publish, context, publication())
+    server = server_of(context)
+    assert server.newest().version == 1
+    context.replica.machine.restore(ControlMachine().snapshot())
+    assert server.newest().version == 0
--- a/tests/events/test_tasks.py
+++ b/tests/events/test_tasks.py
@@ -3,10 +3,12 @@
 import pytest
 
 from cyclamenlift.core.streams import Address
+from cyclamenlift.events.giving import MOST_OCCUPIED_SECONDS
+from cyclamenlift.events.pulling import MOST_PULL_SECONDS
+from cyclamenlift.events.pulling import PULL_SECONDS
 from cyclamenlift.events.tasks import FALL_BACK_SECONDS
 from cyclamenlift.events.tasks import HINT_SECONDS
 from cyclamenlift.events.tasks import POLL_SECONDS
-from cyclamenlift.events.tasks import PULL_SECONDS
 from cyclamenlift.wire.gen.protocol.ttypes import DocumentAnswer
 from cyclamenlift.wire.gen.protocol.ttypes import DocumentRequest
 from tests.events.builders import CONTROL
@@ -177,3 +179,95 @@
     bed.asked()
     bed.pass_time(0.8)
     assert len(bed.asked()) >= 2 * len(CONTROL)
+
+
+def test_a_pull_that_brings_nothing_goes_to_a_control_instance():
+    bed = running(3)
+    bed.follower.note_version(4, PEERS[0])
+    assert bed.asked() == [FIRST]
+    bed.pass_time(PULL_SECONDS + 0.1)
+    pulled_from = bed.follower.under_way.address
+    assert pulled_from in CONTROL
+    assert pulled_from in bed.asked()
+
+
+def test_a_pull_that_brings_bytes_is_waited_for_but_not_for_ever():
+    bed = running(3)
+    came = [0]
+    bed.network.received_from = lambda address: came[0]
+    bed.follower.note_version(4, PEERS[0])
+    assert bed.asked() == [FIRST]
+    for _ in range(10):
+        came[0] += 1000
+        bed.pass_time(MOST_PULL_SECONDS / 10 - 0.01)
+        assert bed.follower.under_way.address == FIRST
+    came[0] += 1000
+    bed.pass_time(PULL_SECONDS)
+    assert bed.follower.under_way.address in CONTROL
+    bed.give(FIRST, 4)
+    assert bed.follower.version == 4
+
+
+def test_a_pull_is_asked_of_another_when_its_connection_is_lost():
+    bed = running(3)
+    bed.follower.control.append(FIRST)
+    bed.follower.note_version(4, PEERS[0])
+    bed.asked()
+    for was_up, count in ((False, 0), (True, 1), (True, 0)):
+        link = FakeLink(FIRST)
+        link.was_up = was_up
+        for hook in bed.network.lost_hooks:
+            hook(link)
+        asked = bed.asked()
+        assert len(asked) == count
+        assert set(asked) <= set(CONTROL)
+
+
+def test_who_is_told_that_a_peer_is_busy_asks_control():
+    bed = running(3)
+    bed.follower.note_version(4, PEERS[0])
+    bed.asked()
+    bed.network.deliver(FIRST, DocumentAnswer(1, 4, b'', busy=True))
+    (asked,) = bed.asked()
+    assert asked in CONTROL
+
+
+def test_a_version_that_a_majority_named_is_pulled_from_one():
+    bed = FollowerBed()
+    bed.follower.start()
+    assert {m.without_document for _, m in bed.network.sent} == {True}
+    bed.asked()
+    for address in CONTROL:
+        bed.give(address, 4, committed=address == CONTROL[1], data=b'')
+    sent, bed.network.sent = bed.network.sent, []
+    assert [(a, bool(m.without_document)) for a, m in sent] == [
+        (CONTROL[1], False)
+    ]
+    bed.give(CONTROL[1], 4)
+    assert (bed.follower.version, bed.follower.confirmed) == (4, True)
+
+
+def test_a_link_that_is_taken_sends_others_elsewhere():
+    """One daemon is asked by all who heard of a version from it first."""
+    bed = running(3)
+    link = FakeLink()
+    # A document takes longer than others may wait.
+    bed.follower.share.link_rate = 1000.0
+    for number in range(3):
+        request = DocumentRequest(number, 0, takes_changes=True)
+        bed.follower.on_request(link, request)
+    assert [bool(a.busy) for a in link.sent] == [False, True, True]
+    assert [bool(a.changes) for a in link.sent] == [True, False, False]
+    assert {a.version for a in link.sent} == {3}
+    bed.clock.instant += 10 * MOST_OCCUPIED_SECONDS
+    bed.follower.on_request(link, DocumentRequest(4, 0, takes_changes=True))
+    assert link.sent[-1].changes
+
+
+def test_a_document_that_does_not_fit_is_asked_for_whole():
+    bed = running(3)
+    bed.give(FIRST, 4, data=b'{}')
+    assert bed.follower.version == 3
+    bed.follower.note_version(5, PEERS[1])
+    known = [m.known_version for _, m in bed.network.sent]
+    assert known[-1] == 0
--- a/tools/mutants_control.py
+++ b/tools/mutants_control.py
@@ -13,6 +13,8 @@
 STORE_TESTS = 'tests/events/test_state.py'
 ADOPTION = 'cyclamenlift/events/adoption.py'
 ADOPTION_TESTS = 'tests/events/test_adoption.py'
+CHANGES = 'cyclamenlift/events/changes.py'
+CHANGES_TESTS = 'tests/events/test_changes.py'
 DOCUMENTS = 'cyclamenlift/events/server.py'
 DOCUMENT_TESTS = 'tests/events/test_control_side.py'
 FOLLOWER = 'cyclamenlift/events/tasks.py'
@@ -133,7 +135,7 @@
     Mutant(
         'a starting daemon takes one word',
         ADOPTION,
-        'if not offer.majority and not self.running:',
+        'if not self.believes(offer.version):',
         'if False:',
         ADOPTION_TESTS,
     ),
@@ -147,16 +149,37 @@
     Mutant(
         'a document that does not parse counts as in force',
         ADOPTION,
-        '        try:\n            data = unpack(',
-        '        self.version = offer.version\n'
-        '        try:\n            data = unpack(',
+        '        try:\n            steps = self.steps_of(',
+        '        self.history.version = offer.version\n'
+        '        try:\n            steps = self.steps_of(',
         ADOPTION_TESTS,
     ),
+    Mutant(
+        'a document below what a majority named starts a daemon',
+        ADOPTION,
+        'self.running or 0 < self.majority_version <= version',
+        'self.running or 0 < self.majority_version',
+        ADOPTION_TESTS,
+    ),
+    Mutant(
+        'a change is made on any document',
+        CHANGES,
+        'if digest_of_lines(result) != digest:',
+        'if False:',
+        CHANGES_TESTS,
+    ),
+    Mutant(
+        'a link takes any number of documents at once',
+        'cyclamenlift/events/giving.py',
+        'if begins_at - now > MOST_OCCUPIED_SECONDS:',
+        'if False:',
+        'tests/events/test_tasks.py',
+    ),
     Mutant(
         'the answer of a follower counts as confirmed',
         DOCUMENTS,
-        'link.send(self.answer(request, False))\n            return',
-        'link.send(self.answer(request, True))\n            return',
+        'self.give(link, request, False)\n            return',
+        'self.give(link, request, True)\n            return',
         DOCUMENT_TESTS,
     ),
     Mutant(
