--- a/cyclamenlift/platform/documents.py
+++ b/cyclamenlift/platform/documents.py
@@ -199,51 +199,74 @@
 def remove_named(value: dict, names: dict) -> None:
     """Remove services and routes by their names."""
     services = set(names.get('services', ()))
-    routes = set(names.get('routes', ()))
     value['services'] = [
         s for s in value['services'] if s['name'] not in services
     ]
-    for host in value['virtual_hosts']:
+    routes = set(names.get('routes', ()))
+    value['virtual_hosts'] = without_routes(value['virtual_hosts'], routes)
+
+
+def without_routes(hosts: list[dict], names: set[str]) -> list[dict]:
+    """Return the hosts without these routes; one without any is left out."""
+    for host in hosts:
         host['path_rules'] = [
-            r for r in host['path_rules'] if r['name'] not in routes
+            r for r in host['path_rules'] if r['name'] not in names
         ]
-    value['virtual_hosts'] = [
-        host for host in value['virtual_hosts'] if host['path_rules']
-    ]
+    return [host for host in hosts if host['path_rules']]
 
 
 def upsert(value: dict, items: dict) -> None:
     """Add items, or put them in the place of those of the same name."""
-    for service in items.get('services', ()):
-        put_named(value['services'], service)
-    for host in items.get('virtual_hosts', ()):
-        for route in host['path_rules']:
-            put_route(value['virtual_hosts'], host['host'], route)
+    put_all(value['services'], items.get('services', ()))
+    hosts = items.get('virtual_hosts', ())
+    value['virtual_hosts'] = with_routes(value['virtual_hosts'], hosts)
     if 'limits' in items:
         value['limits'] = items['limits']
 
 
-def put_route(hosts: list[dict], name: str, route: dict) -> None:
-    """Put a route under its host; it leaves another host it stood under."""
+def with_routes(hosts: list[dict], added: list[dict]) -> list[dict]:
+    """Return the hosts with the routes of ``added`` put under theirs.
+
+    A route leaves another host that it stood under. All are looked up by
+    name: to look for each new one among all others took seconds with some
+    thousand routes, and the leader gave no sign of life meanwhile.
+    """
+    routes_of: dict[str, list[dict]] = {}
+    for host in added:
+        routes_of.setdefault(host['host'], []).extend(host['path_rules'])
+    home_of = {
+        route['name']: name
+        for name, routes in routes_of.items()
+        for route in routes
+    }
+    for host in hosts:
+        host['path_rules'] = at_home(host['path_rules'], host['host'], home_of)
+    known: dict[str, dict] = {}
     for host in hosts:
-        if host['host'] != name:
-            host['path_rules'] = [
-                r for r in host['path_rules'] if r['name'] != route['name']
-            ]
-    home = next((h for h in hosts if h['host'] == name), None)
-    if home is None:
-        home = {'host': name, 'path_rules': []}
-        hosts.append(home)
-    put_named(home['path_rules'], route)
-    hosts[:] = [host for host in hosts if host['path_rules']]
-
-
-def put_named(items: list[dict], item: dict) -> None:
-    for position, known in enumerate(items):
-        if known['name'] == item['name']:
-            items[position] = item
-            return
-    items.append(item)
+        known.setdefault(host['host'], host)
+    result = list(hosts)
+    for name, routes in routes_of.items():
+        if name not in known:
+            known[name] = {'host': name, 'path_rules': []}
+            result.append(known[name])
+        put_all(known[name]['path_rules'], at_home(routes, name, home_of))
+    return [host for host in result if host['path_rules']]
+
+
+def at_home(routes: list[dict], host: str, home_of: dict) -> list[dict]:
+    """Return the routes that no other host has now."""
+    return [r for r in routes if home_of.get(r['name'], host) == host]
+
+
+def put_all(items: list[dict], added: list[dict]) -> None:
+    """Put named items in the place of those of the same name, or behind."""
+    places = {item['name']: place for place, item in enumerate(items)}
+    for item in added:
+        place = places.setdefault(item['name'], len(items))
+        if place < len(items):
+            items[place] = item
+        else:
+            items.append(item)
 
 
 def invalid(detail: str) -> Failure:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -194,3 +194,54 @@
     publish_document(context, document, Change('c', 0), reports.append)
     assert [report.code for report in reports] == [ResultCode.CHANGE_ACCEPTED]
     assert len(context.store.rules.routes.routes) == MOST_ROUTES
+
+
+def names_by_host(value: dict) -> list[tuple[str, list[str]]]:
+    return [
+        (host['host'], [r['name'] for r in host['path_rules']])
+        for host in value['virtual_hosts']
+    ]
+
+
+@pytest.mark.parametrize(
+    'added, expected',
+    [
+        (
+            [('a.example', ['r-1', 'n'])],
+            [('a.example', ['r-1', 'n']), ('b.example', ['r-2'])],
+        ),
+        (
+            [('b.example', ['r-1'])],
+            [('b.example', ['r-2', 'r-1'])],
+        ),
+        (
+            [('c.example', ['n', 'm']), ('c.example', ['k'])],
+            [
+                ('a.example', ['r-1']),
+                ('b.example', ['r-2']),
+                ('c.example', ['n', 'm', 'k']),
+            ],
+        ),
+        (
+            [('a.example', ['n']), ('c.example', ['n'])],
+            [
+                ('a.example', ['r-1']),
+                ('b.example', ['r-2']),
+                ('c.example', ['n']),
+            ],
+        ),
+        (
+            [('a.example', ['n', 'n'])],
+            [('a.example', ['r-1', 'n']), ('b.example', ['r-2'])],
+        ),
+    ],
+    ids=['same host', 'moved', 'new host twice', 'named at two', 'twice'],
+)
+def test_routes_of_a_change_stand_under_the_host_named_last(added, expected):
+    value = configuration()
+    hosts = [
+        {'host': name, 'path_rules': [route(n, f'/{n}/') for n in names]}
+        for name, names in added
+    ]
+    upsert(value, {'virtual_hosts': hosts})
+    assert names_by_host(value) == expected
