--- a/tests/replication/test_state.py
+++ b/tests/replication/test_state.py
@@ -22,6 +22,7 @@
 from cyclamenlift.wire.gen.protocol.ttypes import VoteRequest
 from tests.replication.builders import Cluster
 from tests.replication.builders import ELECTION
+from tests.replication.builders import LIMITS
 from tests.replication.builders import make_entries
 from tests.replication.builders import make_state
 from tests.replication.builders import NAMES
@@ -257,3 +258,47 @@
     voters.note_appended(changed)
     held = {storage_id[0]: storage_id for storage_id in present}
     assert voters.has_quorum(held) is expected
+
+
+def pass_time_without_disk(cluster, name, elections):
+    """Let heartbeats and ticks go on while one disk answers nothing."""
+    end = cluster.now + elections * ELECTION
+    while cluster.now < end:
+        cluster.now += LIMITS.heartbeat
+        tick(cluster.nodes[name].state, cluster.now)
+        cluster.pump(name)
+        cluster.settle(NAMES, 1, lazy=name)
+
+
+def test_a_leader_whose_disk_answers_nothing_gives_its_place_up():
+    """Operators waited as long as the leader's disk hung.
+
+    Seen: a change sent 6 s after the leader's disk had begun to hang was
+    acknowledged 3 s later, in the millisecond in which the disk went on. A
+    leader appends one batch for each sync of its own, and its heartbeats
+    need no disk, so the others, with sound disks, went on following it.
+    """
+    cluster = founded()
+    cluster.propose('a')
+    pass_time_without_disk(cluster, 'a', 1.0)
+    assert cluster.leads('a')
+    pass_time_without_disk(cluster, 'a', 2.0)
+    assert not cluster.leads('a')
+    # It asks nobody for votes before its disk goes on.
+    term = cluster.nodes['a'].state.term
+    pass_time_without_disk(cluster, 'a', 9.0)
+    assert cluster.nodes['a'].state.term == term
+    assert cluster.nodes['a'].state.campaign is None
+    cluster.sync('a')
+    cluster.elect('a', NAMES)
+    assert cluster.leads('a')
+
+
+def test_time_in_which_the_process_stood_still_is_not_the_disk_s():
+    cluster = founded()
+    cluster.propose('a')
+    cluster.now += 9 * ELECTION
+    for peer in cluster.nodes['a'].state.leadership.progress.values():
+        peer.contact_at = cluster.now
+    tick(cluster.nodes['a'].state, cluster.now)
+    assert cluster.leads('a')
