Let a leader whose disk hangs give its place up

Cause: a leader needs its own disk only to append the next batch, and its heartbeats need none, so the others followed it while changes waited.

Logs tell both ends.

Ruled out: standing down after the first slow sync; the slowest disk named syncs in 30 ms.

--- a/cyclamenlift/replication/inputs.py
+++ b/cyclamenlift/replication/inputs.py
@@ -21,6 +21,7 @@
 
 def tick(state: ReplicaState, now: float) -> None:
     """Do what is due at ``now``; call it several times a heartbeat."""
+    state.disk.tick(state.outbox, now, state.limits.election)
     if state.role is Role.LEADER:
         tick_leader(state, now)
     else:
--- a/cyclamenlift/replication/leading.py
+++ b/cyclamenlift/replication/leading.py
@@ -53,8 +53,8 @@
 
 
 def tick_leader(state: ReplicaState, now: float) -> None:
-    """Step down without a majority, or send the heartbeat that is due."""
-    if not has_contact(state, now):
+    """Step down without a majority or a disk, or send what is due."""
+    if not has_contact(state, now) or state.is_stalled(now):
         state.follow(state.term, '', now)
         return
     if now >= state.leadership.heartbeat_at:
--- a/cyclamenlift/replication/state.py
+++ b/cyclamenlift/replication/state.py
@@ -18,6 +18,7 @@
 from cyclamenlift.replication.progress import Leadership
 from cyclamenlift.replication.queries import Role
 from cyclamenlift.replication.snapshots import Snapshot
+from cyclamenlift.replication.stalls import DiskWatch
 from cyclamenlift.replication.voters import Configuration
 from cyclamenlift.replication.voters import Voters
 from cyclamenlift.wire.gen.protocol.ttypes import LogEntry
@@ -112,6 +113,7 @@
         self.role = Role.FOLLOWER
         self.leader = ''
         self.outbox = Outbox()
+        self.disk = DiskWatch(now)
         self.leadership: Leadership | None = None
         founders = (instance, *peers) if founder else peers
         self.voters = Voters(founders)
@@ -168,6 +170,10 @@
     def term_is_durable(self) -> bool:
         return self.outbox.synced_ticket >= self.term_ticket
 
+    def is_stalled(self, now: float) -> bool:
+        """Tell whether the own disk has answered nothing for too long."""
+        return self.disk.is_stalled(now, self.limits.election)
+
     def has_quorum(self, present: dict[str, str]) -> bool:
         return self.voters.has_quorum(present)
 
--- a/cyclamenlift/replication/tasks.py
+++ b/cyclamenlift/replication/tasks.py
@@ -92,6 +92,7 @@
         self.active = False
         self.handling = False
         self.flush_planned = False
+        self.disk_stalled = False
         self.waiting = Waiting()
         self.blank = b''
         self.known_leader = ''
@@ -270,8 +271,17 @@
         self.plan_tick()
         if self.active:
             tick(self.state, self.now())
+            self.note_disk()
             self.handle_effects()
 
+    def note_disk(self) -> None:
+        """Tell when the disk began to answer nothing, and when it goes on."""
+        stalled = self.state.is_stalled(self.now())
+        if stalled != self.disk_stalled:
+            self.disk_stalled = stalled
+            event = 'disk_stalled' if stalled else 'disk_goes_on'
+            LOG.warning(event, term=self.state.term, led=self.known_leader)
+
     def take_message(self, link: Link, message) -> None:
         """Take a message of another instance, sent under its own name."""
         if not self.active or link.hello is None:
--- a/tools/mutants_control.py
+++ b/tools/mutants_control.py
@@ -125,6 +125,13 @@
         'if False:',
         STORE_TESTS,
     ),
+    Mutant(
+        'a leader keeps its place while its disk hangs',
+        'cyclamenlift/replication/stalls.py',
+        'return now - self.moved_at >= STALLED_ELECTIONS * election',
+        'return False',
+        'tests/replication/test_state.py',
+    ),
     Mutant(
         'a running daemon takes an older version',
         ADOPTION,
