--- a/tests/gate/builders.py
+++ b/tests/gate/builders.py
@@ -1,5 +1,6 @@
 """A gate between a target that answers nothing and the end of a link."""
 
+from cyclamenlift.gate.admission import Asking
 from cyclamenlift.gate.registration import Announcement
 from cyclamenlift.gate.tasks import Gate
 from cyclamenlift.runtime.local import local_pair
@@ -89,3 +90,14 @@
             most_pace_percent=most,
         )
         self.gate.on_call_start(self.gate_end, start)
+
+
+def look_up(key, now: float, objective: float, deadline: float) -> Asking:
+    """Return a look-up that comes now; its times count from now, in s."""
+    return Asking(
+        key,
+        now + deadline,
+        now + objective,
+        route='look-up',
+        objective=objective,
+    )
--- a/tests/gate/test_overload.py
+++ b/tests/gate/test_overload.py
@@ -13,10 +13,10 @@
 
 import pytest
 
-from cyclamenlift.gate.admission import Asking
 from cyclamenlift.gate.state import GateState
 from cyclamenlift.gate.state import Verdict
 from cyclamenlift.http.dialects import TargetLoad
+from tests.gate.builders import look_up
 
 SLOTS = 15
 ROOM = 12
@@ -63,13 +63,7 @@
     def come(self, now: float) -> None:
         self.push(now + self.rng.expovariate(self.rate), 'come', None)
         key = (self.number, now)
-        asking = Asking(
-            key,
-            now + DEADLINE,
-            now + OBJECTIVE,
-            route='look-up',
-            objective=OBJECTIVE,
-        )
+        asking = look_up(key, now, OBJECTIVE, DEADLINE)
         admission = self.state.admit_routed(asking, now)
         if admission.verdict is Verdict.START:
             self.begin(key, now)
--- a/tests/gate/test_slow_spells.py
+++ b/tests/gate/test_slow_spells.py
@@ -24,6 +24,7 @@
 from cyclamenlift.gate.state import Verdict
 from cyclamenlift.http.dialects import TargetLoad
 from cyclamenlift.routing.finish import Start
+from tests.gate.builders import look_up
 
 SLOTS = 8
 WORK = 0.660
@@ -101,13 +102,7 @@
     def come(self, now: float) -> None:
         self.push(now + self.rng.expovariate(self.rate), self.come)
         key = (self.number, now)
-        asking = Asking(
-            key,
-            now + DEADLINE,
-            now + OBJECTIVE,
-            route='look-up',
-            objective=OBJECTIVE,
-        )
+        asking = look_up(key, now, OBJECTIVE, DEADLINE)
         admission = self.state.admit_routed(asking, now)
         if admission.verdict is Verdict.START:
             self.begin(key, now)
