Tell which request it was, and when a target has ended

Each request has a fingerprint now, the same in each attempt. A gate that loses calls looks whether anybody listens at its target's address; nobody, or another incarnation, shows that the target has ended (target_ended). A target that said that it leaves, a spoilt answer and a connection that broke while later calls are answered do not count. Decisions are the same as before. 14 bytes more on the wire for each call that asks a gate.

--- a/cyclamenlift/calls/life.py
+++ b/cyclamenlift/calls/life.py
@@ -58,6 +58,8 @@
         self.body_size = 0
         self.reserved = 0
         self.whole_body = b''
+        self.hash = calls.request_hash(exchange, self.service)
+        self.fingerprint = b''
         self.tries = Tries(self)
         self.relay: Relay | None = None
         self.fallback: Try | None = None
@@ -95,6 +97,7 @@
         if self.answered:
             return
         self.body.append(data)
+        self.hash.add(data)
         self.body_size += len(data)
         if self.body_size > self.request.rule.max_body_bytes:
             self.give_up(Problem(ResultCode.BODY_TOO_LARGE))
@@ -109,6 +112,7 @@
     def body_ready(self) -> None:
         self.whole_body = b''.join(self.body)
         self.body.clear()
+        self.fingerprint = self.hash.digest()
         if self.request.key:
             self.keyed = KeyedEnd(self)
             self.keyed.claim()
--- a/cyclamenlift/calls/tasks.py
+++ b/cyclamenlift/calls/tasks.py
@@ -29,6 +29,7 @@
 from cyclamenlift.http.headers import HOP_BY_HOP
 from cyclamenlift.models.rules import EventRules
 from cyclamenlift.models.rules import ServiceRule
+from cyclamenlift.quarantine.fingerprints import RequestHash
 from cyclamenlift.wire.gen.protocol.ttypes import AnswerStart
 from cyclamenlift.wire.gen.protocol.ttypes import BodyChunk
 from cyclamenlift.wire.gen.protocol.ttypes import Broken
@@ -241,6 +242,7 @@
             retry_after_ms=call.state.retry_after_ms,
             hedged=call.tries.hedged,
             budget=round(call.state.budget.balance, 1),
+            **({} if code in GOOD_CODES else named(call)),
         )
 
     # -- queries ----------------------------------------------------------
@@ -280,6 +282,17 @@
             headers.append((dialect.caller_service, self.own_service))
         return as_headers(headers)
 
+    def request_hash(self, exchange: Exchange, service: str) -> RequestHash:
+        """Return the hash of a request without its body."""
+        account = exchange.dialect.account
+        return RequestHash(
+            service,
+            exchange.header('host') or '',
+            exchange.method,
+            exchange.path,
+            (exchange.header(account) or '') if account else '',
+        )
+
     def is_nested(self, exchange: Exchange, parent: Parent | None) -> bool:
         """Tell whether a target makes this call while it runs another."""
         depth = exchange.dialect.depth
@@ -389,3 +402,8 @@
     def credit(self, attempt: Try, size: int) -> None:
         """Let the gate send on while an answer is gathered."""
         attempt.link.send(Credit(attempt.number, size))
+
+
+def named(call: Call) -> dict[str, str]:
+    """Return what tells which request it was, for calls without an answer."""
+    return {'fingerprint': call.fingerprint.hex()}
--- a/cyclamenlift/calls/tries.py
+++ b/cyclamenlift/calls/tries.py
@@ -159,6 +159,7 @@
             returned=request.returned,
             route_name=request.route_name,
             repeated=call_was_sent(self.call),
+            fingerprint=self.call.fingerprint,
             sent_at_us=int(machine_seconds() * MICROSECONDS),
         )
 
--- a/cyclamenlift/gate/explaining.py
+++ b/cyclamenlift/gate/explaining.py
@@ -47,6 +47,7 @@
         code,
         detail,
         ran_ms=ran_ms,
+        fingerprint=(call.start.fingerprint or b'').hex(),
         begun_pace_percent=call.begun_pace_percent,
     )
 
@@ -78,7 +79,7 @@
     call: 'GateCall',
     code: ResultCode,
     detail: str,
-    **fields: int,
+    **fields: int | str,
 ) -> None:
     """Write one decision with what it rests on and how old that is."""
     state = gate.state
--- a/cyclamenlift/gate/running.py
+++ b/cyclamenlift/gate/running.py
@@ -18,6 +18,8 @@
 from cyclamenlift.gate.verdicts import AnswerVerdict
 from cyclamenlift.gate.verdicts import judge_answer
 from cyclamenlift.http.headers import end_to_end
+from cyclamenlift.http.target import FailureKind
+from cyclamenlift.http.target import TargetFailure
 from cyclamenlift.http.target import TargetRequest
 from cyclamenlift.wire.gen.protocol.ttypes import AnswerStart
 from cyclamenlift.wire.gen.protocol.ttypes import BodyChunk
@@ -254,6 +256,7 @@
             return
         if self.start.route_name and self.status < SERVER_ERROR:
             self.note_work(seconds)
+        self.gate.ends.note_answer(self.started_at)
         self.gate.release(self, seconds, self.status >= SERVER_ERROR)
         if self.streaming:
             self.link.send(BodyChunk(self.start.call_id, b'', True))
@@ -299,9 +302,11 @@
             self.link.send(Credit(self.start.call_id, self.owed_credit))
             self.owed_credit = 0
 
-    def on_failure(self, failure) -> None:
+    def on_failure(self, failure: TargetFailure) -> None:
         self.gate.release(self, None, True)
         if failure.sent:
+            if failure.kind is FailureKind.CLOSED:
+                self.gate.ends.note_broken(self)
             self.tell_broken(ResultCode.TARGET_BROKE_OFF, failure.detail)
         else:
             code = ResultCode.TARGET_UNREACHABLE
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -8,6 +8,7 @@
 from cyclamenlift.core.clock import machine_seconds
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.gate.delays import Delays
+from cyclamenlift.gate.ends import EndWatch
 from cyclamenlift.gate.explaining import explain_hold
 from cyclamenlift.gate.news import GateNews
 from cyclamenlift.gate.probes import ProbeBudget
@@ -86,6 +87,7 @@
         self.doubt_hooks: list[Callable[[], None]] = []
         self.refused = 0
         self.questions = PaceQuestions(scheduler)
+        self.ends = EndWatch(self)
 
     def subscribe(self, network) -> None:
         """Take the messages of entries from the peer network."""
@@ -140,6 +142,8 @@
             self.log_registration(announcement, outcome)
             return outcome
         if outcome is Announced.NEW:
+            if before and not draining:
+                self.ends.note_incarnation()
             self.begin_incarnation(announcement, before)
         if announcement.slots and announcement.slots != self.state.slots:
             self.set_slots(announcement.slots)
--- a/cyclamenlift/http/client.py
+++ b/cyclamenlift/http/client.py
@@ -1,6 +1,7 @@
 """The client component towards the target: a pool of connections."""
 
-from collections import deque
+import collections
+from collections.abc import Callable
 import socket
 
 import structlog
@@ -12,6 +13,7 @@
 from cyclamenlift.http.answer_parser import AnswerParser
 from cyclamenlift.http.headers import Headers
 from cyclamenlift.http.limits import ClientLimits
+from cyclamenlift.http.target import FailureKind
 from cyclamenlift.http.target import TargetFailure
 from cyclamenlift.http.target import TargetListener
 from cyclamenlift.http.target import TargetRequest
@@ -47,9 +49,11 @@
         self.address = address
         self.limits = limits
         self.idle: list[Stream] = []
-        self.waiting: deque[TargetCall] = deque()
+        self.waiting: collections.deque[TargetCall] = collections.deque()
         self.keep_warm = False
         self.warm_timer: Timer | None = None
+        # Run when nobody listens at the target's address.
+        self.refused_hooks: list[Callable[[], None]] = []
 
     # -- commands ---------------------------------------------------------
 
@@ -70,6 +74,11 @@
         self.keep_warm = True
         self.top_up()
 
+    def look(self) -> None:
+        """Open a connection for the pool, to see whether anybody listens."""
+        if len(self.streams) < self.limits.max_connections:
+            self.open(None)
+
     def drop_idle(self) -> None:
         """Close what is kept open to a target that is gone."""
         for stream in self.idle:
@@ -290,6 +299,10 @@
         call = connection.call
         connection.call = None
         self.replace_lost()
+        kind = kind_of_loss(error, stream.connected)
+        if kind is FailureKind.REFUSED:
+            for hook in self.refused_hooks:
+                hook()
         if call is None or call.done:
             return
         if stream.connected and not call.head_given:
@@ -300,14 +313,20 @@
             call.end().on_end()
             return
         reason = error or 'it closed the connection'
-        self.fail(call, f'no whole answer of the target: {reason}')
+        self.fail(call, f'no whole answer of the target: {reason}', kind)
 
-    def fail(self, call: TargetCall, detail: str) -> None:
+    def fail(
+        self,
+        call: TargetCall,
+        detail: str,
+        kind: FailureKind = FailureKind.OTHER,
+    ) -> None:
         """Report a failure at the next round, never inside a command."""
 
         def report() -> None:
             if not call.done:
-                call.end().on_failure(TargetFailure(call.sent, detail))
+                failure = TargetFailure(call.sent, detail, kind)
+                call.end().on_failure(failure)
 
         self.root.scheduler.after(0.0, report)
 
@@ -316,6 +335,15 @@
             self.idle.remove(stream)
 
 
+def kind_of_loss(error: Exception | None, connected: bool) -> FailureKind:
+    """Return what the loss of a connection says of the target."""
+    if isinstance(error, ConnectionRefusedError):
+        return FailureKind.REFUSED
+    if isinstance(error, TimeoutError) or not connected:
+        return FailureKind.OTHER
+    return FailureKind.CLOSED
+
+
 def is_quiet(stream: Stream) -> bool:
     """Tell whether a kept connection is open and has nothing to read."""
     if not stream.open:
--- a/cyclamenlift/http/target.py
+++ b/cyclamenlift/http/target.py
@@ -1,6 +1,7 @@
 """What a caller of the target client hands over and gets back."""
 
 import dataclasses
+import enum
 from typing import Protocol
 
 from cyclamenlift.http.headers import FRAMING
@@ -44,6 +45,19 @@
         return render_head(f'{self.method} {self.path} HTTP/1.1', fields)
 
 
+class FailureKind(enum.Enum):
+    """What became of the connection of a request without an answer.
+
+    ``REFUSED``: nobody listens at the address. ``CLOSED``: the connection
+    was there and was closed or reset. ``OTHER``: it was too slow to come, or
+    what came on it was no answer.
+    """
+
+    REFUSED = 'refused'
+    CLOSED = 'closed'
+    OTHER = 'other'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetFailure:
     """Why there is no whole answer.
@@ -53,6 +67,7 @@
 
     sent: bool
     detail: str
+    kind: FailureKind = FailureKind.OTHER
 
 
 class TargetListener(Protocol):
--- /dev/null
+++ b/cyclamenlift/quarantine/fingerprints.py
@@ -0,0 +1,43 @@
+"""What makes two attempts the same request: their fingerprint.
+
+It covers what the target acts on and what comes again each time: service,
+host, method, path with query, the account that the caller acts for, and the
+body. Names of attempts, deadlines, traces and other header fields differ
+each time and are left out. The hash is cryptographic, so that nobody can
+make a request that has the fingerprint of somebody else's.
+"""
+
+import hashlib
+
+# 96 bits: too many to find another request with a given fingerprint, and
+# 14 bytes on the wire for each call.
+FINGERPRINT_BYTES = 12
+
+
+class RequestHash:
+    """Hashes one request; the body is added as it passes."""
+
+    __slots__ = ('hash',)
+
+    def __init__(
+        self, service: str, host: str, method: str, path: str, account: str
+    ):
+        parts = (service, host, method, path, account)
+        head = '\n'.join(parts).encode('utf-8', 'surrogateescape')
+        self.hash = hashlib.blake2b(head, digest_size=FINGERPRINT_BYTES)
+        # No header field holds a line end, so the parts stay apart.
+        self.hash.update(b'\n')
+
+    def add(self, data: bytes) -> None:
+        """Take the next piece of the body."""
+        self.hash.update(data)
+
+    def digest(self) -> bytes:
+        """Return the fingerprint of what was added so far.
+
+        >>> one = RequestHash('prices', 'a', 'GET', '/p', '')
+        >>> other = RequestHash('prices', 'a', 'GET', '/q', '')
+        >>> len(one.digest()), one.digest() == other.digest()
+        (12, False)
+        """
+        return self.hash.digest()
--- a/cyclamenlift/runtime/daemon.py
+++ b/cyclamenlift/runtime/daemon.py
@@ -162,6 +162,7 @@
             self.dialect,
         )
         gate.link_rate = settings.link_mbps * BYTES_OF_MEGABIT
+        client.refused_hooks.append(gate.ends.note_nobody_listens)
         self.health = HealthCheck(gate, client, settings)
         return gate
 
--- a/cyclamenlift/wire/cyclamenlift.thrift
+++ b/cyclamenlift/wire/cyclamenlift.thrift
@@ -89,7 +89,9 @@
   // only differences between calls of one connection mean anything.
   20: i64 sent_at_us,
   // Its caller was refused before and has come back.
-  21: bool returned
+  21: bool returned,
+  // Stands for the request, the same in each attempt.
+  22: binary fingerprint
 }
 
 // A gate tells entries that used it lately of a change of its load.
--- a/cyclamenlift/wire/gen/protocol/ttypes.py
+++ b/cyclamenlift/wire/gen/protocol/ttypes.py
@@ -404,11 +404,12 @@
      - most_pace_percent
      - sent_at_us
      - returned
+     - fingerprint
 
     """
 
 
-    def __init__(self, call_id=None, service_name=None, method=None, path=None, headers=None, time_left_us=None, body_length=None, body=None, body_complete=None, idempotent=None, depth=None, trace_id=None, config_version=None, rank=None, objective_left_us=None, nested=None, route_name=None, repeated=None, most_pace_percent=None, sent_at_us=None, returned=None,):
+    def __init__(self, call_id=None, service_name=None, method=None, path=None, headers=None, time_left_us=None, body_length=None, body=None, body_complete=None, idempotent=None, depth=None, trace_id=None, config_version=None, rank=None, objective_left_us=None, nested=None, route_name=None, repeated=None, most_pace_percent=None, sent_at_us=None, returned=None, fingerprint=None,):
         self.call_id = call_id
         self.service_name = service_name
         self.method = method
@@ -430,6 +431,7 @@
         self.most_pace_percent = most_pace_percent
         self.sent_at_us = sent_at_us
         self.returned = returned
+        self.fingerprint = fingerprint
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -551,6 +553,11 @@
                     self.returned = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -648,6 +655,10 @@
             oprot.writeFieldBegin('returned', TType.BOOL, 21)
             oprot.writeBool(self.returned)
             oprot.writeFieldEnd()
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 22)
+            oprot.writeBinary(self.fingerprint)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4181,6 +4192,7 @@
     (19, TType.I32, 'most_pace_percent', None, None, ),  # 19
     (20, TType.I64, 'sent_at_us', None, None, ),  # 20
     (21, TType.BOOL, 'returned', None, None, ),  # 21
+    (22, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 22
 )
 all_structs.append(LoadNews)
 LoadNews.thrift_spec = (
--- a/tests/gate/builders.py
+++ b/tests/gate/builders.py
@@ -4,6 +4,8 @@
 from cyclamenlift.gate.registration import Announcement
 from cyclamenlift.gate.tasks import Gate
 from cyclamenlift.runtime.local import local_pair
+from cyclamenlift.wire.gen.protocol.ttypes import AnswerStart
+from cyclamenlift.wire.gen.protocol.ttypes import Broken
 from cyclamenlift.wire.gen.protocol.ttypes import CallStart
 from cyclamenlift.wire.gen.protocol.ttypes import Cancelled
 from cyclamenlift.wire.gen.protocol.ttypes import Credit
@@ -21,12 +23,22 @@
 
     def __init__(self):
         self.requests = []
+        self.listeners = []
         self.bodies = []
+        self.looks = 0
+        self.sent = True
 
-    def request(self, request, _listener):
+    def request(self, request, listener):
         self.requests.append(request)
+        self.listeners.append(listener)
         return self
 
+    def look(self):
+        self.looks += 1
+
+    def drop_idle(self):
+        """Close nothing."""
+
     def send_body(self, data, _last):
         self.bodies.append(data)
 
@@ -53,7 +65,7 @@
         self.gate.questions.ask = self.ask
         self.entry_end, self.gate_end = local_pair(iter(range(1, 9)))
         self.told = []
-        for kind in (Refused, Cancelled):
+        for kind in (Refused, Cancelled, Broken, AnswerStart):
             self.entry_end.subscribe(
                 kind, lambda _link, message: self.told.append(message)
             )
@@ -70,7 +82,13 @@
     def tell(self, pace: int) -> None:
         self.gate.note_answer_head([('x-load', f'0,0,8,{pace}')])
 
-    def call(self, number: int = 1, most: int = 0, length: int = 0) -> None:
+    def call(
+        self,
+        number: int = 1,
+        most: int = 0,
+        length: int = 0,
+        fingerprint: bytes = b'',
+    ) -> None:
         start = CallStart(
             call_id=number,
             service_name='prices',
@@ -88,6 +106,7 @@
             objective_left_us=2 * SECOND,
             route_name='look-up',
             most_pace_percent=most,
+            fingerprint=fingerprint,
         )
         self.gate.on_call_start(self.gate_end, start)
 
--- /dev/null
+++ b/tests/gate/test_ends.py
@@ -0,0 +1,76 @@
+"""An end of the target, and a connection that merely broke."""
+
+import pytest
+from structlog.testing import capture_logs
+
+from cyclamenlift.gate.registration import Announcement
+from cyclamenlift.http.target import FailureKind
+from cyclamenlift.http.target import TargetFailure
+from tests.gate.builders import GateBench
+
+CLOSED = TargetFailure(True, 'closed', FailureKind.CLOSED)
+
+
+@pytest.fixture
+def bench():
+    return GateBench(can_ask=False)
+
+
+def ended(logs) -> list[list[str]]:
+    return [e['fingerprints'] for e in logs if e['event'] == 'target_ended']
+
+
+def run(bench: GateBench, *names: bytes) -> None:
+    for number, name in enumerate(names):
+        bench.call(number, fingerprint=name)
+
+
+def break_off(bench: GateBench, kind=CLOSED) -> None:
+    for listener in bench.target.listeners:
+        listener.on_failure(kind)
+
+
+def test_all_that_ran_when_nobody_listens_any_more_is_told(bench):
+    run(bench, b'a', b'b')
+    with capture_logs() as logs:
+        break_off(bench)
+        assert bench.target.looks == 1
+        bench.gate.ends.note_nobody_listens()
+        bench.gate.ends.note_nobody_listens()
+    assert ended(logs) == [[b'a'.hex(), b'b'.hex()]]
+
+
+def test_another_incarnation_shows_the_end_of_the_one_before(bench):
+    run(bench, b'a')
+    with capture_logs() as logs:
+        break_off(bench)
+        bench.gate.announce(Announcement('i-2', 'prices', 8))
+    assert ended(logs) == [[b'a'.hex()]]
+
+
+def test_a_connection_that_broke_while_others_are_answered_says_nothing(
+    bench,
+):
+    run(bench, b'a')
+    with capture_logs() as logs:
+        break_off(bench)
+        bench.gate.ends.note_answer(begun_at=1.0)
+        bench.gate.ends.note_nobody_listens()
+    assert ended(logs) == []
+
+
+def test_a_target_that_said_that_it_leaves_says_nothing(bench):
+    run(bench, b'a')
+    bench.gate.target_leaves('i-1')
+    with capture_logs() as logs:
+        break_off(bench)
+        bench.gate.ends.note_nobody_listens()
+    assert ended(logs) == []
+
+
+def test_a_call_that_was_too_slow_or_spoilt_is_not_one_that_broke(bench):
+    run(bench, b'a')
+    with capture_logs() as logs:
+        break_off(bench, TargetFailure(True, 'spoilt', FailureKind.OTHER))
+        bench.gate.ends.note_nobody_listens()
+    assert ended(logs) == []
