--- a/cyclamenlift/standins/service.py
+++ b/cyclamenlift/standins/service.py
@@ -5,7 +5,10 @@
 import dataclasses
 import json
 import math
+import os
 import random
+import sys
+import time
 import urllib.parse
 
 import pydantic
@@ -24,7 +27,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetPlan:
-    """How a stand-in target behaves; times in milliseconds."""
+    """How a stand-in target behaves; times in milliseconds.
+
+    A call whose path begins with ``end_path`` ends the process ``end_ms``
+    after it began; an empty one ends none.
+    """
 
     name: str = 'target'
     slots: int = 20
@@ -36,6 +43,8 @@
     answer_bytes: int = 256
     open_ms: float = 0.0
     seed: int = 1
+    end_path: str = ''
+    end_ms: float = 40.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -64,6 +73,14 @@
     faults: Faults | None = None
 
 
+def end_process(request: Request) -> None:
+    """End as a fault of the program would, after a line on what did it."""
+    line = {'ended_by': request.path, 'at': time.monotonic()}
+    sys.stdout.write(json.dumps(line) + '\n')
+    sys.stdout.flush()
+    os._exit(1)
+
+
 class Service:
     """Slots with a FIFO queue, and everything the target reports."""
 
@@ -130,6 +147,9 @@
             self.counters.note_upload(
                 Upload(path, key, request.body_size, request.body_sha256)
             )
+        if self.plan.end_path and path.startswith(self.plan.end_path):
+            await asyncio.sleep(self.plan.end_ms / MILLISECONDS)
+            end_process(request)
         await asyncio.sleep(self.service_seconds(path))
         await self.thawed.wait()
 
--- a/cyclamenlift/standins/target.py
+++ b/cyclamenlift/standins/target.py
@@ -71,6 +71,8 @@
     answer_bytes: int = 256,
     open_ms: float = 0.0,
     seed: int = 1,
+    end_path: str = '',
+    end_ms: float = 40.0,
     lifetime: float = 600.0,
 ) -> None:
     """Run one stand-in target.
@@ -88,6 +90,8 @@
         answer_bytes: Payload of an answer; ?size= of a call wins.
         open_ms: Time before a new connection gets its first answer.
         seed: Seed of all random numbers.
+        end_path: Calls whose path begins so end the process.
+        end_ms: Time after which such a call does so.
         lifetime: Seconds after which the process ends by itself.
     """
     plan = TargetPlan(
@@ -101,6 +105,8 @@
         answer_bytes=answer_bytes,
         open_ms=open_ms,
         seed=seed,
+        end_path=end_path,
+        end_ms=end_ms,
     )
     run_precisely(serve(plan, host, port, lifetime))
 
--- /dev/null
+++ b/tests/system/test_requests_that_end_targets.py
@@ -0,0 +1,60 @@
+"""A request that ends every target that runs it.
+
+Seen: one look-up came again and again, at any daemon; 19 and 22 targets
+ended under it, and up to all look-ups of that service were refused for
+seconds. How: each daemon sent it on as soon as a target was back, and one
+attempt that broke off was tried again at the next target. Cause: an end of a
+target was a broken connection like any other; nothing remembered what it was
+running, so nothing could tell that it was the same request each time. Proof:
+the gates' lines of one series name the same request at each end, and with
+nothing but that request and steady look-ups it comes about here.
+"""
+
+import time
+
+import pytest
+
+from cyclamenlift.standins.fleet import temporary_fleet
+from tests.system.builders import document
+from tests.system.builders import publish
+from tests.system.ending import Callers
+from tests.system.ending import END_PATH
+from tests.system.ending import EndingTargets
+
+TARGETS = 5
+SECONDS = 12.0
+# What is allowed: three more arrivals later than 3 s after the third end.
+ENDS_THAT_TELL = 3
+GRACE_SECONDS = 3.0
+MOST_LATER = 3
+# The time at the end in which all targets should be back.
+LAST_SECONDS = 4.0
+SERVED_SHARE = 0.95
+
+
+@pytest.fixture
+def fleet():
+    with temporary_fleet() as made:
+        yield made
+
+
+def test_a_request_that_ends_targets_is_soon_sent_to_none(fleet):
+    fleet.start_controls(1)
+    targets = EndingTargets(fleet, TARGETS)
+    publish(fleet, document(deadline_ms=1200), 0, 'c1')
+    entries = [daemon.entry for daemon in fleet.daemons]
+    targets.watch()
+    look_ups = Callers(entries, '/prices/{}', 0.02)
+    harmful = Callers(entries, f'{END_PATH}?page=1', 0.3)
+    threads = [look_ups.begin(SECONDS), harmful.begin(SECONDS)]
+    for thread in threads:
+        thread.join()
+    ended_at = time.monotonic()
+    look_ups.join()
+    targets.stop()
+    ends = targets.ends()
+    assert len(ends) >= 1
+    if len(ends) >= ENDS_THAT_TELL:
+        known_at = ends[ENDS_THAT_TELL - 1] + GRACE_SECONDS
+        assert sum(at > known_at for at in ends) <= MOST_LATER
+    assert look_ups.served_since(ended_at - LAST_SECONDS) >= SERVED_SHARE
