--- a/cyclamenlift/calls/life.py
+++ b/cyclamenlift/calls/life.py
@@ -165,7 +165,7 @@
         )
         if code == ResultCode.TARGET_UNREACHABLE:
             outcome = Outcome.LOST
-        elif code == ResultCode.TARGET_SLOW:
+        elif code in (ResultCode.TARGET_SLOW, ResultCode.REQUEST_QUARANTINED):
             outcome = Outcome.CANCELLED
         ending = Ending(
             EndKind.NOT_RUN,
@@ -251,6 +251,8 @@
                 code = ResultCode.BAD_TARGET_ANSWER
                 self.end_unknown(attempt, Outcome.LOST, code)
                 return
+        if not failed:
+            self.calls.quarantine.note_answer(self.fingerprint)
         outcome = Outcome.TARGET_ERROR if failed else Outcome.ANSWERED
         retry = failed and not self.refused_deeper(attempt)
         if retry:
--- a/cyclamenlift/calls/state.py
+++ b/cyclamenlift/calls/state.py
@@ -50,7 +50,11 @@
     ResultCode.OVERLOADED,
     ResultCode.QUEUE_DEADLINE,
     ResultCode.TARGET_SLOW,
+    ResultCode.REQUEST_QUARANTINED,
 }
+# Targets that may end under one call: the first one may have ended of
+# something else that it ran, two hardly.
+MOST_ENDED = 2
 # Gates that one call may ask, whatever its tries: enough to find the one
 # with room among a few dozen at a cost of a millisecond each.
 MOST_ASKED = 8
@@ -75,6 +79,7 @@
     done: bool = False
     gate_refusals_free: bool = False
     asked: int = 0
+    ended_targets: int = 0
 
     def try_started(self) -> None:
         if self.asked == 0:
@@ -107,6 +112,8 @@
         self.note_retry_after(ending)
         if ending.kind is EndKind.ANSWERED:
             return Step.ANSWER
+        if ending.code == ResultCode.REQUEST_QUARANTINED:
+            self.set_aside(ending.retry_after_ms)
         if self.is_free(ending):
             self.tries -= 1
         if ending.kind is not EndKind.TARGET_ERROR:
@@ -135,9 +142,23 @@
     def note_code(self, ending: Ending) -> None:
         if ending.kind is EndKind.UNKNOWN and self.unknown_code is None:
             self.unknown_code = ending.code
+        if ending.code == ResultCode.TARGET_ENDED:
+            self.ended_targets += 1
         self.last_code = ending.code
 
+    def set_aside(self, retry_after_ms: int) -> None:
+        """Try nowhere else: it may be harmful, and all know of that.
+
+        What gates without room said of coming back matters no more.
+        """
+        self.last_code = ResultCode.REQUEST_QUARANTINED
+        self.retry_after_ms = retry_after_ms
+
     def may_retry(self, ending: Ending, now: float) -> bool:
+        if ending.code == ResultCode.REQUEST_QUARANTINED:
+            return False
+        if self.ended_targets >= MOST_ENDED:
+            return False
         if self.tries >= self.max_tries or now >= self.deadline:
             return False
         if ending.kind is not EndKind.NOT_RUN and not self.idempotent:
--- a/cyclamenlift/calls/tasks.py
+++ b/cyclamenlift/calls/tasks.py
@@ -30,6 +30,7 @@
 from cyclamenlift.models.rules import EventRules
 from cyclamenlift.models.rules import ServiceRule
 from cyclamenlift.quarantine.fingerprints import RequestHash
+from cyclamenlift.quarantine.tasks import Quarantine
 from cyclamenlift.wire.gen.protocol.ttypes import AnswerStart
 from cyclamenlift.wire.gen.protocol.ttypes import BodyChunk
 from cyclamenlift.wire.gen.protocol.ttypes import Broken
@@ -89,6 +90,7 @@
         self.own_service = own_service
         self.turns = ShareTurns(routing.rng)
         self.times = UsualTimes()
+        self.quarantine = Quarantine(scheduler)
         self.boot = uuid.uuid4().hex[:12]
         self.numbers = itertools.count(1)
         self.body_budget = BodyBudget(body_budget)
@@ -242,11 +244,19 @@
             retry_after_ms=call.state.retry_after_ms,
             hedged=call.tries.hedged,
             budget=round(call.state.budget.balance, 1),
-            **({} if code in GOOD_CODES else named(call)),
+            **({} if code in GOOD_CODES else self.explain(call, code)),
         )
 
     # -- queries ----------------------------------------------------------
 
+    def explain(self, call: Call, code: ResultCode) -> dict[str, object]:
+        """Return what tells which request it was, and what is against it."""
+        fields: dict[str, object] = {'fingerprint': call.fingerprint.hex()}
+        if code is ResultCode.REQUEST_QUARANTINED:
+            judgement = self.quarantine.judge(call.fingerprint)
+            fields['reports'] = list(judgement.report_ids)
+        return fields
+
     def next_number(self) -> int:
         return next(self.numbers)
 
@@ -375,6 +385,9 @@
             call.on_refused(attempt, refused)
 
     def on_broken(self, link, broken: Broken) -> None:
+        if broken.end is not None:
+            # Before the call that broke off is tried again.
+            self.quarantine.on_told(broken.end)
         found = self.find(link, broken.call_id)
         if found is not None:
             call, attempt = found
@@ -402,8 +415,3 @@
     def credit(self, attempt: Try, size: int) -> None:
         """Let the gate send on while an answer is gathered."""
         attempt.link.send(Credit(attempt.number, size))
-
-
-def named(call: Call) -> dict[str, str]:
-    """Return what tells which request it was, for calls without an answer."""
-    return {'fingerprint': call.fingerprint.hex()}
--- a/cyclamenlift/calls/tries.py
+++ b/cyclamenlift/calls/tries.py
@@ -6,6 +6,7 @@
 from cyclamenlift.calls.state import MOST_ASKED
 from cyclamenlift.core.clock import machine_seconds
 from cyclamenlift.core.clock import time_left
+from cyclamenlift.quarantine.state import Standing
 from cyclamenlift.routing.hedging import last_in_time
 from cyclamenlift.routing.messages import Choice
 from cyclamenlift.routing.messages import Need
@@ -17,6 +18,7 @@
     from cyclamenlift.calls.life import Call
 
 MICROSECONDS = 1_000_000
+MILLISECONDS = 1000
 # The gate gets a little less time than the entry has, so that its proof
 # of "not run" arrives before the entry must answer without one.
 GATE_MARGIN = 0.010
@@ -60,8 +62,13 @@
         excluded = frozenset(self.tried)
         if rescue:
             excluded = frozenset(t.instance for t in self.open.values())
-        need = self.need()
-        choice = self.calls.routing.choose(self.service, now, excluded, need)
+        judgement = self.calls.quarantine.judge(call.fingerprint)
+        if judgement.standing is not Standing.CLEAR and hedge:
+            return
+        if judgement.standing is Standing.QUARANTINED:
+            self.set_aside(judgement.until - now)
+            return
+        choice = self.choose(now, excluded, judgement.standing)
         if choice is None or (hedge and choice.hot and not rescue):
             if not self.open:
                 call.finish_failed()
@@ -119,8 +126,31 @@
             self.hedge_timer.cancel()
         self.call = None
 
+    def set_aside(self, wait: float) -> None:
+        """End a call that must not be sent to a target."""
+        call = self.call
+        call.state.set_aside(int(wait * MILLISECONDS))
+        if not self.open:
+            call.finish_failed()
+
     # -- queries ----------------------------------------------------------
 
+    def choose(
+        self, now: float, excluded: frozenset[str], standing: Standing
+    ) -> Choice | None:
+        """Return where the call goes next, None when nowhere.
+
+        A suspect has one target of its own, the same for all entries, so
+        that it ends one at a time if it is harmful.
+        """
+        routing = self.calls.routing
+        if standing is Standing.SUSPECT:
+            fingerprint = self.call.fingerprint
+            return routing.home(
+                self.service, now, excluded, self.need(), fingerprint
+            )
+        return routing.choose(self.service, now, excluded, self.need())
+
     def none_left(self) -> bool:
         """Tell whether no open try has left this process."""
         return all(attempt.never_left() for attempt in self.open.values())
--- a/cyclamenlift/cli/explain.py
+++ b/cyclamenlift/cli/explain.py
@@ -11,6 +11,7 @@
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.problems import Problem
 
+TARGET_ENDED = 'target_ended'
 # Fields that stand at the head of each line of the story.
 HEAD = ('timestamp', 'instance', 'event', 'call_id', 'code', 'level')
 
@@ -19,18 +20,22 @@
 def explain(call_id: str, *files: str) -> ExitStatus:
     """Print what all processes logged of one request, in order of time.
 
-    Calls that a target made while it ran the request are told with it.
-    FILES hold JSON lines; whatever stands before the first brace of a line
-    is left out. Exit status 1 when no line is about the request.
+    Calls that a target made while it ran the request are told with it, and
+    ends of targets that ran the same request in whichever attempt. FILES
+    hold JSON lines; whatever stands before the first brace of a line is
+    left out. Exit status 1 when no line is about the request.
     """
-    found = []
+    texts = []
     for name in files:
         try:
-            text = pathlib.Path(name).read_text(errors='replace')
+            texts.append(pathlib.Path(name).read_text(errors='replace'))
         except OSError as error:
             complain(Problem(ResultCode.BAD_REQUEST, str(error), name))
             return ExitStatus.WRONG_USE
-        found.extend(lines_about(text, call_id))
+    found = [r for text in texts for r in lines_about(text, call_id)]
+    same = {r['fingerprint'] for r in found if r.get('fingerprint')}
+    for fingerprint in same:
+        found.extend(r for text in texts for r in ends_of(text, fingerprint))
     for record in sorted(found, key=lambda r: r.get('timestamp', '')):
         say(tell(record))
     if not found:
@@ -46,17 +51,34 @@
     >>> lines_about('x {"call_id": "a", "event": "e"}', 'a')
     [{'call_id': 'a', 'event': 'e'}]
     """
+    return [r for r in records_with(text, call_id) if is_about(r, call_id)]
+
+
+def is_about(record: dict, call_id: str) -> bool:
+    """Tell whether a record is about a request or a call made for it."""
+    name = str(record.get('call_id', ''))
+    return name == call_id or name.startswith(f'{call_id}.')
+
+
+def ends_of(text: str, fingerprint: str) -> list[dict]:
+    """Return the ends of targets that ran a request, in any attempt."""
+    return [
+        record
+        for record in records_with(text, fingerprint)
+        if record.get('event') == TARGET_ENDED
+    ]
+
+
+def records_with(text: str, word: str) -> list[dict]:
+    """Return the records of a log whose lines hold a word."""
     found = []
     for line in text.splitlines():
-        if call_id not in line:
+        if word not in line:
             continue
         try:
-            record = json.loads(line[line.index('{') :])
+            found.append(json.loads(line[line.index('{') :]))
         except ValueError:
             continue
-        name = str(record.get('call_id', ''))
-        if name == call_id or name.startswith(f'{call_id}.'):
-            found.append(record)
     return found
 
 
--- a/cyclamenlift/core/codes.py
+++ b/cyclamenlift/core/codes.py
@@ -33,6 +33,7 @@
     TARGET_REPLACED = 2013
     TARGET_SLOW = 2014
     RULES_BEHIND = 2015
+    REQUEST_QUARANTINED = 2016
 
     TARGET_BROKE_OFF = 3000
     PEER_LOST = 3001
@@ -42,6 +43,7 @@
     BAD_TARGET_ANSWER = 3005
     RECORD_TOO_LARGE = 3006
     PAGE_FAILED = 3007
+    TARGET_ENDED = 3008
 
     BAD_REQUEST = 4000
     UNKNOWN_SERVICE = 4001
@@ -157,6 +159,11 @@
         'not named by the document in force, and a newer one is coming',
         _RETRY,
     ),
+    ResultCode.REQUEST_QUARANTINED: (
+        503,
+        'kept away, since targets ended while they ran this request',
+        _RETRY,
+    ),
     ResultCode.TARGET_BROKE_OFF: (502, 'the target broke off', _ASK),
     ResultCode.PEER_LOST: (502, 'the connection to the gate was lost', _ASK),
     ResultCode.DEADLINE_UNKNOWN: (
@@ -184,6 +191,7 @@
         'it ran; its answer was too large to keep',
         'The operation ran once: look up its effect.',
     ),
+    ResultCode.TARGET_ENDED: (502, 'the target ended while it ran', _ASK),
     ResultCode.PAGE_FAILED: (
         500,
         'the page failed',
--- a/cyclamenlift/gate/ends.py
+++ b/cyclamenlift/gate/ends.py
@@ -11,6 +11,9 @@
 
 import structlog
 
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.wire.gen.protocol.ttypes import EndReport
+
 if typing.TYPE_CHECKING:
     from cyclamenlift.gate.running import GateCall
     from cyclamenlift.gate.tasks import Gate
@@ -23,34 +26,55 @@
 # The same before another incarnation announced itself: targets are back
 # after some seconds.
 BROKE_BEFORE_START = 10.0
+# How long entries wait at most to hear that a call broke off, in seconds,
+# so that they hear with it whether its target has ended: the address is on
+# the same instance and refuses at once.
+LOOK_SECONDS = 0.05
 # Fingerprints in one line of the log.
-MOST_LOGGED = 32
+MOST_LOGGED = 48
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BrokenCall:
     """A call whose connection to the target was lost while it ran."""
 
-    call_id: str
     fingerprint: bytes
+    begun_at: float
     broke_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Untold:
+    """A call whose entry has not yet heard that it broke off."""
+
+    call: 'GateCall'
+    detail: str
+
+
 class EndWatch:
     """The calls that broke off lately, until it is known what that meant."""
 
     def __init__(self, gate: 'Gate'):
         self.gate = gate
         self.broken: list[BrokenCall] = []
+        self.untold: list[Untold] = []
+        self.timer = None
+
+    @property
+    def is_looking(self) -> bool:
+        """Whether entries have still to be told of broken calls."""
+        return bool(self.untold)
 
-    def note_broken(self, call: 'GateCall') -> None:
+    def note_broken(self, call: 'GateCall', detail: str) -> None:
         """Take a call that broke off, and look whether anybody listens."""
-        now = self.gate.now()
-        first = not self.broken or self.broken[-1].broke_at < now
+        fingerprint = call.start.fingerprint or b''
         self.broken.append(
-            BrokenCall(call.start.trace_id, call.start.fingerprint or b'', now)
+            BrokenCall(fingerprint, call.started_at, self.gate.now())
         )
-        if first:
+        self.untold.append(Untold(call, detail))
+        if len(self.untold) == 1:
+            scheduler = self.gate.scheduler
+            self.timer = scheduler.after(LOOK_SECONDS, self.tell)
             self.gate.client.look()
 
     def note_answer(self, begun_at: float) -> None:
@@ -69,14 +93,46 @@
     def end(self, shown_by: str, seconds: float) -> None:
         """Conclude that the target ended while it ran what broke off."""
         since = self.gate.now() - seconds
-        ran = [b for b in self.broken if b.broke_at >= since]
+        ran = {
+            b.fingerprint: b.begun_at
+            for b in self.broken
+            if b.broke_at >= since and b.fingerprint
+        }
         self.broken.clear()
         if not ran or self.gate.registration.draining:
             return
+        incarnation = self.gate.registration.incarnation
+        reports = self.gate.quarantine.note_end(
+            self.gate.service, ran, incarnation
+        )
         LOG.warning(
             'target_ended',
             shown_by=shown_by,
-            incarnation=self.gate.registration.incarnation,
+            incarnation=incarnation,
             ran=len(ran),
-            fingerprints=[b.fingerprint.hex() for b in ran[:MOST_LOGGED]],
+            reports=[report.report_id for report in reports],
+            fingerprints=[f.hex() for f in ran][:MOST_LOGGED],
         )
+        self.tell(ResultCode.TARGET_ENDED, reports[0] if reports else None)
+
+    def tell(
+        self,
+        code: ResultCode = ResultCode.TARGET_BROKE_OFF,
+        end: EndReport | None = None,
+    ) -> None:
+        """Tell the entries of all calls that broke off.
+
+        The first message on each connection says which requests ran when
+        the target ended: their entry must know before it tries again.
+        """
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        waiting, self.untold = self.untold, []
+        told = set()
+        for untold in waiting:
+            call = untold.call
+            first = call.link.number not in told
+            told.add(call.link.number)
+            call.tell_broken(code, untold.detail, end if first else None)
+        self.gate.check_idle()
--- a/cyclamenlift/gate/running.py
+++ b/cyclamenlift/gate/running.py
@@ -26,6 +26,7 @@
 from cyclamenlift.wire.gen.protocol.ttypes import Broken
 from cyclamenlift.wire.gen.protocol.ttypes import CallStart
 from cyclamenlift.wire.gen.protocol.ttypes import Credit
+from cyclamenlift.wire.gen.protocol.ttypes import EndReport
 from cyclamenlift.wire.gen.protocol.ttypes import Header
 from cyclamenlift.wire.gen.protocol.ttypes import Refused
 
@@ -100,8 +101,11 @@
     def begin(self, now: float) -> None:
         """Send the request to the target; its slot is taken.
 
-        One whose body is on its way waits for it with its slot.
+        One whose body is on its way waits for it with its slot. What is
+        known against it may have changed while it waited.
         """
+        if self.gate.suspects.turn_away(self):
+            return
         if self.gathers:
             self.gathering = True
             return
@@ -254,8 +258,10 @@
         if self.verdict is not AnswerVerdict.ANSWER:
             self.end_without_answer()
             return
-        if self.start.route_name and self.status < SERVER_ERROR:
-            self.note_work(seconds)
+        if self.status < SERVER_ERROR:
+            self.gate.quarantine.note_answer(self.start.fingerprint or b'')
+            if self.start.route_name:
+                self.note_work(seconds)
         self.gate.ends.note_answer(self.started_at)
         self.gate.release(self, seconds, self.status >= SERVER_ERROR)
         if self.streaming:
@@ -304,9 +310,9 @@
 
     def on_failure(self, failure: TargetFailure) -> None:
         self.gate.release(self, None, True)
-        if failure.sent:
-            if failure.kind is FailureKind.CLOSED:
-                self.gate.ends.note_broken(self)
+        if failure.sent and failure.kind is FailureKind.CLOSED:
+            self.gate.ends.note_broken(self, failure.detail)
+        elif failure.sent:
             self.tell_broken(ResultCode.TARGET_BROKE_OFF, failure.detail)
         else:
             code = ResultCode.TARGET_UNREACHABLE
@@ -360,13 +366,19 @@
         )
         self.link.send(message)
 
-    def tell_broken(self, code: ResultCode, detail: str = '') -> None:
-        """Say that the call may have run."""
+    def tell_broken(
+        self,
+        code: ResultCode,
+        detail: str = '',
+        end: EndReport | None = None,
+    ) -> None:
+        """Say that the call may have run, and what ended with it."""
         explain_unknown(self.gate, self, code, detail)
         message = Broken(
             call_id=self.start.call_id,
             code=int(code),
             detail=detail,
             load=self.gate.figures(self.link),
+            end=end,
         )
         self.link.send(message)
--- /dev/null
+++ b/cyclamenlift/gate/suspects.py
@@ -0,0 +1,59 @@
+"""Which requests a gate does not let to its target, since they end targets."""
+
+import typing
+
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.quarantine.state import Standing
+
+if typing.TYPE_CHECKING:
+    from cyclamenlift.gate.running import GateCall
+    from cyclamenlift.gate.tasks import Gate
+
+# When a suspect may come back that is running here already, in seconds: a
+# harmful request ends its target within about a tenth of a second, and a
+# bystander is answered in that time.
+RUNNING_RETRY = 0.25
+
+
+class SuspectCheck:
+    """Looks at a call before it is let in, and again before it begins."""
+
+    def __init__(self, gate: 'Gate'):
+        self.gate = gate
+
+    def turn_away(self, call: 'GateCall') -> bool:
+        """Refuse a call that must not reach the target; tell if it was."""
+        fingerprint = call.start.fingerprint
+        if not fingerprint:
+            return False
+        judgement = self.gate.quarantine.judge(fingerprint)
+        if judgement.standing is Standing.CLEAR:
+            return False
+        if judgement.standing is Standing.QUARANTINED:
+            wait = judgement.until - self.gate.now()
+            self.refuse(call, 'targets ended while they ran it', wait)
+            return True
+        if self.is_running(fingerprint):
+            self.refuse(call, 'a suspect that runs here', RUNNING_RETRY)
+            return True
+        return False
+
+    def is_running(self, fingerprint: bytes) -> bool:
+        """Tell whether the target has the same request already.
+
+        One at a time: else several targets would end of it at once.
+        """
+        return any(
+            call.target_call is not None
+            and call.start.fingerprint == fingerprint
+            for call in self.gate.calls.values()
+        )
+
+    def refuse(self, call: 'GateCall', detail: str, wait: float) -> None:
+        """Give a slot back, if the call has one, and refuse the call."""
+        gate = self.gate
+        if call.key in gate.state.running:
+            gate.release(call, None, False)
+        else:
+            gate.forget(call)
+        call.tell_refused(ResultCode.REQUEST_QUARANTINED, detail, wait)
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -22,12 +22,14 @@
 from cyclamenlift.gate.state import GateState
 from cyclamenlift.gate.state import Turn
 from cyclamenlift.gate.state import Verdict
+from cyclamenlift.gate.suspects import SuspectCheck
 from cyclamenlift.http.dialects import DEFAULT_DIALECT
 from cyclamenlift.http.dialects import Dialect
 from cyclamenlift.http.dialects import parse_load
 from cyclamenlift.http.headers import find_header
 from cyclamenlift.models.rules import EventRules
 from cyclamenlift.models.rules import ServiceRule
+from cyclamenlift.quarantine.tasks import Quarantine
 from cyclamenlift.wire.gen.protocol.ttypes import BodyChunk
 from cyclamenlift.wire.gen.protocol.ttypes import CallStart
 from cyclamenlift.wire.gen.protocol.ttypes import Cancel
@@ -88,6 +90,8 @@
         self.refused = 0
         self.questions = PaceQuestions(scheduler)
         self.ends = EndWatch(self)
+        self.quarantine = Quarantine(scheduler)
+        self.suspects = SuspectCheck(self)
 
     def subscribe(self, network) -> None:
         """Take the messages of entries from the peer network."""
@@ -257,7 +261,9 @@
         return due / self.link_rate
 
     def is_idle(self) -> bool:
-        return self.state.is_idle() and not self.questions.waiting
+        if self.questions.waiting or self.ends.is_looking:
+            return False
+        return self.state.is_idle()
 
     def parent_of(self, call_id: str) -> GateCall | None:
         """Return the call at this target that made another, if one did.
@@ -305,6 +311,8 @@
             call.tell_refused(ResultCode.NO_TARGET, 'no target known yet')
             return
         self.news.note_call(link, now)
+        if self.suspects.turn_away(call):
+            return
         self.calls[call.key] = call
         self.by_name[start.trace_id] = call
         call.timer = self.scheduler.at(
--- a/cyclamenlift/membership/packets.py
+++ b/cyclamenlift/membership/packets.py
@@ -26,6 +26,8 @@
 TRANSFER_PIGGYBACK_BYTES = 130
 MAX_RECORDS = 64
 MAX_SUBJECT = 512
+# Reports of ends in one packet: a report may fill most of it.
+MAX_ENDS = 4
 KINDS = tuple(GossipKind)
 
 
@@ -38,6 +40,14 @@
     data: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DigestSeen:
+    """What a peer's packet says of the ends that it knows."""
+
+    digest: int
+    peer_address: str
+
+
 def is_sound_packet(packet: GossipPacket) -> bool:
     """Tell whether the fields outside the records can be used."""
     return (
@@ -53,6 +63,7 @@
         and is_number(packet.config_version, MAX_VERSION)
         and isinstance(packet.members_digest, int)
         and is_address(packet.sender_address)
+        and len(packet.ends or ()) <= MAX_ENDS
     )
 
 
@@ -74,6 +85,9 @@
         self.budget = budget
         self.slice = TableSlice()
         self.piggyback_bytes = PIGGYBACK_BYTES
+        # Stands for the ends of targets that are known here; None where
+        # nobody keeps them, and then no peer compares.
+        self.ends_digest: int | None = None
 
     def note_transfer(self, going_on: bool) -> None:
         """Leave the byte budget to the answers while a transfer goes on."""
@@ -96,6 +110,7 @@
             config_version=own.config_version,
             members_digest=self.table.digest,
             sender_address=self.address,
+            ends_digest=self.ends_digest,
         )
 
     def overhead(self, packet: GossipPacket) -> int:
--- a/cyclamenlift/membership/receiving.py
+++ b/cyclamenlift/membership/receiving.py
@@ -4,6 +4,7 @@
 
 from cyclamenlift.core.registry import Registry
 from cyclamenlift.membership.digests import wanted
+from cyclamenlift.membership.packets import DigestSeen
 from cyclamenlift.membership.packets import Outgoing
 from cyclamenlift.membership.probing import RELAY_PERIODS
 from cyclamenlift.wire.gen.protocol.ttypes import GossipKind
@@ -34,6 +35,7 @@
         self.sender_is_new = self.state.table.get(packet.sender) is None
         urgent, news = self.take_records(packet, now)
         self.note_sender(packet)
+        self.state.ends.extend(packet.ends or ())
         self.compare(packet)
         handle = HANDLERS.get(GossipKind(packet.kind).name)
         result = handle(self, packet, now)
@@ -64,6 +66,13 @@
         sender = self.state.table.get(packet.sender)
         if sender is not None:
             self.state.note_version(packet.config_version, sender.peer_address)
+            self.note_digest(packet, sender.peer_address)
+
+    def note_digest(self, packet: GossipPacket, peer_address: str) -> None:
+        """Report what the sender knows of ends of targets."""
+        if packet.ends_digest is not None:
+            seen = DigestSeen(packet.ends_digest, peer_address)
+            self.state.digests.append(seen)
 
     def compare(self, packet: GossipPacket) -> None:
         """Count packets in a row whose sender knows other members.
--- a/cyclamenlift/membership/state.py
+++ b/cyclamenlift/membership/state.py
@@ -17,6 +17,7 @@
 from cyclamenlift.membership.dissemination import DisseminationQueue
 from cyclamenlift.membership.joining import INTRODUCE_FANOUT
 from cyclamenlift.membership.joining import Introductions
+from cyclamenlift.membership.packets import DigestSeen
 from cyclamenlift.membership.packets import is_sound_packet
 from cyclamenlift.membership.packets import Outgoing
 from cyclamenlift.membership.packets import Packer
@@ -28,6 +29,7 @@
 from cyclamenlift.membership.rounds import PeriodRound
 from cyclamenlift.membership.settings import MembershipSettings
 from cyclamenlift.membership.verdicts import Verdicts
+from cyclamenlift.wire.gen.protocol.ttypes import EndReport
 from cyclamenlift.wire.gen.protocol.ttypes import GossipKind
 from cyclamenlift.wire.gen.protocol.ttypes import GossipPacket
 from cyclamenlift.wire.gen.protocol.ttypes import MemberRecord
@@ -94,6 +96,8 @@
         self.counters = Counters()
         self.changes: list[MemberRecord] = []
         self.versions: list[VersionSeen] = []
+        self.ends: list[EndReport] = []
+        self.digests: list[DigestSeen] = []
         self.left = False
         self.joined = not seeds
         self.introductions = Introductions(now)
@@ -275,6 +279,18 @@
             result.append(sent)
         return result
 
+    def push_ends(
+        self, report: EndReport, fanout: int, now: float
+    ) -> list[Outgoing]:
+        """Send a report of an end to some members at once."""
+        result = []
+        for member in self.sample_near(fanout):
+            packet = self.packer.bare(GossipKind.SYNC, 0)
+            packet.ends = [report]
+            address = member.gossip_address
+            result.append(self.packer.finish(address, packet, [], now, False))
+        return result
+
     def announce(
         self,
         target_state: TargetState | None,
--- a/cyclamenlift/membership/tasks.py
+++ b/cyclamenlift/membership/tasks.py
@@ -17,6 +17,7 @@
 from cyclamenlift.membership.state import MembershipState
 from cyclamenlift.wire.codec import decode_packet
 from cyclamenlift.wire.codec import FrameError
+from cyclamenlift.wire.gen.protocol.ttypes import EndReport
 from cyclamenlift.wire.gen.protocol.ttypes import GossipPacket
 from cyclamenlift.wire.gen.protocol.ttypes import MemberRecord
 from cyclamenlift.wire.gen.protocol.ttypes import TargetState
@@ -27,6 +28,8 @@
 
 RecordHook = Callable[[MemberRecord], None]
 VersionHook = Callable[[int, str], None]
+EndHook = Callable[[EndReport], object]
+DigestHook = Callable[[int, str], None]
 
 
 class Membership(BaseComponent):
@@ -47,6 +50,8 @@
         self.join_steps = JOIN_STEPS
         self.record_hooks: list[RecordHook] = []
         self.version_hooks: list[VersionHook] = []
+        self.end_hooks: list[EndHook] = []
+        self.digest_hooks: list[DigestHook] = []
 
     # -- queries ----------------------------------------------------------
 
@@ -79,6 +84,15 @@
         """
         self.version_hooks.append(hook)
 
+    def subscribe_ends(self, on_end: EndHook, on_digest: DigestHook) -> None:
+        """Call the first for each report of an end that a packet brings.
+
+        The second gets what a peer's packet says that it knows, with the
+        peer's address. From now on this instance says what it knows too.
+        """
+        self.end_hooks.append(on_end)
+        self.digest_hooks.append(on_digest)
+
     def start(self) -> Address:
         """Bind the socket, join through the seeds; return the address.
 
@@ -101,6 +115,8 @@
             clock.unix_ms(),
             self.rng,
         )
+        if self.digest_hooks:
+            self.set_ends_digest(0)
         self.register(self.loop)
         self.loop.poller.addReader(self, sock)
         self.finish(self.state.join(clock.now()))
@@ -132,6 +148,17 @@
                 self.state.announce(target_state, config_version, now, slots)
             )
 
+    def spread_ends(self, report: EndReport, fanout: int) -> None:
+        """Tell some members of the end of a target at once."""
+        if self.state is not None:
+            now = self.loop.scheduler.clock.now()
+            self.finish(self.state.push_ends(report, fanout, now))
+
+    def set_ends_digest(self, digest: int) -> None:
+        """Say from now on that this stands for the ends known here."""
+        if self.state is not None:
+            self.state.packer.ends_digest = digest
+
     def set_seeds(self, seeds: list[Address]) -> None:
         """Ask these instances from now on when nobody else is known."""
         if self.state is not None:
@@ -209,6 +236,18 @@
         for seen in set(versions):
             for hook in self.version_hooks:
                 hook(seen.version, seen.peer_address)
+        self.tell_ends()
+
+    def tell_ends(self) -> None:
+        """Tell the subscribers of ends and of what peers know of them."""
+        ends, self.state.ends = self.state.ends, []
+        digests, self.state.digests = self.state.digests, []
+        for report in ends:
+            for hook in self.end_hooks:
+                hook(report)
+        for seen in digests:
+            for hook in self.digest_hooks:
+                hook(seen.digest, seen.peer_address)
 
     def send(self, item: Outgoing) -> None:
         """Send one packet; a lost one is the protocol's ordinary case."""
--- a/cyclamenlift/quarantine/__init__.py
+++ b/cyclamenlift/quarantine/__init__.py
@@ -2,5 +2,18 @@
 
 from cyclamenlift.quarantine.fingerprints import FINGERPRINT_BYTES
 from cyclamenlift.quarantine.fingerprints import RequestHash
+from cyclamenlift.quarantine.state import Evidence
+from cyclamenlift.quarantine.state import Judgement
+from cyclamenlift.quarantine.state import Report
+from cyclamenlift.quarantine.state import Standing
+from cyclamenlift.quarantine.tasks import Quarantine
 
-__all__ = ['FINGERPRINT_BYTES', 'RequestHash']
+__all__ = [
+    'Evidence',
+    'FINGERPRINT_BYTES',
+    'Judgement',
+    'Quarantine',
+    'Report',
+    'RequestHash',
+    'Standing',
+]
--- /dev/null
+++ b/cyclamenlift/quarantine/wire.py
@@ -0,0 +1,72 @@
+"""Reports as they travel: read from peers with care, ages on the wire."""
+
+from cyclamenlift.quarantine.fingerprints import FINGERPRINT_BYTES
+from cyclamenlift.quarantine.state import Report
+from cyclamenlift.wire.gen.protocol.ttypes import EndReport
+
+MILLISECONDS = 1000
+# Fingerprints in one report, so that it fits in a datagram with the names
+# of its sender. A target that ran more at its end is told of in parts.
+MOST_FINGERPRINTS = 48
+MOST_TEXT = 160
+# The longest age and run that is told; both fit in 32 bits.
+MOST_AGE_MS = 24 * 3600 * MILLISECONDS
+
+
+def to_wire(report: Report, now: float) -> EndReport:
+    """Return a report with its age as it is now."""
+    return EndReport(
+        report_id=report.report_id,
+        service_name=report.service,
+        fingerprints=list(report.fingerprints),
+        age_ms=milliseconds(now - report.at),
+        lifted=report.lifted,
+        ran_ms=[milliseconds(report.at - b) for b in report.begun_at],
+    )
+
+
+def from_wire(told: EndReport, now: float) -> Report | None:
+    """Return a peer's report, None if its fields can't be used."""
+    if not is_sound(told):
+        return None
+    at = now - told.age_ms / MILLISECONDS
+    return Report(
+        told.report_id,
+        told.service_name,
+        tuple(told.fingerprints),
+        at,
+        tuple(at - ran_ms / MILLISECONDS for ran_ms in told.ran_ms or ()),
+        bool(told.lifted),
+    )
+
+
+def milliseconds(seconds: float) -> int:
+    return min(MOST_AGE_MS, max(0, int(seconds * MILLISECONDS)))
+
+
+def is_sound(told: EndReport) -> bool:
+    """Tell whether a report of the network may be believed to be one."""
+    return (
+        isinstance(told.report_id, str)
+        and 0 < len(told.report_id) <= MOST_TEXT
+        and isinstance(told.service_name, str)
+        and len(told.service_name) <= MOST_TEXT
+        and isinstance(told.age_ms, int)
+        and 0 <= told.age_ms <= MOST_AGE_MS
+        and isinstance(told.fingerprints, list)
+        and len(told.fingerprints) <= MOST_FINGERPRINTS
+        and all(is_fingerprint(f) for f in told.fingerprints)
+        and (bool(told.lifted) or fits_times(told))
+    )
+
+
+def fits_times(told: EndReport) -> bool:
+    """Tell whether there is one usable time for each request that ran."""
+    times = told.ran_ms or []
+    return len(times) == len(told.fingerprints) and all(
+        isinstance(ran_ms, int) and ran_ms >= 0 for ran_ms in times
+    )
+
+
+def is_fingerprint(value) -> bool:
+    return isinstance(value, bytes) and len(value) == FINGERPRINT_BYTES
--- a/cyclamenlift/routing/state.py
+++ b/cyclamenlift/routing/state.py
@@ -6,6 +6,8 @@
 
 import random
 
+import xxhash
+
 from cyclamenlift.core.streams import Address
 from cyclamenlift.models.rules import EventRules
 from cyclamenlift.models.rules import ServiceRule
@@ -151,19 +153,52 @@
         if state is None:
             return None
         group = state.group
-        group.refresh(now)
-        usable = group.live
-        if exclude:
-            usable = [c for c in usable if c.instance not in exclude]
-            # When too many look bad all stay in, but a second try must not
-            # be spent on one of them while another looks well.
-            usable = [c for c in usable if not c.looks_bad(now)] or usable
-            if not usable:
-                usable = self.last_resort(group, now, exclude)
+        usable = self.usable(group, now, exclude)
         if not usable:
             return None
         picked = state.policy.pick(group, usable, now, need)
         picked = self.respect_ramp(state, usable, picked, now, need)
+        return self.as_choice(group, picked, now, need)
+
+    def home(
+        self,
+        service: str,
+        now: float,
+        exclude: frozenset[str],
+        need: Need,
+        fingerprint: bytes,
+    ) -> Choice | None:
+        """Return the target that is this request's own.
+
+        Rendezvous hashing (Thaler and Ravishankar, 1998): entries that see
+        the same targets choose the same one without a word to each other.
+        """
+        state = self.services.get(service)
+        if state is None:
+            return None
+        usable = self.usable(state.group, now, exclude)
+        if not usable:
+            return None
+        picked = max(usable, key=lambda c: home_weight(c, fingerprint))
+        return self.as_choice(state.group, picked, now, need)
+
+    def usable(
+        self, group: Group, now: float, exclude: frozenset[str]
+    ) -> list[Candidate]:
+        """Return the targets that may take a call which some have had."""
+        group.refresh(now)
+        usable = group.live
+        if not exclude:
+            return usable
+        usable = [c for c in usable if c.instance not in exclude]
+        # When too many look bad all stay in, but a second try must not
+        # be spent on one of them while another looks well.
+        usable = [c for c in usable if not c.looks_bad(now)] or usable
+        return usable or self.last_resort(group, now, exclude)
+
+    def as_choice(
+        self, group: Group, picked: Candidate, now: float, need: Need
+    ) -> Choice:
         hot = relative_load(group, picked, now) >= HOT_SHARE
         return Choice(
             picked.instance,
@@ -341,3 +376,9 @@
         return False
     target = record.target_name or record.instance
     return rule.allows_target(target, record.data_centre)
+
+
+def home_weight(candidate: Candidate, fingerprint: bytes) -> int:
+    """Return how strongly a request belongs to a target."""
+    name = candidate.instance.encode()
+    return xxhash.xxh64_intdigest(name + fingerprint)
--- a/cyclamenlift/runtime/control.py
+++ b/cyclamenlift/runtime/control.py
@@ -25,6 +25,7 @@
 from cyclamenlift.membership.records import is_live
 from cyclamenlift.membership.settings import MembershipSettings
 from cyclamenlift.membership.tasks import Membership
+from cyclamenlift.quarantine.tasks import Quarantine
 from cyclamenlift.replication.settings import ReplicaSettings
 from cyclamenlift.replication.tasks import Replica
 from cyclamenlift.runtime.control_metrics import ControlMetrics
@@ -73,6 +74,9 @@
         )
         self.metrics = ControlMetrics(self.context, self.claims)
         self.membership = self.make_membership()
+        self.quarantine = Quarantine(
+            self.loop.scheduler, settings.instance, rng
+        )
         self.stopping = False
         self.stop_deadline = 0.0
 
@@ -137,6 +141,8 @@
         if self.membership is None:
             return
         self.membership.subscribe(self.on_member)
+        # Control instances remember while all daemons are restarted.
+        self.quarantine.join(self.network, self.membership)
         self.machine.subscribe_version(
             lambda version: self.membership.announce(config_version=version)
         )
--- a/cyclamenlift/runtime/daemon.py
+++ b/cyclamenlift/runtime/daemon.py
@@ -35,6 +35,7 @@
 from cyclamenlift.membership.tasks import Membership
 from cyclamenlift.models.rules import CallerLimits
 from cyclamenlift.models.rules import EventRules
+from cyclamenlift.quarantine.tasks import Quarantine
 from cyclamenlift.routing.state import RoutingState
 from cyclamenlift.runtime.local import local_pair
 from cyclamenlift.runtime.observing import Observer
@@ -79,6 +80,7 @@
         self.routing.instance = settings.instance
         self.routing.link_rate = settings.link_mbps * BYTES_OF_MEGABIT
         self.claims = ClaimClient(self.loop, self.network, self.control, rng)
+        self.quarantine = Quarantine(self.scheduler, settings.instance, rng)
         self.calls = self.make_calls()
         self.gate = self.make_gate() if settings.target else None
         self.join_gate_and_calls()
@@ -125,6 +127,7 @@
             max_depth=self.settings.max_depth,
             own_service=self.settings.service,
         )
+        calls.quarantine = self.quarantine
         if self.settings.retry_slack:
             calls.make_budget = self.make_retry_budget
         return calls
@@ -162,6 +165,7 @@
             self.dialect,
         )
         gate.link_rate = settings.link_mbps * BYTES_OF_MEGABIT
+        gate.quarantine = self.quarantine
         client.refused_hooks.append(gate.ends.note_nobody_listens)
         self.health = HealthCheck(gate, client, settings)
         return gate
@@ -280,6 +284,7 @@
         self.follower.subscribe(self.on_rules)
         self.membership.subscribe(self.on_member)
         self.membership.subscribe_version(self.follower.note_version)
+        self.quarantine.join(self.network, self.membership)
         self.gossip_address = self.membership.start()
         self.follower.start()
         if self.gate is not None:
@@ -327,7 +332,9 @@
 
     def is_ready(self) -> bool:
         """Tell whether callers may be sent here."""
-        return self.follower.has_caught_up() and not self.stopping
+        if self.stopping or not self.quarantine.is_synced():
+            return False
+        return self.follower.has_caught_up()
 
     # -- drain and stop -----------------------------------------------------
 
--- a/cyclamenlift/wire/cyclamenlift.thrift
+++ b/cyclamenlift/wire/cyclamenlift.thrift
@@ -138,7 +138,9 @@
   1: i64 call_id,
   2: i32 code,
   3: string detail,
-  4: LoadFigures load
+  4: LoadFigures load,
+  // The end of the target, with the first message of each connection on it.
+  5: EndReport end
 }
 
 struct Cancel {
@@ -326,6 +328,31 @@
   7: i64 round_id
 }
 
+// --- requests that end targets --------------------------------------------
+
+// A target ended while it ran these requests; if lifted, what was known
+// against them until then counts no more. Never sent as a frame of its own:
+// instances of an earlier release would hang up.
+struct EndReport {
+  1: string report_id,
+  2: string service_name,
+  3: list<binary> fingerprints,
+  // How long ago it was.
+  4: i64 age_ms,
+  5: bool lifted,
+  // How long each of them had run when the target ended.
+  6: list<i32> ran_ms
+}
+
+// Asks for all reports but those whose short digests are named.
+struct EndsRequest {
+  1: list<i64> known
+}
+
+struct EndsAnswer {
+  1: list<EndReport> reports
+}
+
 // One message of a TCP connection: exactly one field is set.
 union Frame {
   1: Hello hello,
@@ -351,7 +378,9 @@
   22: AppendAnswer append_answer,
   23: SnapshotChunk snapshot_chunk,
   24: SnapshotAnswer snapshot_answer,
-  25: LoadNews load_news
+  25: LoadNews load_news,
+  26: EndsRequest ends_request,
+  27: EndsAnswer ends_answer
 }
 
 // --- membership ----------------------------------------------------------
@@ -390,7 +419,10 @@
   8: list<MemberRecord> records,
   9: i64 config_version,
   10: i64 members_digest,
-  11: string sender_address
+  11: string sender_address,
+  // Reports that are new, and a digest of all that the sender has.
+  12: list<EndReport> ends,
+  13: i64 ends_digest
 }
 
 // --- commands in the replicated log --------------------------------------
--- a/cyclamenlift/wire/gen/protocol/ttypes.py
+++ b/cyclamenlift/wire/gen/protocol/ttypes.py
@@ -1146,15 +1146,17 @@
      - code
      - detail
      - load
+     - end
 
     """
 
 
-    def __init__(self, call_id=None, code=None, detail=None, load=None,):
+    def __init__(self, call_id=None, code=None, detail=None, load=None, end=None,):
         self.call_id = call_id
         self.code = code
         self.detail = detail
         self.load = load
+        self.end = end
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1186,6 +1188,12 @@
                     self.load.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.end = EndReport()
+                    self.end.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1212,6 +1220,10 @@
             oprot.writeFieldBegin('load', TType.STRUCT, 4)
             self.load.write(oprot)
             oprot.writeFieldEnd()
+        if self.end is not None:
+            oprot.writeFieldBegin('end', TType.STRUCT, 5)
+            self.end.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3180,6 +3192,265 @@
         return not (self == other)
 
 
+class EndReport(object):
+    """
+    Attributes:
+     - report_id
+     - service_name
+     - fingerprints
+     - age_ms
+     - lifted
+     - ran_ms
+
+    """
+
+
+    def __init__(self, report_id=None, service_name=None, fingerprints=None, age_ms=None, lifted=None, ran_ms=None,):
+        self.report_id = report_id
+        self.service_name = service_name
+        self.fingerprints = fingerprints
+        self.age_ms = age_ms
+        self.lifted = lifted
+        self.ran_ms = ran_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.report_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.fingerprints = []
+                    (_etype903, _size900) = iprot.readListBegin()
+                    for _i904 in range(_size900):
+                        _elem905 = iprot.readBinary()
+                        self.fingerprints.append(_elem905)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.lifted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.ran_ms = []
+                    (_etype903, _size900) = iprot.readListBegin()
+                    for _i904 in range(_size900):
+                        _elem905 = iprot.readI32()
+                        self.ran_ms.append(_elem905)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndReport')
+        if self.report_id is not None:
+            oprot.writeFieldBegin('report_id', TType.STRING, 1)
+            oprot.writeString(self.report_id.encode('utf-8') if sys.version_info[0] == 2 else self.report_id)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.fingerprints is not None:
+            oprot.writeFieldBegin('fingerprints', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.fingerprints))
+            for iter907 in self.fingerprints:
+                oprot.writeBinary(iter907)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 4)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.lifted is not None:
+            oprot.writeFieldBegin('lifted', TType.BOOL, 5)
+            oprot.writeBool(self.lifted)
+            oprot.writeFieldEnd()
+        if self.ran_ms is not None:
+            oprot.writeFieldBegin('ran_ms', TType.LIST, 6)
+            oprot.writeListBegin(TType.I32, len(self.ran_ms))
+            for iter907 in self.ran_ms:
+                oprot.writeI32(iter907)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EndsRequest(object):
+    """
+    Attributes:
+     - known
+
+    """
+
+
+    def __init__(self, known=None,):
+        self.known = known
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.known = []
+                    (_etype911, _size908) = iprot.readListBegin()
+                    for _i912 in range(_size908):
+                        _elem913 = iprot.readI64()
+                        self.known.append(_elem913)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndsRequest')
+        if self.known is not None:
+            oprot.writeFieldBegin('known', TType.LIST, 1)
+            oprot.writeListBegin(TType.I64, len(self.known))
+            for iter915 in self.known:
+                oprot.writeI64(iter915)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EndsAnswer(object):
+    """
+    Attributes:
+     - reports
+
+    """
+
+
+    def __init__(self, reports=None,):
+        self.reports = reports
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.reports = []
+                    (_etype919, _size916) = iprot.readListBegin()
+                    for _i920 in range(_size916):
+                        _elem921 = EndReport()
+                        _elem921.read(iprot)
+                        self.reports.append(_elem921)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndsAnswer')
+        if self.reports is not None:
+            oprot.writeFieldBegin('reports', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.reports))
+            for iter923 in self.reports:
+                iter923.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -3207,11 +3478,13 @@
      - snapshot_chunk
      - snapshot_answer
      - load_news
+     - ends_request
+     - ends_answer
 
     """
 
 
-    def __init__(self, hello=None, call_start=None, body_chunk=None, credit=None, answer_start=None, refused=None, broken=None, cancel=None, cancelled=None, probe=None, probe_answer=None, document_request=None, document_answer=None, claim_request=None, claim_answer=None, claim_end=None, claim_end_answer=None, vote_request=None, vote_answer=None, append_request=None, append_answer=None, snapshot_chunk=None, snapshot_answer=None, load_news=None,):
+    def __init__(self, hello=None, call_start=None, body_chunk=None, credit=None, answer_start=None, refused=None, broken=None, cancel=None, cancelled=None, probe=None, probe_answer=None, document_request=None, document_answer=None, claim_request=None, claim_answer=None, claim_end=None, claim_end_answer=None, vote_request=None, vote_answer=None, append_request=None, append_answer=None, snapshot_chunk=None, snapshot_answer=None, load_news=None, ends_request=None, ends_answer=None,):
         self.hello = hello
         self.call_start = call_start
         self.body_chunk = body_chunk
@@ -3236,6 +3509,8 @@
         self.snapshot_chunk = snapshot_chunk
         self.snapshot_answer = snapshot_answer
         self.load_news = load_news
+        self.ends_request = ends_request
+        self.ends_answer = ends_answer
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3390,6 +3665,18 @@
                     self.load_news.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 26:
+                if ftype == TType.STRUCT:
+                    self.ends_request = EndsRequest()
+                    self.ends_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 27:
+                if ftype == TType.STRUCT:
+                    self.ends_answer = EndsAnswer()
+                    self.ends_answer.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3496,6 +3783,14 @@
             oprot.writeFieldBegin('load_news', TType.STRUCT, 25)
             self.load_news.write(oprot)
             oprot.writeFieldEnd()
+        if self.ends_request is not None:
+            oprot.writeFieldBegin('ends_request', TType.STRUCT, 26)
+            self.ends_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.ends_answer is not None:
+            oprot.writeFieldBegin('ends_answer', TType.STRUCT, 27)
+            self.ends_answer.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3706,11 +4001,13 @@
      - config_version
      - members_digest
      - sender_address
+     - ends
+     - ends_digest
 
     """
 
 
-    def __init__(self, kind=None, sequence=None, cluster=None, sender=None, sender_incarnation=None, subject=None, subject_address=None, records=None, config_version=None, members_digest=None, sender_address=None,):
+    def __init__(self, kind=None, sequence=None, cluster=None, sender=None, sender_incarnation=None, subject=None, subject_address=None, records=None, config_version=None, members_digest=None, sender_address=None, ends=None, ends_digest=None,):
         self.kind = kind
         self.sequence = sequence
         self.cluster = cluster
@@ -3722,6 +4019,8 @@
         self.config_version = config_version
         self.members_digest = members_digest
         self.sender_address = sender_address
+        self.ends = ends
+        self.ends_digest = ends_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3793,6 +4092,22 @@
                     self.sender_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.ends = []
+                    (_etype927, _size924) = iprot.readListBegin()
+                    for _i928 in range(_size924):
+                        _elem929 = EndReport()
+                        _elem929.read(iprot)
+                        self.ends.append(_elem929)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I64:
+                    self.ends_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3850,6 +4165,17 @@
             oprot.writeFieldBegin('sender_address', TType.STRING, 11)
             oprot.writeString(self.sender_address.encode('utf-8') if sys.version_info[0] == 2 else self.sender_address)
             oprot.writeFieldEnd()
+        if self.ends is not None:
+            oprot.writeFieldBegin('ends', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.ends))
+            for iter931 in self.ends:
+                iter931.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.ends_digest is not None:
+            oprot.writeFieldBegin('ends_digest', TType.I64, 13)
+            oprot.writeI64(self.ends_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4241,6 +4567,7 @@
     (2, TType.I32, 'code', None, None, ),  # 2
     (3, TType.STRING, 'detail', 'UTF8', None, ),  # 3
     (4, TType.STRUCT, 'load', [LoadFigures, None], None, ),  # 4
+    (5, TType.STRUCT, 'end', [EndReport, None], None, ),  # 5
 )
 all_structs.append(Cancel)
 Cancel.thrift_spec = (
@@ -4413,6 +4740,26 @@
     (6, TType.BOOL, 'installed', None, None, ),  # 6
     (7, TType.I64, 'round_id', None, None, ),  # 7
 )
+all_structs.append(EndReport)
+EndReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'report_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.LIST, 'fingerprints', (TType.STRING, 'BINARY', False), None, ),  # 3
+    (4, TType.I64, 'age_ms', None, None, ),  # 4
+    (5, TType.BOOL, 'lifted', None, None, ),  # 5
+    (6, TType.LIST, 'ran_ms', (TType.I32, None, False), None, ),  # 6
+)
+all_structs.append(EndsRequest)
+EndsRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'known', (TType.I64, None, False), None, ),  # 1
+)
+all_structs.append(EndsAnswer)
+EndsAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'reports', (TType.STRUCT, [EndReport, None], False), None, ),  # 1
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -4441,6 +4788,8 @@
     (23, TType.STRUCT, 'snapshot_chunk', [SnapshotChunk, None], None, ),  # 23
     (24, TType.STRUCT, 'snapshot_answer', [SnapshotAnswer, None], None, ),  # 24
     (25, TType.STRUCT, 'load_news', [LoadNews, None], None, ),  # 25
+    (26, TType.STRUCT, 'ends_request', [EndsRequest, None], None, ),  # 26
+    (27, TType.STRUCT, 'ends_answer', [EndsAnswer, None], None, ),  # 27
 )
 all_structs.append(MemberRecord)
 MemberRecord.thrift_spec = (
@@ -4472,6 +4821,8 @@
     (9, TType.I64, 'config_version', None, None, ),  # 9
     (10, TType.I64, 'members_digest', None, None, ),  # 10
     (11, TType.STRING, 'sender_address', 'UTF8', None, ),  # 11
+    (12, TType.LIST, 'ends', (TType.STRUCT, [EndReport, None], False), None, ),  # 12
+    (13, TType.I64, 'ends_digest', None, None, ),  # 13
 )
 all_structs.append(PublishCommand)
 PublishCommand.thrift_spec = (
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -45,3 +45,23 @@
 def test_a_file_that_is_not_there_is_a_numbered_error(tmp_path, capsys):
     assert run(['explain', 'a', str(tmp_path / 'none')]) == 2
     assert '4000' in capsys.readouterr().err
+
+
+def test_the_ends_that_keep_a_request_away_are_told_with_it(tmp_path, capsys):
+    log = tmp_path / 'log'
+    log.write_text(
+        line(event='target_ended', fingerprints=['f1', 'f2'], timestamp='1')
+        + line(event='target_ended', fingerprints=['f2'], timestamp='2')
+        + line(event='target_ended', fingerprints=['f3'], timestamp='3')
+        + line(
+            event='call_not_answered',
+            call_id='a',
+            code=2016,
+            fingerprint='f2',
+            timestamp='4',
+        )
+    )
+    assert run(['explain', 'a', str(log)]) == 0
+    told = capsys.readouterr().out.splitlines()
+    events = [words.split('|')[0].split()[2] for words in told]
+    assert events == ['target_ended', 'target_ended', 'call_not_answered']
--- /dev/null
+++ b/tests/gate/test_suspects.py
@@ -0,0 +1,83 @@
+"""A gate and requests that may end its target."""
+
+import pytest
+
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.http.target import FailureKind
+from cyclamenlift.http.target import TargetFailure
+from cyclamenlift.quarantine import Report
+from tests.gate.builders import GateBench
+from tests.quarantine.builders import name
+
+BAD, OTHER = name('bad'), name('other')
+CLOSED = TargetFailure(True, 'closed', FailureKind.CLOSED)
+
+
+@pytest.fixture
+def bench():
+    return GateBench(can_ask=False)
+
+
+def accuse(bench: GateBench, *times: float) -> None:
+    """Let targets elsewhere end at these times while they ran ``BAD``."""
+    for at in times:
+        report = Report(f'r{at}', 'prices', (BAD,), at, (at - 0.1,))
+        bench.gate.quarantine.take(report, 0)
+
+
+def codes(bench: GateBench) -> list[int]:
+    return [message.code for message in bench.told]
+
+
+def test_a_quarantined_request_is_refused_with_the_time_that_is_left(bench):
+    accuse(bench, -2.0, -1.0)
+    bench.call(1, fingerprint=BAD)
+    bench.call(2, fingerprint=OTHER)
+    assert codes(bench) == [ResultCode.REQUEST_QUARANTINED]
+    assert bench.told[0].retry_after_ms == 29_000
+    assert len(bench.target.requests) == 1
+
+
+def test_a_suspect_runs_once_at_a_time(bench):
+    accuse(bench, -1.0)
+    bench.call(1, fingerprint=BAD)
+    bench.call(2, fingerprint=BAD)
+    assert len(bench.target.requests) == 1
+    assert codes(bench) == [ResultCode.REQUEST_QUARANTINED]
+
+
+def test_one_that_waits_is_looked_at_again_before_it_begins(bench):
+    bench.gate.state.queue_limit = 1
+    while len(bench.gate.state.running) < bench.gate.state.room:
+        bench.call(len(bench.gate.state.running), fingerprint=OTHER)
+    begun = len(bench.target.requests)
+    bench.call(99, fingerprint=BAD)
+    assert len(bench.gate.state.queue) == 1
+    accuse(bench, -2.0, -1.0)
+    first = next(iter(bench.gate.calls.values()))
+    bench.gate.release(first, 0.1, False)
+    assert len(bench.target.requests) == begun
+    assert codes(bench) == [ResultCode.REQUEST_QUARANTINED]
+    assert len(bench.gate.state.running) == begun - 1
+
+
+def test_entries_hear_with_a_broken_call_what_ran_at_the_end(bench):
+    bench.call(1, fingerprint=BAD)
+    bench.call(2, fingerprint=OTHER)
+    for listener in list(bench.target.listeners):
+        listener.on_failure(CLOSED)
+    assert bench.told == []
+    assert not bench.gate.is_idle()
+    bench.gate.ends.note_nobody_listens()
+    assert codes(bench) == [ResultCode.TARGET_ENDED] * 2
+    assert bench.told[0].end.fingerprints == [BAD, OTHER]
+    assert bench.told[1].end is None
+    assert bench.gate.is_idle()
+
+
+def test_entries_do_not_wait_long_where_nothing_shows_an_end(bench):
+    bench.call(1, fingerprint=BAD)
+    bench.target.listeners[0].on_failure(CLOSED)
+    bench.gate.ends.tell()
+    assert codes(bench) == [ResultCode.TARGET_BROKE_OFF]
+    assert bench.told[0].end is None
--- a/tests/runtime/builders.py
+++ b/tests/runtime/builders.py
@@ -1,6 +1,7 @@
 """One entry and one or more gates under one loop, with scripted targets."""
 
 from collections.abc import Callable
+import contextlib
 import dataclasses
 import random
 import socket
@@ -32,6 +33,8 @@
 
 Script = Callable[[socket.socket, bytes], None]
 WAIT_SECONDS = 20.0
+# How long a call that ends its target runs there.
+END_SECONDS = 0.04
 LOCAL = Address('127.0.0.1', 0)
 
 
@@ -129,6 +132,41 @@
         self.server.close()
 
 
+class EndingTarget(ScriptedTarget):
+    """Ends, with all its connections, some time after calls of a path."""
+
+    def __init__(self, path: str):
+        super().__init__(answer())
+        self.path = path.encode()
+        self.connections: list[socket.socket] = []
+        self.ended = False
+
+    def serve(self, conn: socket.socket) -> None:
+        self.connections.append(conn)
+        super().serve(conn)
+
+    def accept(self) -> None:
+        self.scripts = (self.run_or_end,)
+        super().accept()
+
+    def run_or_end(self, conn: socket.socket, request: bytes) -> None:
+        if self.path in request.partition(b'\r\n')[0]:
+            time.sleep(END_SECONDS)
+            self.end()
+        else:
+            answer()(conn, request)
+
+    def end(self) -> None:
+        self.ended = True
+        # A thread that waits for a connection would keep the port open.
+        self.server.shutdown(socket.SHUT_RDWR)
+        self.server.close()
+        for conn in self.connections:
+            with contextlib.suppress(OSError):
+                conn.shutdown(socket.SHUT_RDWR)
+            conn.close()
+
+
 def read_message(conn: socket.socket) -> bytes:
     """Return one request or answer, whole by its Content-Length."""
     data = b''
@@ -221,6 +259,7 @@
             self.loop.poller, target, limits, channel=f'target-{name}'
         ).register(self.loop)
         gate = Gate(self.loop.scheduler, client, 'prices', slots)
+        client.refused_hooks.append(gate.ends.note_nobody_listens)
         gate.subscribe(network)
         network.subscribe(BodyChunk, gate.on_body_chunk)
         network.subscribe(Credit, gate.on_credit)
--- /dev/null
+++ b/tests/runtime/test_ending_targets.py
@@ -0,0 +1,81 @@
+"""A request that ends targets, through entry and gates over real sockets."""
+
+import json
+
+import pytest
+
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.wire.gen.protocol.ttypes import ClaimEnding
+from tests.runtime.builders import EndingTarget
+from tests.runtime.builders import PathBed
+from tests.runtime.builders import raw
+from tests.runtime.builders import ScriptedTarget
+
+BAD = '/bad'
+
+
+@pytest.fixture
+def bed():
+    beds = []
+
+    def make(*targets, **fields):
+        addresses = [target.address for target in targets]
+        beds.append(PathBed(*addresses, **fields))
+        return beds[-1]
+
+    yield make
+    for each in beds:
+        each.close()
+
+
+def ended(targets) -> int:
+    return sum(target.ended for target in targets)
+
+
+def test_one_attempt_ends_two_targets_at_most(bed):
+    targets = [EndingTarget(BAD) for _ in range(4)]
+    path = bed(*targets, max_tries=4)
+    found = path.ask(path=BAD)
+    assert found.status == 502
+    assert json.loads(found.body)['run'] == 'unknown'
+    assert ended(targets) <= 2
+
+
+def test_what_is_kept_away_is_refused_at_once_and_others_are_served(bed):
+    targets = [EndingTarget(BAD) for _ in range(4)]
+    path = bed(*targets, max_tries=4)
+    path.ask(path=BAD)
+    path.ask(path=BAD)
+    before = ended(targets)
+    for _ in range(3):
+        found = path.ask(path=BAD)
+        assert found.result == ResultCode.REQUEST_QUARANTINED
+        assert found.status == 503
+        assert json.loads(found.body)['run'] == 'no'
+        assert int(found.headers['retry-after']) > 1
+    assert ended(targets) == before
+    assert {path.ask(path='/good').status for _ in range(6)} == {200}
+    assert path.ask(path=BAD, authorization='another').status == 502
+
+
+def test_a_booking_that_ends_targets_keeps_its_promises(bed):
+    """Each key's outcome is unknown until it is kept away, then not run."""
+    targets = [EndingTarget(BAD) for _ in range(4)]
+    path = bed(*targets)
+    for number in range(2):
+        found = path.ask('POST', BAD, b'{}', Idempotency_Key=f'k{number}')
+        assert found.result == ResultCode.TARGET_ENDED
+    found = path.ask('POST', BAD, b'{}', Idempotency_Key='k2')
+    assert found.result == ResultCode.REQUEST_QUARANTINED
+    assert ended(targets) == 2
+    endings = [e.ending for e in path.claims.ends]
+    assert endings == [ClaimEnding.UNKNOWN] * 2 + [ClaimEnding.RELEASED]
+
+
+def test_a_target_that_only_breaks_off_accuses_nobody(bed):
+    targets = [ScriptedTarget(raw(b'')) for _ in range(3)]
+    path = bed(*targets)
+    for _ in range(4):
+        found = path.ask(path=BAD)
+        assert found.result == ResultCode.TARGET_BROKE_OFF
+    assert path.calls.quarantine.evidence.reports == {}
--- a/tests/system/test_requests_that_end_targets.py
+++ b/tests/system/test_requests_that_end_targets.py
@@ -58,3 +58,25 @@
         known_at = ends[ENDS_THAT_TELL - 1] + GRACE_SECONDS
         assert sum(at > known_at for at in ends) <= MOST_LATER
     assert look_ups.served_since(ended_at - LAST_SECONDS) >= SERVED_SHARE
+
+
+def test_targets_that_are_killed_together_convict_nobody(fleet):
+    """A hot look-up is in flight at each of them, time and again."""
+    fleet.start_controls(1)
+    targets = EndingTargets(fleet, TARGETS)
+    publish(fleet, document(deadline_ms=1200), 0, 'c1')
+    entries = [daemon.entry for daemon in fleet.daemons]
+    targets.watch()
+    look_ups = Callers(entries, '/prices/hot', 0.01)
+    thread = look_ups.begin(8.0)
+    for _ in range(2):
+        time.sleep(1.0)
+        for target in targets.handles[:3]:
+            target.running.kill()
+        time.sleep(2.5)
+    thread.join()
+    look_ups.join()
+    targets.stop()
+    logs = [daemon.running.log.read_text() for daemon in fleet.daemons]
+    assert not any('request_quarantined' in text for text in logs)
+    assert look_ups.served_since(0.0) >= SERVED_SHARE
