Count calls that were given up just before an end; tell breaks at once

Read in the code, not seen in a play: a request that its caller left, or that was hedged, is cut at the gate and was gone from its books when the target ended of it a moment later, so it was never accused. It counts now for as long as others that broke off.

Entries waited 50 ms to hear of each call that merely broke off, since nothing told that the look at the address had found somebody; they are told at that moment now. What broke off and is never explained is forgotten after 10 s. Each with a test.

--- a/cyclamenlift/gate/ends.py
+++ b/cyclamenlift/gate/ends.py
@@ -17,6 +17,7 @@
 if typing.TYPE_CHECKING:
     from cyclamenlift.gate.running import GateCall
     from cyclamenlift.gate.tasks import Gate
+    from cyclamenlift.http.client import TargetClient
 
 LOG = structlog.get_logger('gate')
 # How long before nobody listened a call may have broken off to count as one
@@ -60,6 +61,11 @@
         self.untold: list[Untold] = []
         self.timer = None
 
+    def watch(self, client: 'TargetClient') -> None:
+        """Learn from these connections whether the target is there."""
+        client.refused_hooks.append(self.note_nobody_listens)
+        client.found_hooks.append(self.note_found)
+
     @property
     def is_looking(self) -> bool:
         """Whether entries have still to be told of broken calls."""
@@ -67,21 +73,38 @@
 
     def note_broken(self, call: 'GateCall', detail: str) -> None:
         """Take a call that broke off, and look whether anybody listens."""
-        fingerprint = call.start.fingerprint or b''
-        self.broken.append(
-            BrokenCall(fingerprint, call.started_at, self.gate.now())
-        )
+        self.remember(call)
         self.untold.append(Untold(call, detail))
         if len(self.untold) == 1:
             scheduler = self.gate.scheduler
             self.timer = scheduler.after(LOOK_SECONDS, self.tell)
             self.gate.client.look()
 
+    def note_cut(self, call: 'GateCall') -> None:
+        """Take a call that was given up while the target ran it.
+
+        What it did there may end the target a moment later.
+        """
+        if call.was_sent():
+            self.remember(call)
+
+    def remember(self, call: 'GateCall') -> None:
+        now = self.gate.now()
+        oldest = now - BROKE_BEFORE_START
+        self.broken = [b for b in self.broken if b.broke_at >= oldest]
+        fingerprint = call.start.fingerprint or b''
+        self.broken.append(BrokenCall(fingerprint, call.started_at, now))
+
     def note_answer(self, begun_at: float) -> None:
         """Take an answer: the target was there when that call began."""
         if self.broken:
             self.broken = [b for b in self.broken if b.broke_at >= begun_at]
 
+    def note_found(self) -> None:
+        """Take it that somebody listens: the connections merely broke."""
+        if self.untold:
+            self.tell()
+
     def note_nobody_listens(self) -> None:
         """Take it that no connection can be had at the address."""
         self.end('nobody listens', BROKE_JUST_NOW)
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -472,6 +472,7 @@
             self.forget(call)
             self.check_idle()
             return
+        self.ends.note_cut(call)
         call.stop_target()
         self.release(call, None, False)
 
--- a/cyclamenlift/http/client.py
+++ b/cyclamenlift/http/client.py
@@ -52,8 +52,11 @@
         self.waiting: collections.deque[TargetCall] = collections.deque()
         self.keep_warm = False
         self.warm_timer: Timer | None = None
-        # Run when nobody listens at the target's address.
+        # Run when nobody listens at the target's address, and when a look
+        # at it found that somebody does.
         self.refused_hooks: list[Callable[[], None]] = []
+        self.found_hooks: list[Callable[[], None]] = []
+        self.looks: set[Stream] = set()
 
     # -- commands ---------------------------------------------------------
 
@@ -77,7 +80,7 @@
     def look(self) -> None:
         """Open a connection for the pool, to see whether anybody listens."""
         if len(self.streams) < self.limits.max_connections:
-            self.open(None)
+            self.looks.add(self.open(None))
 
     def drop_idle(self) -> None:
         """Close what is kept open to a target that is gone."""
@@ -134,7 +137,7 @@
             kept = min(kept, stated - self.limits.idle_margin_seconds)
         connection.idle_deadline = connection.idle_since + kept
 
-    def open(self, call: TargetCall | None) -> None:
+    def open(self, call: TargetCall | None) -> Stream:
         """Open a connection, for a call or for the pool."""
         stream = self.connect_to(self.address)
         connection = TargetConnection(self.limits, call)
@@ -145,6 +148,7 @@
         )
         if call is not None:
             call.stream = stream
+        return stream
 
     def start(self, call: TargetCall, stream: Stream) -> None:
         """Begin a call on an established connection."""
@@ -227,6 +231,7 @@
         call = connection.call
         if call is None:
             self.release(stream)
+            self.tell_found(stream)
         else:
             self.start(call, stream)
             if stream.open and not stream.pending and not call.done:
@@ -234,6 +239,13 @@
                 # after which the kernel reports nothing.
                 call.listener.on_drained()
 
+    def tell_found(self, stream: Stream) -> None:
+        """Tell that somebody listens, if this connection was to show it."""
+        if stream in self.looks:
+            self.looks.discard(stream)
+            for hook in self.found_hooks:
+                hook()
+
     def on_data(self, stream: Stream, data: bytes) -> None:
         call = stream.context.call
         if call is None or not call.head_given:
@@ -296,6 +308,7 @@
         connection = stream.context
         stop_timer(connection)
         self.forget_idle(stream)
+        self.looks.discard(stream)
         call = connection.call
         connection.call = None
         self.replace_lost()
--- a/cyclamenlift/runtime/daemon.py
+++ b/cyclamenlift/runtime/daemon.py
@@ -166,7 +166,7 @@
         )
         gate.link_rate = settings.link_mbps * BYTES_OF_MEGABIT
         gate.quarantine = self.quarantine
-        client.refused_hooks.append(gate.ends.note_nobody_listens)
+        gate.ends.watch(client)
         self.health = HealthCheck(gate, client, settings)
         return gate
 
--- a/tests/gate/test_suspects.py
+++ b/tests/gate/test_suspects.py
@@ -6,6 +6,7 @@
 from cyclamenlift.http.target import FailureKind
 from cyclamenlift.http.target import TargetFailure
 from cyclamenlift.quarantine import Report
+from cyclamenlift.wire.gen.protocol.ttypes import Cancel
 from tests.gate.builders import GateBench
 from tests.quarantine.builders import name
 
@@ -78,6 +79,23 @@
 def test_entries_do_not_wait_long_where_nothing_shows_an_end(bench):
     bench.call(1, fingerprint=BAD)
     bench.target.listeners[0].on_failure(CLOSED)
-    bench.gate.ends.tell()
+    bench.gate.ends.note_found()
     assert codes(bench) == [ResultCode.TARGET_BROKE_OFF]
     assert bench.told[0].end is None
+
+
+def test_a_call_that_was_given_up_a_moment_before_the_end_counts(bench):
+    bench.call(1, fingerprint=BAD)
+    bench.gate.on_cancel(bench.gate_end, Cancel(1))
+    bench.gate.ends.note_nobody_listens()
+    assert not bench.gate.quarantine.is_clear(BAD)
+
+
+def test_what_broke_off_and_was_never_explained_is_forgotten(bench):
+    bench.gate.now = lambda: 0.0
+    bench.call(1, fingerprint=BAD)
+    bench.target.listeners[0].on_failure(CLOSED)
+    bench.gate.now = lambda: 100.0
+    bench.call(2, fingerprint=OTHER)
+    bench.target.listeners[1].on_failure(CLOSED)
+    assert [b.fingerprint for b in bench.gate.ends.broken] == [OTHER]
--- a/tests/runtime/builders.py
+++ b/tests/runtime/builders.py
@@ -259,7 +259,7 @@
             self.loop.poller, target, limits, channel=f'target-{name}'
         ).register(self.loop)
         gate = Gate(self.loop.scheduler, client, 'prices', slots)
-        client.refused_hooks.append(gate.ends.note_nobody_listens)
+        gate.ends.watch(client)
         gate.subscribe(network)
         network.subscribe(BodyChunk, gate.on_body_chunk)
         network.subscribe(Credit, gate.on_credit)
