Judge a request for each service, and let few trials through

A change of configuration moves a route to another service, or splits it: what had ended targets of one was unknown to the next, and each began anew with two ends and with trials of its own. A request that is proven at one service is a suspect at the others now, and one end there is enough. What one service answers clears nothing at another, so that a part of a split route that ends of a request is found although the other part serves it.

After a quarantine each arrival was a trial until one ended the target; one that the target turns back itself shows nothing and could come again and again. A gate lets one through in 30 s.

Tests of both in tests/quarantine/test_state.py and tests/gate/test_suspects.py.

--- a/cyclamenlift/calls/life.py
+++ b/cyclamenlift/calls/life.py
@@ -58,7 +58,7 @@
         self.body_size = 0
         self.reserved = 0
         self.whole_body = b''
-        self.hash = calls.request_hash(exchange, self.service)
+        self.hash = calls.request_hash(exchange)
         self.fingerprint = b''
         self.tries = Tries(self)
         self.relay: Relay | None = None
@@ -252,7 +252,7 @@
                 self.end_unknown(attempt, Outcome.LOST, code)
                 return
         if not failed:
-            self.calls.quarantine.note_answer(self.fingerprint)
+            self.calls.quarantine.note_answer(self.service, self.fingerprint)
         outcome = Outcome.TARGET_ERROR if failed else Outcome.ANSWERED
         retry = failed and not self.refused_deeper(attempt)
         if retry:
--- a/cyclamenlift/calls/tasks.py
+++ b/cyclamenlift/calls/tasks.py
@@ -253,7 +253,7 @@
         """Return what tells which request it was, and what is against it."""
         fields: dict[str, object] = {'fingerprint': call.fingerprint.hex()}
         if code is ResultCode.REQUEST_QUARANTINED:
-            judgement = self.quarantine.judge(call.fingerprint)
+            judgement = self.quarantine.judge(call.service, call.fingerprint)
             fields['reports'] = list(judgement.report_ids)
         return fields
 
@@ -292,11 +292,10 @@
             headers.append((dialect.caller_service, self.own_service))
         return as_headers(headers)
 
-    def request_hash(self, exchange: Exchange, service: str) -> RequestHash:
+    def request_hash(self, exchange: Exchange) -> RequestHash:
         """Return the hash of a request without its body."""
         account = exchange.dialect.account
         return RequestHash(
-            service,
             exchange.header('host') or '',
             exchange.method,
             exchange.path,
--- a/cyclamenlift/calls/tries.py
+++ b/cyclamenlift/calls/tries.py
@@ -62,7 +62,8 @@
         excluded = frozenset(self.tried)
         if rescue:
             excluded = frozenset(t.instance for t in self.open.values())
-        judgement = self.calls.quarantine.judge(call.fingerprint)
+        quarantine = self.calls.quarantine
+        judgement = quarantine.judge(self.service, call.fingerprint)
         if judgement.standing is not Standing.CLEAR and hedge:
             return
         if judgement.standing is Standing.QUARANTINED:
--- a/cyclamenlift/gate/running.py
+++ b/cyclamenlift/gate/running.py
@@ -104,11 +104,11 @@
         One whose body is on its way waits for it with its slot. What is
         known against it may have changed while it waited.
         """
-        if self.gate.suspects.turn_away(self):
-            return
         if self.gathers:
             self.gathering = True
             return
+        if self.gate.suspects.turn_away(self):
+            return
         self.gathering = False
         self.started_at = now
         self.mark = self.gate.state.occupancy.mark(now)
@@ -259,7 +259,9 @@
             self.end_without_answer()
             return
         if self.status < SERVER_ERROR:
-            self.gate.quarantine.note_answer(self.start.fingerprint or b'')
+            self.gate.quarantine.note_answer(
+                self.gate.service, self.start.fingerprint or b''
+            )
             if self.start.route_name:
                 self.note_work(seconds)
         self.gate.ends.note_answer(self.started_at)
--- a/cyclamenlift/gate/suspects.py
+++ b/cyclamenlift/gate/suspects.py
@@ -13,6 +13,11 @@
 # harmful request ends its target within about a tenth of a second, and a
 # bystander is answered in that time.
 RUNNING_RETRY = 0.25
+# How long after one trial the next one is let through, in seconds: the first
+# may have been turned back by its target and have shown nothing.
+TRIAL_SECONDS = 30.0
+# Requests whose trials are remembered.
+MOST_TRIALS = 256
 
 
 class SuspectCheck:
@@ -20,13 +25,16 @@
 
     def __init__(self, gate: 'Gate'):
         self.gate = gate
+        # When the next trial of a request may begin here.
+        self.next_trial: dict[bytes, float] = {}
 
     def turn_away(self, call: 'GateCall') -> bool:
         """Refuse a call that must not reach the target; tell if it was."""
         fingerprint = call.start.fingerprint
         if not fingerprint:
             return False
-        judgement = self.gate.quarantine.judge(fingerprint)
+        gate = self.gate
+        judgement = gate.quarantine.judge(gate.service, fingerprint)
         if judgement.standing is Standing.CLEAR:
             return False
         if judgement.standing is Standing.QUARANTINED:
@@ -36,8 +44,24 @@
         if self.is_running(fingerprint):
             self.refuse(call, 'a suspect that runs here', RUNNING_RETRY)
             return True
+        return judgement.is_trial and self.turn_away_trial(call, fingerprint)
+
+    def turn_away_trial(self, call: 'GateCall', fingerprint: bytes) -> bool:
+        """Let one trial through, and others wait until it has shown much."""
+        now = self.gate.now()
+        wait = self.next_trial.get(fingerprint, now) - now
+        if wait > 0.0:
+            self.refuse(call, 'a trial was made lately', wait)
+            return True
+        if call.key in self.gate.state.running:
+            self.note_trial(fingerprint, now)
         return False
 
+    def note_trial(self, fingerprint: bytes, now: float) -> None:
+        if len(self.next_trial) >= MOST_TRIALS:
+            self.next_trial.clear()
+        self.next_trial[fingerprint] = now + TRIAL_SECONDS
+
     def is_running(self, fingerprint: bytes) -> bool:
         """Tell whether the target has the same request already.
 
--- a/cyclamenlift/quarantine/fingerprints.py
+++ b/cyclamenlift/quarantine/fingerprints.py
@@ -1,7 +1,7 @@
 """What makes two attempts the same request: their fingerprint.
 
-It covers what the target acts on and what comes again each time: service,
-host, method, path with query, the account that the caller acts for, and the
+It covers what the target acts on and what comes again each time: host,
+method, path with query, the account that the caller acts for, and the
 body. Names of attempts, deadlines, traces and other header fields differ
 each time and are left out. The hash is cryptographic, so that nobody can
 make a request that has the fingerprint of somebody else's.
@@ -19,10 +19,8 @@
 
     __slots__ = ('hash',)
 
-    def __init__(
-        self, service: str, host: str, method: str, path: str, account: str
-    ):
-        parts = (service, host, method, path, account)
+    def __init__(self, host: str, method: str, path: str, account: str):
+        parts = (host, method, path, account)
         head = '\n'.join(parts).encode('utf-8', 'surrogateescape')
         self.hash = hashlib.blake2b(head, digest_size=FINGERPRINT_BYTES)
         # No header field holds a line end, so the parts stay apart.
@@ -35,8 +33,8 @@
     def digest(self) -> bytes:
         """Return the fingerprint of what was added so far.
 
-        >>> one = RequestHash('prices', 'a', 'GET', '/p', '')
-        >>> other = RequestHash('prices', 'a', 'GET', '/q', '')
+        >>> one = RequestHash('a.example', 'GET', '/p', '')
+        >>> other = RequestHash('a.example', 'GET', '/q', '')
         >>> len(one.digest()), one.digest() == other.digest()
         (12, False)
         """
--- a/cyclamenlift/quarantine/state.py
+++ b/cyclamenlift/quarantine/state.py
@@ -13,6 +13,7 @@
 import hashlib
 import itertools
 import math
+import typing
 
 # Ends within this time, in seconds, count as one: targets that lose power or
 # are killed together ended of the same cause. Reports of one instant come
@@ -51,6 +52,13 @@
     QUARANTINED = 'quarantined'
 
 
+class Subject(typing.NamedTuple):
+    """A request to one service."""
+
+    service: str
+    fingerprint: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
     """A target ended while it ran these requests.
@@ -66,6 +74,10 @@
     begun_at: tuple[float, ...] = ()
     lifted: bool = False
 
+    def subjects(self) -> list[Subject]:
+        """Return whom it is about."""
+        return [Subject(self.service, f) for f in self.fingerprints]
+
     @property
     def key(self) -> int:
         """A short digest of the report's name, for comparisons."""
@@ -89,11 +101,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Judgement:
-    """What follows for a request; ``until`` is when a quarantine ends."""
+    """What follows for a request; ``until`` is when a quarantine ends.
+
+    ``is_trial`` marks a suspect whose quarantine is over.
+    """
 
     standing: Standing
     until: float = 0.0
     report_ids: tuple[str, ...] = ()
+    is_trial: bool = False
 
 
 CLEAR = Judgement(Standing.CLEAR)
@@ -102,7 +118,9 @@
 class Evidence:
     """The ends that are known here, and what was answered lately.
 
-    ``digest`` stands for all reports that are kept.
+    A request is judged for each service by what happened there, since one
+    may serve what ends another. ``digest`` stands for all reports that are
+    kept.
     """
 
     def __init__(self) -> None:
@@ -112,61 +130,81 @@
         self.digest = 0
         # The ends under a request, oldest first, and until when they
         # count no more against it.
-        self.against: dict[bytes, list[End]] = {}
-        self.lifted_at: dict[bytes, float] = {}
-        self.answered_at: collections.OrderedDict[bytes, float] = (
+        self.against: dict[Subject, list[End]] = {}
+        self.lifted_at: dict[Subject, float] = {}
+        # The services whose targets ended under a request.
+        self.services: dict[bytes, set[str]] = {}
+        self.answered_at: collections.OrderedDict[Subject, float] = (
             collections.OrderedDict()
         )
 
     # -- queries ----------------------------------------------------------
 
-    def judge(self, fingerprint: bytes, now: float) -> Judgement:
-        """Return how a request is to be treated now."""
-        if fingerprint not in self.against:
+    def judge(self, service: str, fingerprint: bytes, now: float) -> Judgement:
+        """Return how a request to a service is to be treated now."""
+        services = self.services.get(fingerprint)
+        if services is None:
             return CLEAR
-        counted = self.counted(fingerprint)
-        if not counted:
+        subject = Subject(service, fingerprint)
+        counted = self.counted(subject)
+        number = self.weight(subject, counted)
+        if number < FEWEST_ENDS and any(
+            self.is_proven(Subject(other, fingerprint))
+            for other in services
+            if other != service
+        ):
+            # One end here is enough where others have shown what it is.
+            number = number + FEWEST_ENDS if counted else 1
+        if not number:
             return CLEAR
+        return sentence(number, counted, now)
+
+    def weight(self, subject: Subject, counted: list[End]) -> int:
+        """Return how many ends speak against a request at one service."""
         number = count_separate(counted)
-        last = counted[-1].at
-        if number < FEWEST_ENDS:
-            young = now - last < SUSPECT_SECONDS
-            return Judgement(Standing.SUSPECT) if young else CLEAR
-        if number < CLEAR_ENDS and self.has_company(fingerprint, counted):
-            return Judgement(Standing.SUSPECT)
-        seconds = QUARANTINE_SECONDS.get(number, LONGEST_QUARANTINE)
-        if now >= last + seconds:
-            return Judgement(Standing.SUSPECT)
-        names = tuple(end.report.report_id for end in counted)
-        return Judgement(Standing.QUARANTINED, last + seconds, names)
-
-    def counted(self, fingerprint: bytes) -> list[End]:
+        if number == FEWEST_ENDS and self.has_company(subject, counted):
+            return 1
+        return number
+
+    def is_proven(self, subject: Subject) -> bool:
+        return self.weight(subject, self.counted(subject)) >= FEWEST_ENDS
+
+    def counted(self, subject: Subject) -> list[End]:
         """Return the ends that count against a request, oldest first."""
-        since = self.lifted_at.get(fingerprint)
-        ends = self.against.get(fingerprint, [])
+        ends = self.against.get(subject, [])
+        since = self.lifted_at.get(subject)
         if since is None:
             return ends
         return [end for end in ends if end.at > since]
 
-    def has_company(self, fingerprint: bytes, counted: list[End]) -> bool:
+    def has_company(self, subject: Subject, counted: list[End]) -> bool:
         """Tell whether another request was there at each of these ends."""
         shared = set(counted[0].report.fingerprints)
         for end in counted[1:]:
             shared.intersection_update(end.report.fingerprints)
-        shared.discard(fingerprint)
+        shared.discard(subject.fingerprint)
         first = counted[0].at
+        others = (Subject(subject.service, other) for other in shared)
         return any(
-            self.lifted_at.get(other, -math.inf) < first for other in shared
+            self.lifted_at.get(other, -math.inf) < first for other in others
         )
 
     def keys(self) -> list[int]:
         return list(self.reports)
 
+    def knows(self, report: Report) -> bool:
+        return report.key in self.reports
+
     def unknown_to(self, keys: Iterable[int]) -> list[Report]:
         """Return the reports whose keys are not among these."""
         known = set(keys)
         return [r for key, r in self.reports.items() if key not in known]
 
+    def was_answered(self, subject: Subject, now: float) -> bool:
+        """Tell whether a target has answered a request lately."""
+        answered_at = self.answered_at.get(subject)
+        return answered_at is not None and now - answered_at <= ANSWER_SECONDS
+
     # -- changes ----------------------------------------------------------
 
     def add(self, report: Report, now: float) -> list[bytes]:
@@ -180,62 +218,70 @@
         self.reports[key] = report
         self.digest ^= key
         if report.lifted:
-            self.lift(report.fingerprints, report.at)
+            self.lift(report)
         else:
             self.accuse(report)
         while len(self.reports) > MOST_REPORTS:
             self.drop(next(iter(self.reports)))
         if report.lifted:
             return []
-        return [f for f in report.fingerprints if self.excuse(f, now)]
-
-    def knows(self, report: Report) -> bool:
-        return report.key in self.reports
+        return [
+            subject.fingerprint
+            for subject in report.subjects()
+            if self.excuse(subject, now)
+        ]
 
     def accuse(self, report: Report) -> None:
-        for fingerprint, begun_at in zip(
-            report.fingerprints, report.begun_at, strict=True
+        for subject, begun_at in zip(
+            report.subjects(), report.begun_at, strict=True
         ):
-            ends = self.against.setdefault(fingerprint, [])
+            services = self.services.setdefault(subject.fingerprint, set())
+            services.add(subject.service)
+            ends = self.against.setdefault(subject, [])
             ends.append(End(report, begun_at))
             ends.sort(key=lambda end: end.at)
 
-    def lift(self, fingerprints: Iterable[bytes], at: float) -> None:
-        """Let ends up to ``at`` count no more against these requests."""
-        for fingerprint in fingerprints:
-            known = self.lifted_at.get(fingerprint, at)
-            self.lifted_at[fingerprint] = max(at, known)
+    def lift(self, report: Report) -> None:
+        """Let ends up to then count no more; no service stands for all."""
+        for fingerprint in report.fingerprints:
+            services = [report.service]
+            if not report.service:
+                services = self.services.get(fingerprint, [])
+            for service in services:
+                self.clear(Subject(service, fingerprint), report.at)
+
+    def clear(self, subject: Subject, at: float) -> None:
+        """Let ends up to ``at`` count no more against a request."""
+        self.lifted_at[subject] = max(at, self.lifted_at.get(subject, at))
 
-    def excuse(self, fingerprint: bytes, now: float) -> bool:
+    def excuse(self, subject: Subject, now: float) -> bool:
         """Clear a request that was answered lately; tell if others matter.
 
         A single end does little harm to a bystander, so only what would be
         kept away elsewhere is worth a word to all.
         """
-        answered_at = self.answered_at.get(fingerprint)
-        if answered_at is None or now - answered_at > ANSWER_SECONDS:
+        if not self.was_answered(subject, now):
             return False
-        number = count_separate(self.counted(fingerprint))
-        self.lift([fingerprint], now)
+        number = count_separate(self.counted(subject))
+        self.clear(subject, now)
         return number >= FEWEST_ENDS
 
-    def note_answer(self, fingerprint: bytes, now: float) -> bool:
+    def note_answer(
+        self, service: str, fingerprint: bytes, now: float
+    ) -> bool:
         """Take it that a target ran a request and answered it.
 
         Return whether others should be told that it is cleared.
         """
+        subject = Subject(service, fingerprint)
         answered = self.answered_at
-        answered[fingerprint] = now
-        answered.move_to_end(fingerprint)
+        answered[subject] = now
+        answered.move_to_end(subject)
         if len(answered) > MOST_ANSWERS:
             answered.popitem(last=False)
-        if fingerprint not in self.against:
+        if subject not in self.against:
             return False
-        return self.excuse(fingerprint, now)
-
-    def was_answered(self, fingerprint: bytes, now: float) -> bool:
-        answered_at = self.answered_at.get(fingerprint)
-        return answered_at is not None and now - answered_at <= ANSWER_SECONDS
+        return self.excuse(subject, now)
 
     def forget_old(self, now: float) -> None:
         """Drop what is older than any quarantine."""
@@ -248,18 +294,39 @@
             self.drop(key)
 
     def drop(self, key: int) -> None:
+        """Forget one report and what it says of requests."""
         report = self.reports.pop(key)
         self.digest ^= key
         if report.lifted:
             return
-        for fingerprint in report.fingerprints:
-            ends = self.against[fingerprint]
+        for subject in report.subjects():
+            ends = self.against[subject]
             left = [end for end in ends if end.report is not report]
             if left:
-                self.against[fingerprint] = left
+                self.against[subject] = left
             else:
-                del self.against[fingerprint]
-                self.lifted_at.pop(fingerprint, None)
+                self.forget(subject)
+
+    def forget(self, subject: Subject) -> None:
+        del self.against[subject]
+        self.lifted_at.pop(subject, None)
+        services = self.services[subject.fingerprint]
+        services.discard(subject.service)
+        if not services:
+            del self.services[subject.fingerprint]
+
+
+def sentence(number: int, counted: list[End], now: float) -> Judgement:
+    """Return what follows from so many ends; ``counted`` may be none."""
+    last = counted[-1].at if counted else now
+    if number < FEWEST_ENDS:
+        young = now - last < SUSPECT_SECONDS
+        return Judgement(Standing.SUSPECT) if young else CLEAR
+    seconds = QUARANTINE_SECONDS.get(number, LONGEST_QUARANTINE)
+    if now >= last + seconds:
+        return Judgement(Standing.SUSPECT, is_trial=True)
+    names = tuple(end.report.report_id for end in counted)
+    return Judgement(Standing.QUARANTINED, last + seconds, names)
 
 
 def count_separate(ends: list[End]) -> int:
--- a/cyclamenlift/quarantine/tasks.py
+++ b/cyclamenlift/quarantine/tasks.py
@@ -17,6 +17,7 @@
 from cyclamenlift.quarantine.state import Report
 from cyclamenlift.quarantine.state import split
 from cyclamenlift.quarantine.state import Standing
+from cyclamenlift.quarantine.state import Subject
 from cyclamenlift.quarantine.wire import from_wire
 from cyclamenlift.quarantine.wire import MOST_FINGERPRINTS
 from cyclamenlift.quarantine.wire import to_wire
@@ -82,12 +83,9 @@
     def now(self) -> float:
         return self.clock.now()
 
-    def judge(self, fingerprint: bytes) -> Judgement:
-        """Return how a request is to be treated now."""
-        return self.evidence.judge(fingerprint, self.now())
-
-    def is_clear(self, fingerprint: bytes) -> bool:
-        return self.judge(fingerprint).standing is Standing.CLEAR
+    def judge(self, service: str, fingerprint: bytes) -> Judgement:
+        """Return how a request to a service is to be treated now."""
+        return self.evidence.judge(service, fingerprint, self.now())
 
     def is_synced(self) -> bool:
         """Tell whether what others knew at our start is known here."""
@@ -95,10 +93,10 @@
 
     # -- commands ---------------------------------------------------------
 
-    def note_answer(self, fingerprint: bytes) -> None:
+    def note_answer(self, service: str, fingerprint: bytes) -> None:
         """Take it that a target ran a request and answered it."""
-        if self.evidence.note_answer(fingerprint, self.now()):
-            self.plan_lift([fingerprint])
+        if self.evidence.note_answer(service, fingerprint, self.now()):
+            self.plan_lift(service, [fingerprint])
 
     def note_end(
         self, service: str, ran: Mapping[bytes, float], incarnation: str
@@ -111,7 +109,9 @@
         accused = [
             (fingerprint, begun_at)
             for fingerprint, begun_at in ran.items()
-            if not self.evidence.was_answered(fingerprint, now)
+            if not self.evidence.was_answered(
+                Subject(service, fingerprint), now
+            )
         ]
         name = f'{self.instance}/{incarnation[:MOST_INCARNATION]}'
         name = f'{name}/{self.clock.unix_ms()}'
@@ -126,8 +126,11 @@
             self.take(report, FIRST_FANOUT)
         return [to_wire(report, now) for report in reports]
 
-    def lift(self, fingerprints: list[bytes]) -> None:
-        """Let what is known against these requests count no more, anywhere."""
+    def lift(self, fingerprints: list[bytes], service: str = '') -> None:
+        """Let what is known against these requests count no more, anywhere.
+
+        Without a service this holds for all of them.
+        """
         now = self.now()
         number = self.rng.getrandbits(48)
         name = f'{self.instance}/lifted/{number:x}'
@@ -135,7 +138,7 @@
             split(fingerprints, MOST_FINGERPRINTS)
         ):
             report_id = f'{name}/{part_number}'
-            report = Report(report_id, '', part, now, lifted=True)
+            report = Report(report_id, service, part, now, lifted=True)
             self.take(report, FIRST_FANOUT)
 
     def take(self, report: Report, fanout: int) -> bool:
@@ -148,7 +151,7 @@
             self.membership.set_ends_digest(self.evidence.digest)
             self.membership.spread_ends(to_wire(report, self.now()), fanout)
         if cleared:
-            self.plan_lift(cleared)
+            self.plan_lift(report.service, cleared)
         return True
 
     def log_taken(self, report: Report) -> None:
@@ -163,7 +166,7 @@
             return
         now = self.now()
         for fingerprint in report.fingerprints:
-            judgement = self.evidence.judge(fingerprint, now)
+            judgement = self.evidence.judge(report.service, fingerprint, now)
             if judgement.standing is Standing.QUARANTINED:
                 LOG.warning(
                     'request_quarantined',
@@ -174,23 +177,28 @@
                     seconds_left=round(judgement.until - now, 1),
                 )
 
-    def plan_lift(self, fingerprints: list[bytes]) -> None:
+    def plan_lift(self, service: str, fingerprints: list[bytes]) -> None:
         """Tell all that requests were answered, unless another one does."""
         planned_at = self.now()
 
         def tell() -> None:
             left = [
-                f for f in fingerprints if not self.was_lifted(f, planned_at)
+                fingerprint
+                for fingerprint in fingerprints
+                if not self.was_lifted(service, fingerprint, planned_at)
             ]
             if left:
-                self.lift(left)
+                self.lift(left, service)
 
         self.scheduler.after(self.rng.uniform(0.0, LIFT_SECONDS), tell)
 
-    def was_lifted(self, fingerprint: bytes, since: float) -> bool:
+    def was_lifted(
+        self, service: str, fingerprint: bytes, since: float
+    ) -> bool:
         """Tell whether all were told since then that a request is cleared."""
         return any(
             report.lifted
+            and report.service in ('', service)
             and report.at >= since - LIFT_SECONDS
             and fingerprint in report.fingerprints
             for report in reversed(self.evidence.reports.values())
--- a/tests/gate/test_suspects.py
+++ b/tests/gate/test_suspects.py
@@ -6,6 +6,8 @@
 from cyclamenlift.http.target import FailureKind
 from cyclamenlift.http.target import TargetFailure
 from cyclamenlift.quarantine import Report
+from cyclamenlift.quarantine import Standing
+from cyclamenlift.wire.gen.protocol.ttypes import BodyChunk
 from cyclamenlift.wire.gen.protocol.ttypes import Cancel
 from tests.gate.builders import GateBench
 from tests.quarantine.builders import name
@@ -47,6 +49,25 @@
     assert codes(bench) == [ResultCode.REQUEST_QUARANTINED]
 
 
+def test_after_a_quarantine_one_trial_is_let_through(bench):
+    accuse(bench, -60.0, -59.0)
+    bench.call(1, fingerprint=BAD)
+    assert len(bench.target.requests) == 1
+    first = next(iter(bench.gate.calls.values()))
+    bench.gate.release(first, None, False)
+    bench.call(2, fingerprint=BAD)
+    assert len(bench.target.requests) == 1
+    assert codes(bench) == [ResultCode.REQUEST_QUARANTINED]
+
+
+def test_a_trial_with_a_body_is_let_through_once_it_is_gathered(bench):
+    accuse(bench, -60.0, -59.0)
+    bench.call(1, fingerprint=BAD, length=3)
+    bench.gate.on_body_chunk(bench.gate_end, BodyChunk(1, b'abc', True))
+    assert len(bench.target.requests) == 1
+    assert codes(bench) == []
+
+
 def test_one_that_waits_is_looked_at_again_before_it_begins(bench):
     bench.gate.state.queue_limit = 1
     while len(bench.gate.state.running) < bench.gate.state.room:
@@ -88,7 +109,8 @@
     bench.call(1, fingerprint=BAD)
     bench.gate.on_cancel(bench.gate_end, Cancel(1))
     bench.gate.ends.note_nobody_listens()
-    assert not bench.gate.quarantine.is_clear(BAD)
+    judgement = bench.gate.quarantine.judge('prices', BAD)
+    assert judgement.standing is Standing.SUSPECT
 
 
 def test_what_broke_off_and_was_never_explained_is_forgotten(bench):
--- a/tests/quarantine/test_fingerprints.py
+++ b/tests/quarantine/test_fingerprints.py
@@ -4,7 +4,7 @@
 
 from cyclamenlift.quarantine import RequestHash
 
-PARTS = ('prices', 'a.example', 'GET', '/p?x=1', 'farm-7')
+PARTS = ('a.example', 'GET', '/p?x=1', 'farm-7')
 
 
 def fingerprint(parts=PARTS, *body: bytes) -> bytes:
@@ -30,5 +30,5 @@
 
 
 def test_text_that_moves_from_one_part_to_the_next_is_another_request():
-    moved = ('pricesa', '.example', *PARTS[2:])
+    moved = ('a.exampleG', 'ET', *PARTS[2:])
     assert fingerprint(moved) != fingerprint()
--- a/tests/quarantine/test_state.py
+++ b/tests/quarantine/test_state.py
@@ -1,5 +1,7 @@
 """What ends of targets prove against the requests that they ran."""
 
+import dataclasses
+
 import pytest
 
 from cyclamenlift.quarantine import Evidence
@@ -17,7 +19,7 @@
 
 
 def standing(evidence: Evidence, text: str, now: float) -> Standing:
-    return evidence.judge(name(text), now).standing
+    return evidence.judge('prices', name(text), now).standing
 
 
 def after(*reports: Report) -> Evidence:
@@ -57,8 +59,8 @@
             at = round_at + 0.004 * number
             evidence.add(end(at, 'hot', 'long'), at)
         assert standing(evidence, 'hot', round_at + 0.1) is not QUARANTINED
-        evidence.note_answer(name('hot'), round_at + 0.2)
-        evidence.note_answer(name('long'), round_at + 0.9)
+        evidence.note_answer('prices', name('hot'), round_at + 0.2)
+        evidence.note_answer('prices', name('long'), round_at + 0.9)
     assert standing(evidence, 'hot', 31.0) is CLEAR
     assert standing(evidence, 'long', 31.0) is CLEAR
 
@@ -72,23 +74,40 @@
 
 def test_an_answer_clears_a_bystander_before_and_after():
     evidence = Evidence()
-    evidence.note_answer(name('hot'), 9.0)
+    evidence.note_answer('prices', name('hot'), 9.0)
     for at in (10.0, 11.0, 12.0):
         evidence.add(end(at, 'bad', 'hot'), at)
     assert standing(evidence, 'hot', 12.0) is CLEAR
     assert standing(evidence, 'bad', 12.0) is QUARANTINED
     evidence.add(end(50.0, 'bad', 'late'), 50.0)
-    evidence.note_answer(name('late'), 51.0)
+    evidence.note_answer('prices', name('late'), 51.0)
     assert standing(evidence, 'late', 51.0) is CLEAR
 
 
 def test_whom_others_would_keep_away_is_named_when_it_was_answered():
     evidence = Evidence()
-    evidence.note_answer(name('hot'), 9.0)
+    evidence.note_answer('prices', name('hot'), 9.0)
     assert evidence.add(end(10.0, 'hot'), 10.0) == []
     evidence = after(end(10.0, 'hot'), end(11.0, 'hot'))
-    assert evidence.note_answer(name('hot'), 11.5)
-    assert not evidence.note_answer(name('hot'), 11.6)
+    assert evidence.note_answer('prices', name('hot'), 11.5)
+    assert not evidence.note_answer('prices', name('hot'), 11.6)
+
+
+def test_where_one_service_ends_of_it_one_end_of_another_is_enough():
+    evidence = after(end(10.0, 'bad'), end(11.0, 'bad'))
+    judgement = evidence.judge('stock', name('bad'), 12.0)
+    assert judgement.standing is SUSPECT
+    there = dataclasses.replace(end(13.0, 'bad', 'x'), service='stock')
+    evidence.add(there, 13.0)
+    judgement = evidence.judge('stock', name('bad'), 13.0)
+    assert judgement.standing is QUARANTINED
+    assert evidence.judge('stock', name('x'), 13.0).standing is SUSPECT
+
+
+def test_what_one_service_answers_another_one_may_still_end_of():
+    evidence = after(end(10.0, 'bad'), end(11.0, 'bad'))
+    evidence.note_answer('stock', name('bad'), 12.0)
+    assert standing(evidence, 'bad', 12.0) is QUARANTINED
 
 
 def test_what_was_lifted_counts_again_from_the_next_ends_on():
@@ -106,7 +125,7 @@
     evidence = after(end(10.0, 'bad'), end(11.0, 'bad'))
     assert standing(evidence, 'bad', 40.9) is QUARANTINED
     assert standing(evidence, 'bad', 41.1) is SUSPECT
-    evidence.note_answer(name('bad'), 41.3)
+    evidence.note_answer('prices', name('bad'), 41.3)
     assert standing(evidence, 'bad', 41.3) is CLEAR
 
 
@@ -130,7 +149,7 @@
     for number in range(2 * MOST_REPORTS):
         at = number + seed * 0.1
         evidence.add(end(at, f's{number}', 'x'), at)
-        evidence.note_answer(name(f'n{number}'), at)
+        evidence.note_answer('prices', name(f'n{number}'), at)
     assert len(evidence.reports) == MOST_REPORTS
     assert len(evidence.answered_at) <= MOST_ANSWERS
     assert len(evidence.against) <= MOST_REPORTS + 1
--- a/tests/quarantine/test_tasks.py
+++ b/tests/quarantine/test_tasks.py
@@ -26,11 +26,15 @@
 def keep_away(group: Group) -> int:
     """Return how many instances keep the harmful request away."""
     return sum(
-        m.judge(BAD).standing is Standing.QUARANTINED
+        m.judge('prices', BAD).standing is Standing.QUARANTINED
         for m in group.members.values()
     )
 
 
+def is_clear(member, fingerprint: bytes) -> bool:
+    return member.judge('prices', fingerprint).standing is Standing.CLEAR
+
+
 @pytest.mark.parametrize(('count', 'seed'), [(13, 1), (13, 2), (700, 3)])
 def test_all_know_within_three_seconds_though_packets_are_lost(count, seed):
     group = Group(count, seed, loss=0.1)
@@ -60,7 +64,7 @@
     assert not late.is_synced()
     group.run(2.0)
     assert late.is_synced()
-    assert late.judge(BAD).standing is Standing.QUARANTINED
+    assert late.judge('prices', BAD).standing is Standing.QUARANTINED
 
 
 def test_a_bystander_that_is_answered_is_soon_clear_everywhere():
@@ -70,10 +74,10 @@
     for member in members[:2]:
         note_end(member, OTHER)
         group.run(0.5)
-    members[3].note_answer(OTHER)
-    members[4].note_answer(OTHER)
+    members[3].note_answer('prices', OTHER)
+    members[4].note_answer('prices', OTHER)
     group.run(KNOWN_SECONDS)
-    assert all(m.is_clear(OTHER) for m in members)
+    assert all(is_clear(m, OTHER) for m in members)
 
 
 def test_an_operator_lifts_an_entry_for_all():
@@ -91,7 +95,7 @@
 def test_what_was_answered_here_lately_is_not_accused():
     group = Group(3, 7)
     member = next(iter(group.members.values()))
-    member.note_answer(OTHER)
+    member.note_answer('prices', OTHER)
     note_end(member, OTHER)
     assert member.evidence.reports == {}
 
