--- a/cyclamenlift/cli/program.py
+++ b/cyclamenlift/cli/program.py
@@ -20,6 +20,7 @@
     'event_validate',
     'explain',
     'losses',
+    'quarantine',
     'replace_storage',
     'report_burn',
     'status',
--- a/cyclamenlift/core/metrics.py
+++ b/cyclamenlift/core/metrics.py
@@ -131,6 +131,18 @@
         '{instance}',
         'members that are alive or suspected',
     ),
+    MetricInfo(
+        'cyclamenlift.targets.ended',
+        Kind.COUNTER,
+        '{end}',
+        'times that the local target ended while it ran calls',
+    ),
+    MetricInfo(
+        'cyclamenlift.requests.quarantined',
+        Kind.GAUGE,
+        '{request}',
+        'requests that are kept from targets now',
+    ),
     MetricInfo(
         'cyclamenlift.config.version',
         Kind.GAUGE,
--- a/cyclamenlift/gate/ends.py
+++ b/cyclamenlift/gate/ends.py
@@ -60,6 +60,7 @@
         self.broken: list[BrokenCall] = []
         self.untold: list[Untold] = []
         self.timer = None
+        self.ended = 0
 
     def watch(self, client: 'TargetClient') -> None:
         """Learn from these connections whether the target is there."""
@@ -124,6 +125,7 @@
         self.broken.clear()
         if not ran or self.gate.registration.draining:
             return
+        self.ended += 1
         incarnation = self.gate.registration.incarnation
         reports = self.gate.quarantine.note_end(
             self.gate.service, ran, incarnation
--- /dev/null
+++ b/cyclamenlift/quarantine/border.py
@@ -0,0 +1,23 @@
+"""Border models of the operators' orders."""
+
+from typing import Annotated
+
+import pydantic
+
+from cyclamenlift.quarantine.fingerprints import FINGERPRINT_BYTES
+
+HEX_DIGITS = 2 * FINGERPRINT_BYTES
+MOST_LIFTED = 256
+Fingerprint = Annotated[
+    str, pydantic.Field(pattern=f'^[0-9a-f]{{{HEX_DIGITS}}}$')
+]
+
+
+class LiftOrder(pydantic.BaseModel):
+    """Requests that may reach targets again, by their fingerprints."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+    fingerprints: Annotated[
+        list[Fingerprint], pydantic.Field(min_length=1, max_length=MOST_LIFTED)
+    ]
--- a/cyclamenlift/runtime/admin.py
+++ b/cyclamenlift/runtime/admin.py
@@ -5,12 +5,16 @@
 
 from circuits.web.controllers import Controller
 from circuits.web.controllers import expose
+from returns.result import Failure
 
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.problems import Problem
+from cyclamenlift.events.border import read_border
 from cyclamenlift.http.pages import json_answer
 from cyclamenlift.http.pages import problem_answer
 from cyclamenlift.http.pages import WebAnswer
+from cyclamenlift.quarantine.border import LiftOrder
+from cyclamenlift.quarantine.queries import rows
 from cyclamenlift.runtime.status import daemon_status
 
 if typing.TYPE_CHECKING:
@@ -20,7 +24,7 @@
 
 
 class ApiPages(Controller):
-    """``/api``: the status that ``cyclamenlift status`` shows."""
+    """``/api``: what ``cyclamenlift status`` and ``quarantine`` show."""
 
     channel = '/api'
 
@@ -32,6 +36,21 @@
     def status(self) -> WebAnswer:
         return json_answer(dataclasses.asdict(daemon_status(self.node)))
 
+    @expose('quarantine')
+    def quarantine(self) -> WebAnswer:
+        """Return the requests that are not clear; a POST lifts some."""
+        if self.request.method == 'POST':
+            order = read_border(LiftOrder, self.request.content)
+            if isinstance(order, Failure):
+                return problem_answer(order.failure())
+            names = order.unwrap().fingerprints
+            self.node.quarantine.lift([bytes.fromhex(n) for n in names])
+        kept = self.node.quarantine
+        found = rows(kept.evidence, kept.now())
+        return json_answer(
+            {'requests': [dataclasses.asdict(row) for row in found]}
+        )
+
 
 class DaemonPages(Controller):
     """``/metrics``, ``/burn`` and ``/drain``."""
--- a/cyclamenlift/runtime/observing.py
+++ b/cyclamenlift/runtime/observing.py
@@ -5,6 +5,7 @@
 from cyclamenlift.calls.life import Call
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.metrics import Metrics
+from cyclamenlift.quarantine.queries import quarantined
 from cyclamenlift.reports.state import BurnWindows
 from cyclamenlift.reports.state import counts_for_objective
 from cyclamenlift.reports.state import is_good
@@ -61,6 +62,11 @@
         )
         watch('cyclamenlift.members', lambda: len(members.members()))
         watch('cyclamenlift.config.version', lambda: node.follower.version)
+        kept = node.quarantine
+        watch(
+            'cyclamenlift.requests.quarantined',
+            lambda: quarantined(kept.evidence, kept.now()),
+        )
         if node.gate is not None:
             self.watch_gate(node.gate)
 
@@ -70,3 +76,4 @@
         watch('cyclamenlift.gate.probes', lambda: gate.budget.answered)
         watch('cyclamenlift.gate.in_flight', lambda: len(gate.state.running))
         watch('cyclamenlift.gate.queued', lambda: len(gate.state.queue))
+        watch('cyclamenlift.targets.ended', lambda: gate.ends.ended)
--- a/tests/system/test_requests_that_end_targets.py
+++ b/tests/system/test_requests_that_end_targets.py
@@ -10,13 +10,16 @@
 nothing but that request and steady look-ups it comes about here.
 """
 
+import json
 import time
 
 import pytest
 
 from cyclamenlift.standins.fleet import temporary_fleet
+from cyclamenlift.standins.fleet import wait_until
 from tests.system.builders import document
 from tests.system.builders import publish
+from tests.system.builders import WAIT_SECONDS
 from tests.system.ending import Callers
 from tests.system.ending import END_PATH
 from tests.system.ending import EndingTargets
@@ -38,6 +41,29 @@
         yield made
 
 
+def operator_lifts(fleet) -> None:
+    """See the request in the list of one daemon and lift it for all."""
+    admins = [daemon.admin for daemon in fleet.daemons]
+    (row,) = listed(fleet, admins[0])
+    assert row['standing'] == 'quarantined'
+    lift = f'--lift={row["fingerprint"]}'
+    done = fleet.command('quarantine', f'--addresses={admins[0]}', lift)
+    assert done.returncode == 0, done.stderr
+    wait_until(
+        lambda: not any(listed(fleet, admin) for admin in admins),
+        WAIT_SECONDS,
+        'all know that it was lifted',
+    )
+
+
+def listed(fleet, admin: str) -> list[dict]:
+    """Return the list that operators see of one daemon."""
+    done = fleet.command('quarantine', f'--addresses={admin}', '--json=true')
+    assert done.returncode == 0, done.stderr
+    found = json.loads(done.stdout)['requests']
+    return [row for row in found if row['standing'] == 'quarantined']
+
+
 def test_a_request_that_ends_targets_is_soon_sent_to_none(fleet):
     fleet.start_controls(1)
     targets = EndingTargets(fleet, TARGETS)
@@ -52,6 +78,7 @@
     ended_at = time.monotonic()
     look_ups.join()
     targets.stop()
+    operator_lifts(fleet)
     ends = targets.ends()
     assert len(ends) >= 1
     if len(ends) >= ENDS_THAT_TELL:
