Let no call in before it is known what is kept away

Calls that reached a restarted gate in its first moments were let in before it had asked what others knew.

A gate lets nothing in until it knows; entries try another one. Daemons that start together all know nothing, so nothing is believed of equals in the first 0.25 s, but of control instances, which keep the reports too.

The tests of both fail without it by reading; they were written with the change.

--- a/cyclamenlift/membership/packets.py
+++ b/cyclamenlift/membership/packets.py
@@ -46,6 +46,7 @@
 
     digest: int
     peer_address: str
+    from_control: bool
 
 
 def is_sound_packet(packet: GossipPacket) -> bool:
--- a/cyclamenlift/membership/receiving.py
+++ b/cyclamenlift/membership/receiving.py
@@ -10,6 +10,7 @@
 from cyclamenlift.wire.gen.protocol.ttypes import GossipKind
 from cyclamenlift.wire.gen.protocol.ttypes import GossipPacket
 from cyclamenlift.wire.gen.protocol.ttypes import MemberRecord
+from cyclamenlift.wire.gen.protocol.ttypes import MemberRole
 from cyclamenlift.wire.gen.protocol.ttypes import MemberState
 
 FORWARD_FANOUT = 4
@@ -66,12 +67,16 @@
         sender = self.state.table.get(packet.sender)
         if sender is not None:
             self.state.note_version(packet.config_version, sender.peer_address)
-            self.note_digest(packet, sender.peer_address)
+            self.note_digest(packet, sender)
 
-    def note_digest(self, packet: GossipPacket, peer_address: str) -> None:
+    def note_digest(self, packet: GossipPacket, sender: MemberRecord) -> None:
         """Report what the sender knows of ends of targets."""
         if packet.ends_digest is not None:
-            seen = DigestSeen(packet.ends_digest, peer_address)
+            seen = DigestSeen(
+                packet.ends_digest,
+                sender.peer_address,
+                sender.role == MemberRole.CONTROL,
+            )
             self.state.digests.append(seen)
 
     def compare(self, packet: GossipPacket) -> None:
--- a/cyclamenlift/membership/tasks.py
+++ b/cyclamenlift/membership/tasks.py
@@ -10,6 +10,7 @@
 from cyclamenlift.core.streams import Address
 from cyclamenlift.core.tasks import Root
 from cyclamenlift.membership.joining import JOIN_STEPS
+from cyclamenlift.membership.packets import DigestSeen
 from cyclamenlift.membership.packets import MAX_PACKET_BYTES
 from cyclamenlift.membership.packets import Outgoing
 from cyclamenlift.membership.settings import MembershipSettings
@@ -29,7 +30,7 @@
 RecordHook = Callable[[MemberRecord], None]
 VersionHook = Callable[[int, str], None]
 EndHook = Callable[[EndReport], object]
-DigestHook = Callable[[int, str], None]
+DigestHook = Callable[[DigestSeen], None]
 
 
 class Membership(BaseComponent):
@@ -87,8 +88,8 @@
     def subscribe_ends(self, on_end: EndHook, on_digest: DigestHook) -> None:
         """Call the first for each report of an end that a packet brings.
 
-        The second gets what a peer's packet says that it knows, with the
-        peer's address. From now on this instance says what it knows too.
+        The second gets what a peer's packet says that it knows. From now
+        on this instance says what it knows too.
         """
         self.end_hooks.append(on_end)
         self.digest_hooks.append(on_digest)
@@ -247,7 +248,7 @@
                 hook(report)
         for seen in digests:
             for hook in self.digest_hooks:
-                hook(seen.digest, seen.peer_address)
+                hook(seen)
 
     def send(self, item: Outgoing) -> None:
         """Send one packet; a lost one is the protocol's ordinary case."""
--- a/cyclamenlift/quarantine/tasks.py
+++ b/cyclamenlift/quarantine/tasks.py
@@ -26,6 +26,7 @@
 from cyclamenlift.wire.gen.protocol.ttypes import EndsRequest
 
 if typing.TYPE_CHECKING:
+    from cyclamenlift.membership.packets import DigestSeen
     from cyclamenlift.membership.tasks import Membership
     from cyclamenlift.wire.tasks import Link
     from cyclamenlift.wire.tasks import PeerNetwork
@@ -45,6 +46,9 @@
 MOST_GIVEN = 64
 # How long a starting daemon waits to learn what others know, in seconds.
 SYNC_SECONDS = 1.0
+# How long after its start it does not believe others that know nothing
+# either, in seconds: they may have started with it.
+ELDERS_SECONDS = 0.25
 FORGET_SECONDS = 10.0
 # Many know at the same time that a request was answered: each waits for up
 # to this long, in seconds, whether another one has told it already.
@@ -67,12 +71,14 @@
         self.ask_seconds = LEAST_ASK_SECONDS
         self.synced = False
         self.sync_deadline = 0.0
+        self.elders_deadline = 0.0
 
     def join(self, network: 'PeerNetwork', membership: 'Membership') -> None:
         """Share what is known with the other members from now on."""
         self.network = network
         self.membership = membership
         self.sync_deadline = self.now() + SYNC_SECONDS
+        self.elders_deadline = self.now() + ELDERS_SECONDS
         network.subscribe(EndsRequest, self.on_request)
         network.subscribe(EndsAnswer, self.on_answer)
         membership.subscribe_ends(self.on_told, self.on_digest)
@@ -219,16 +225,16 @@
             return False
         return self.take(report, fanout)
 
-    def on_digest(self, digest: int, peer_address: str) -> None:
+    def on_digest(self, seen: 'DigestSeen') -> None:
         """Compare what a peer knows with what is known here."""
-        if digest == self.evidence.digest:
-            self.synced = True
+        if seen.digest == self.evidence.digest:
+            self.note_same(seen)
             return
         now = self.now()
         if now < self.ask_again_at:
             return
         try:
-            address = Address.parse(peer_address)
+            address = Address.parse(seen.peer_address)
         except ValueError:
             # An instance without a peer port can't be asked.
             return
@@ -236,6 +242,16 @@
         self.ask_seconds = min(MOST_ASK_SECONDS, 2 * self.ask_seconds)
         self.network.send(address, EndsRequest(self.evidence.keys()))
 
+    def note_same(self, seen: 'DigestSeen') -> None:
+        """Take it that a peer knows just as much.
+
+        Daemons that start together all know nothing at first; control
+        instances were there before.
+        """
+        elders_heard = self.now() >= self.elders_deadline
+        if seen.digest or seen.from_control or elders_heard:
+            self.synced = True
+
     def on_request(self, link: 'Link', request: EndsRequest) -> None:
         """Give a peer what it does not know, the newest first."""
         unknown = self.evidence.unknown_to(request.known or ())
--- a/tests/gate/test_suspects.py
+++ b/tests/gate/test_suspects.py
@@ -83,6 +83,15 @@
     assert len(bench.gate.state.running) == begun - 1
 
 
+def test_a_gate_that_has_just_started_lets_nothing_in_yet(bench):
+    bench.gate.quarantine.sync_deadline = 1.0
+    bench.call(1, fingerprint=OTHER)
+    assert codes(bench) == [ResultCode.NO_TARGET]
+    bench.gate.quarantine.synced = True
+    bench.call(2, fingerprint=OTHER)
+    assert len(bench.target.requests) == 1
+
+
 def test_entries_hear_with_a_broken_call_what_ran_at_the_end(bench):
     bench.call(1, fingerprint=BAD)
     bench.call(2, fingerprint=OTHER)
--- a/tests/quarantine/builders.py
+++ b/tests/quarantine/builders.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 
+from cyclamenlift.membership.packets import DigestSeen
 from cyclamenlift.quarantine import Quarantine
 from cyclamenlift.quarantine import Report
 
@@ -151,7 +152,8 @@
             if peer == owner:
                 continue
             digest = self.members[peer].membership.digest
-            member.membership.on_digest(digest, f'127.0.0.1:{port}')
+            seen = DigestSeen(digest, f'127.0.0.1:{port}', False)
+            member.membership.on_digest(seen)
 
     def run(self, seconds: float) -> None:
         """Let time pass, with one ping of each member a second."""
--- a/tests/quarantine/test_tasks.py
+++ b/tests/quarantine/test_tasks.py
@@ -4,9 +4,12 @@
 datagrams of which a tenth is lost.
 """
 
+import dataclasses
+
 import pytest
 from structlog.testing import capture_logs
 
+from cyclamenlift.membership.packets import DigestSeen
 from cyclamenlift.quarantine import Standing
 from tests.quarantine.builders import Group
 from tests.quarantine.builders import name
@@ -67,6 +70,20 @@
     assert late.judge('prices', BAD).standing is Standing.QUARANTINED
 
 
+def test_those_that_start_together_do_not_believe_each_other_at_once():
+    """All daemons are restarted; a control instance has kept the reports."""
+    group = Group(2, 4)
+    first, second = group.members.values()
+    nothing = DigestSeen(0, '127.0.0.1:1', from_control=False)
+    second.on_digest(nothing)
+    assert not second.is_synced()
+    second.on_digest(dataclasses.replace(nothing, from_control=True))
+    assert second.is_synced()
+    group.heap.run(0.5)
+    first.on_digest(nothing)
+    assert first.is_synced()
+
+
 def test_a_bystander_that_is_answered_is_soon_clear_everywhere():
     """It was at two ends alone with nobody else: all keep it away."""
     group = Group(40, 5, loss=0.1)
