Show that the proofs of the quarantine can fail

'The target client says unsent' broke a line that the look for ends has changed, and broke half of it only; the line is one again and the mutant breaks all of it.

--- a/cyclamenlift/gate/running.py
+++ b/cyclamenlift/gate/running.py
@@ -312,13 +312,13 @@
 
     def on_failure(self, failure: TargetFailure) -> None:
         self.gate.release(self, None, True)
-        if failure.sent and failure.kind is FailureKind.CLOSED:
-            self.gate.ends.note_broken(self, failure.detail)
-        elif failure.sent:
-            self.tell_broken(ResultCode.TARGET_BROKE_OFF, failure.detail)
-        else:
+        if not failure.sent:
             code = ResultCode.TARGET_UNREACHABLE
             self.tell_refused(code, failure.detail)
+        elif failure.kind is FailureKind.CLOSED:
+            self.gate.ends.note_broken(self, failure.detail)
+        else:
+            self.tell_broken(ResultCode.TARGET_BROKE_OFF, failure.detail)
 
     # -- to the entry -----------------------------------------------------
 
--- a/tests/system/test_bookings.py
+++ b/tests/system/test_bookings.py
@@ -23,6 +23,7 @@
 UNKNOWN = {
     ResultCode.PEER_LOST,
     ResultCode.TARGET_BROKE_OFF,
+    ResultCode.TARGET_ENDED,
     ResultCode.DEADLINE_UNKNOWN,
 }
 ANSWERED = {ResultCode.ANSWERED, ResultCode.ANSWERED_FROM_RECORD}
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -13,12 +13,13 @@
 
 from tools.mutants_calls import CALL_MUTANTS
 from tools.mutants_control import CONTROL_MUTANTS
+from tools.mutants_quarantine import QUARANTINE_MUTANTS
 from tools.mutation import is_noticed
 from tools.mutation import Mutant
 from tools.mutation import passes_unbroken
 from tools.mutation import StaleMutantError
 
-MUTANTS = (*CALL_MUTANTS, *CONTROL_MUTANTS)
+MUTANTS = (*CALL_MUTANTS, *CONTROL_MUTANTS, *QUARANTINE_MUTANTS)
 EXIT_SURVIVED = 1
 EXIT_NO_PROOF = 2
 
--- a/tools/mutants_calls.py
+++ b/tools/mutants_calls.py
@@ -32,8 +32,8 @@
     Mutant(
         'the target client says unsent for everything',
         'cyclamenlift/gate/running.py',
-        'if failure.sent:',
-        'if False:',
+        'if not failure.sent:',
+        'if True:',
         PATH_TESTS,
     ),
     Mutant(
@@ -118,8 +118,8 @@
     Mutant(
         'the target client says unsent, real processes',
         'cyclamenlift/gate/running.py',
-        'if failure.sent:',
-        'if False:',
+        'if not failure.sent:',
+        'if True:',
         BOOKINGS,
     ),
     Mutant(
--- /dev/null
+++ b/tools/mutants_quarantine.py
@@ -0,0 +1,81 @@
+"""Broken rules of what is known against requests that end targets."""
+
+from tools.mutation import Mutant
+
+STATE = 'cyclamenlift/quarantine/state.py'
+STATE_TESTS = 'tests/quarantine/test_state.py'
+GATE_TESTS = 'tests/gate/test_suspects.py'
+PATH_TESTS = 'tests/runtime/test_ending_targets.py'
+
+QUARANTINE_MUTANTS = (
+    Mutant(
+        'one end convicts all that a target ran',
+        STATE,
+        'FEWEST_ENDS = 2',
+        'FEWEST_ENDS = 1',
+        STATE_TESTS,
+    ),
+    Mutant(
+        'two that were at both ends are both convicted',
+        STATE,
+        'if number == FEWEST_ENDS and self.has_company(subject, counted):',
+        'if False:',
+        STATE_TESTS,
+    ),
+    Mutant(
+        'targets that end together count one by one',
+        STATE,
+        'TOGETHER = 0.1',
+        'TOGETHER = 0.0',
+        STATE_TESTS,
+    ),
+    Mutant(
+        'an answer clears nobody',
+        STATE,
+        'self.clear(subject, now)\n        return number',
+        'return number',
+        STATE_TESTS,
+    ),
+    Mutant(
+        'all trials after a quarantine are let through',
+        'cyclamenlift/gate/suspects.py',
+        'if wait > 0.0:',
+        'if False:',
+        GATE_TESTS,
+    ),
+    Mutant(
+        'a gate lets in what is kept away',
+        'cyclamenlift/gate/suspects.py',
+        'if judgement.standing is Standing.CLEAR:',
+        'if True:',
+        GATE_TESTS,
+    ),
+    Mutant(
+        'a suspect runs several times at once',
+        'cyclamenlift/gate/suspects.py',
+        'if self.is_running(fingerprint):',
+        'if False:',
+        GATE_TESTS,
+    ),
+    Mutant(
+        'a broken connection counts as an end',
+        'cyclamenlift/gate/ends.py',
+        'client.found_hooks.append(self.note_found)',
+        'client.found_hooks.append(self.note_nobody_listens)',
+        PATH_TESTS,
+    ),
+    Mutant(
+        'entries are not told what ran at an end',
+        'cyclamenlift/calls/tasks.py',
+        'if broken.end is not None:',
+        'if False:',
+        PATH_TESTS,
+    ),
+    Mutant(
+        'who starts believes others that have just started',
+        'cyclamenlift/quarantine/tasks.py',
+        'if seen.digest or seen.from_control or elders_heard:',
+        'if True:',
+        'tests/quarantine/test_tasks.py',
+    ),
+)
