Pass reports of ends on within the budget of bytes

By arithmetic, not seen: a hundred targets of a large fleet that end together would make each daemon pass on some 150 KB at once, beyond the aim of 5 KB a second for minutes. Reports of others are passed on while the byte budget of membership has room; the digests bring the rest. What an instance says first always goes.

--- a/cyclamenlift/membership/state.py
+++ b/cyclamenlift/membership/state.py
@@ -280,9 +280,15 @@
         return result
 
     def push_ends(
-        self, report: EndReport, fanout: int, now: float
+        self, report: EndReport, fanout: int, now: float, own: bool
     ) -> list[Outgoing]:
-        """Send a report of an end to some members at once."""
+        """Send a report of an end to some members at once.
+
+        One that is not our own waits for the digests where the budget of
+        bytes is spent: when many targets end together, all pass on all.
+        """
+        if not own and not self.budget.room(now):
+            return []
         result = []
         for member in self.sample_near(fanout):
             packet = self.packer.bare(GossipKind.SYNC, 0)
--- a/cyclamenlift/membership/tasks.py
+++ b/cyclamenlift/membership/tasks.py
@@ -149,11 +149,14 @@
                 self.state.announce(target_state, config_version, now, slots)
             )
 
-    def spread_ends(self, report: EndReport, fanout: int) -> None:
-        """Tell some members of the end of a target at once."""
+    def spread_ends(self, report: EndReport, fanout: int, own: bool) -> None:
+        """Tell some members of the end of a target at once.
+
+        ``own`` is what this instance says first, which always goes.
+        """
         if self.state is not None:
             now = self.loop.scheduler.clock.now()
-            self.finish(self.state.push_ends(report, fanout, now))
+            self.finish(self.state.push_ends(report, fanout, now, own))
 
     def set_ends_digest(self, digest: int) -> None:
         """Say from now on that this stands for the ends known here."""
--- a/cyclamenlift/quarantine/tasks.py
+++ b/cyclamenlift/quarantine/tasks.py
@@ -155,7 +155,9 @@
         self.log_taken(report)
         if self.membership is not None:
             self.membership.set_ends_digest(self.evidence.digest)
-            self.membership.spread_ends(to_wire(report, self.now()), fanout)
+            told = to_wire(report, self.now())
+            own = fanout == FIRST_FANOUT
+            self.membership.spread_ends(told, fanout, own)
         if cleared:
             self.plan_lift(report.service, cleared)
         return True
--- a/tests/membership/test_ends.py
+++ b/tests/membership/test_ends.py
@@ -1,5 +1,6 @@
 """Reports of ends ride on packets, with a digest of what is known."""
 
+from cyclamenlift.membership.budget import BURST_BYTES
 from cyclamenlift.membership.packets import MAX_PACKET_BYTES
 from cyclamenlift.quarantine.wire import MOST_FINGERPRINTS
 from cyclamenlift.wire.codec import decode_packet
@@ -24,7 +25,7 @@
 
 
 def test_the_largest_report_fits_in_a_packet():
-    sent = member().push_ends(report(MOST_FINGERPRINTS), FANOUT, 0.0)
+    sent = member().push_ends(report(MOST_FINGERPRINTS), FANOUT, 0.0, own=True)
     assert len(sent) == FANOUT
     assert all(len(item.data) <= MAX_PACKET_BYTES for item in sent)
 
@@ -32,7 +33,7 @@
 def test_a_report_arrives_with_the_digest_of_its_sender():
     sender, receiver = member(), member()
     sender.packer.ends_digest = 77
-    data = sender.push_ends(report(), 1, 0.0)[0].data
+    data = sender.push_ends(report(), 1, 0.0, own=True)[0].data
     packet = decode_packet(GossipPacket, data)
     packet.sender = 'm1'
     receiver.on_packet(packet, 0.0)
@@ -42,7 +43,20 @@
 
 def test_members_that_keep_no_reports_name_no_digest():
     sender, receiver = member(), member()
-    packet = sender.push_ends(report(), 1, 0.0)[0].packet
+    packet = sender.push_ends(report(), 1, 0.0, own=True)[0].packet
     packet.sender = 'm1'
     receiver.on_packet(packet, 0.0)
     assert receiver.digests == []
+
+
+def test_many_ends_at_once_are_passed_on_within_the_budget_of_bytes():
+    """A hundred targets of a large fleet end together, and come again."""
+    one = member()
+    largest = report(MOST_FINGERPRINTS)
+    sent = [
+        item
+        for _ in range(1000)
+        for item in one.push_ends(largest, FANOUT, 0.0, own=False)
+    ]
+    assert sum(len(item.data) for item in sent) <= BURST_BYTES + 6000
+    assert one.push_ends(largest, FANOUT, 0.0, own=True)
--- a/tests/quarantine/builders.py
+++ b/tests/quarantine/builders.py
@@ -105,7 +105,7 @@
     def set_ends_digest(self, digest: int) -> None:
         self.digest = digest
 
-    def spread_ends(self, report, fanout: int) -> None:
+    def spread_ends(self, report, fanout: int, _own: bool) -> None:
         group = self.group
         others = [n for n in group.members if n != self.owner]
         for peer in group.rng.sample(others, min(fanout, len(others))):
