Keep what a target says of itself in a module; name what ended

While moving it: an end that another incarnation shows was logged under the name of that next one, so on-call would have looked at the wrong one. The one that ended is named now; test in tests/gate/test_ends.py.

--- a/cyclamenlift/gate/ends.py
+++ b/cyclamenlift/gate/ends.py
@@ -108,13 +108,16 @@
 
     def note_nobody_listens(self) -> None:
         """Take it that no connection can be had at the address."""
-        self.end('nobody listens', BROKE_JUST_NOW)
+        registration = self.gate.registration
+        if not registration.draining:
+            incarnation = registration.incarnation
+            self.end('nobody listens', incarnation, BROKE_JUST_NOW)
 
-    def note_incarnation(self) -> None:
-        """Take it that another incarnation has announced itself."""
-        self.end('another incarnation', BROKE_BEFORE_START)
+    def note_next_incarnation(self, before: str) -> None:
+        """Take it that another one has announced itself after ``before``."""
+        self.end('another incarnation', before, BROKE_BEFORE_START)
 
-    def end(self, shown_by: str, seconds: float) -> None:
+    def end(self, shown_by: str, incarnation: str, seconds: float) -> None:
         """Conclude that the target ended while it ran what broke off."""
         since = self.gate.now() - seconds
         ran = {
@@ -123,10 +126,9 @@
             if b.broke_at >= since and b.fingerprint
         }
         self.broken.clear()
-        if not ran or self.gate.registration.draining:
+        if not ran:
             return
         self.ended += 1
-        incarnation = self.gate.registration.incarnation
         reports = self.gate.quarantine.note_end(
             self.gate.service, ran, incarnation
         )
--- a/cyclamenlift/gate/health.py
+++ b/cyclamenlift/gate/health.py
@@ -57,7 +57,7 @@
         if not self.path() and not self.gate.dialect.incarnation_asked:
             self.gate.set_target_state(TargetState.READY)
             return
-        self.gate.doubt_hooks.append(self.ask)
+        self.gate.announcements.doubt_hooks.append(self.ask)
         self.gate.questions.ask = self.ask_now
         self.ask()
         self.gate.scheduler.every(self.settings.health_seconds, self.ask)
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -7,6 +7,7 @@
 
 from cyclamenlift.core.clock import machine_seconds
 from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.gate.announcements import Announcements
 from cyclamenlift.gate.delays import Delays
 from cyclamenlift.gate.ends import EndWatch
 from cyclamenlift.gate.explaining import explain_hold
@@ -74,7 +75,7 @@
         self.dialect = dialect
         self.checks_ids = dialect.call_id_repeated
         self.state = GateState(slots)
-        self.registration = Registration(self.clock.unix_ms)
+        self.announcements = Announcements(self, self.clock.unix_ms)
         self.news = GateNews()
         self.delays = Delays()
         # Bytes a second of this instance's link, 0 if it is not known.
@@ -86,7 +87,6 @@
         self.idle_hooks: list[Callable[[], None]] = []
         self.state_hooks: list[Callable[[TargetState], None]] = []
         self.slots_hooks: list[Callable[[int], None]] = []
-        self.doubt_hooks: list[Callable[[], None]] = []
         self.refused = 0
         self.questions = PaceQuestions(scheduler)
         self.ends = EndWatch(self)
@@ -139,71 +139,17 @@
 
     def announce(self, announcement: Announcement) -> Announced:
         """Take what the target tells of itself."""
-        before = self.registration.incarnation
-        draining = self.registration.draining
-        outcome = self.registration.announce(announcement, self.now())
-        if outcome is Announced.STALE:
-            self.log_registration(announcement, outcome)
-            return outcome
-        if outcome is Announced.NEW:
-            if before and not draining:
-                self.ends.note_incarnation()
-            self.begin_incarnation(announcement, before)
-        if announcement.slots and announcement.slots != self.state.slots:
-            self.set_slots(announcement.slots)
-        if announcement.draining and not draining:
-            self.log_registration(announcement, outcome)
-            self.drain()
-        return outcome
-
-    def begin_incarnation(
-        self, announcement: Announcement, before: str
-    ) -> None:
-        """Let calls in to a target that has just made itself known."""
-        self.log_registration(announcement, Announced.NEW)
-        self.state.renew(announcement.warm_up_seconds > 0.0)
-        if before:
-            self.client.drop_idle()
-        if not announcement.draining:
-            self.set_target_state(TargetState.READY)
-
-    def log_registration(
-        self, announcement: Announcement, outcome: Announced
-    ) -> None:
-        LOG.info(
-            'target_announced',
-            outcome=outcome.value,
-            incarnation=announcement.incarnation,
-            born_ms=announcement.born_ms,
-            sequence=announcement.sequence,
-            draining=announcement.draining,
-            slots=announcement.slots,
-            current=self.registration.incarnation,
-            current_born_ms=self.registration.born_ms,
-        )
+        return self.announcements.announce(announcement)
 
     def target_leaves(
         self, incarnation: str, born_ms: int = UNKNOWN_START
     ) -> None:
         """Take no new call for a target that says that it goes."""
-        known = self.registration.leave(incarnation, born_ms)
-        LOG.info(
-            'target_leaves',
-            incarnation=incarnation,
-            born_ms=born_ms,
-            current=known,
-        )
-        if known:
-            self.drain()
+        self.announcements.leave(incarnation, born_ms)
 
     def doubt_target(self) -> None:
         """Note that another target answered at the address."""
-        LOG.warning(
-            'target_doubted', incarnation=self.registration.incarnation
-        )
-        self.registration.doubt(self.registration.incarnation)
-        for hook in self.doubt_hooks:
-            hook()
+        self.announcements.doubt()
 
     def set_slots(self, slots: int) -> None:
         """Take over how many calls the target runs at once."""
@@ -246,6 +192,11 @@
 
     # -- queries ----------------------------------------------------------
 
+    @property
+    def registration(self) -> Registration:
+        """Which incarnation of the target runs here."""
+        return self.announcements.registration
+
     def figures(self, link=None) -> LoadFigures:
         """Return the load, with the lag of one link if it is for it."""
         lag = 0.0
--- a/tests/gate/test_ends.py
+++ b/tests/gate/test_ends.py
@@ -46,6 +46,7 @@
         break_off(bench)
         bench.gate.announce(Announcement('i-2', 'prices', 8))
     assert ended(logs) == [[b'a'.hex()]]
+    assert [e['incarnation'] for e in logs if 'ran' in e] == ['i-1']
 
 
 def test_a_connection_that_broke_while_others_are_answered_says_nothing(
