Let two ends that lie far apart convict nobody

Read in the code, not seen: a look-up that comes often and is answered by all could be in flight at two ends an hour apart, at targets whose daemons had not answered it for half a minute. What is answered after a single end is not told to all, so most daemons would have kept it away for 30 s. A second end counts as proof only while the request is a suspect of the first; from the third end on it does not matter how far apart they are.

A peer whose address can't be read gets a line.

--- a/cyclamenlift/quarantine/state.py
+++ b/cyclamenlift/quarantine/state.py
@@ -32,8 +32,6 @@
 QUARANTINE_SECONDS = {2: 30.0, 3: 120.0, 4: 600.0}
 LONGEST_QUARANTINE = 3600.0
 FEWEST_ENDS = 2
-# Ends that leave no doubt: two are believed only if nobody else had both.
-CLEAR_ENDS = 3
 # How long an end is remembered, in seconds: longer than any quarantine.
 REPORT_SECONDS = 2 * LONGEST_QUARANTINE
 MOST_REPORTS = 512
@@ -162,7 +160,11 @@
     def weight(self, subject: Subject, counted: list[End]) -> int:
         """Return how many ends speak against a request at one service."""
         number = count_separate(counted)
-        if number == FEWEST_ENDS and self.has_company(subject, counted):
+        if number != FEWEST_ENDS:
+            return number
+        far_apart = counted[-1].at - counted[0].at > SUSPECT_SECONDS
+        if far_apart or self.has_company(subject, counted):
+            # What was answered in between elsewhere is not told to all.
             return 1
         return number
 
--- a/cyclamenlift/quarantine/tasks.py
+++ b/cyclamenlift/quarantine/tasks.py
@@ -238,7 +238,8 @@
         try:
             address = Address.parse(seen.peer_address)
         except ValueError:
-            # An instance without a peer port can't be asked.
+            peer = seen.peer_address[:100]
+            LOG.warning('reports_peer_unreadable', address=peer)
             return
         self.ask_again_at = now + self.ask_seconds
         self.ask_seconds = min(MOST_ASK_SECONDS, 2 * self.ask_seconds)
--- a/tests/quarantine/test_state.py
+++ b/tests/quarantine/test_state.py
@@ -51,6 +51,17 @@
     assert standing(evidence, 'a', 12.0) is SUSPECT
 
 
+def test_a_bystander_at_two_ends_an_hour_apart_is_not_kept_away():
+    """It was answered thousands of times in between, elsewhere."""
+    evidence = after(end(10.0, 'often', 'a'), end(3600.0, 'often', 'b'))
+    assert standing(evidence, 'often', 3600.0) is SUSPECT
+
+
+def test_one_that_comes_seldom_is_kept_away_from_its_third_end_on():
+    evidence = after(*(end(90.0 * n, 'bad') for n in range(3)))
+    assert standing(evidence, 'bad', 181.0) is QUARANTINED
+
+
 def test_targets_that_lose_power_together_convict_nobody():
     """The same two requests are in flight at each, three times over."""
     evidence = Evidence()
--- a/tools/mutants_quarantine.py
+++ b/tools/mutants_quarantine.py
@@ -18,8 +18,15 @@
     Mutant(
         'two that were at both ends are both convicted',
         STATE,
-        'if number == FEWEST_ENDS and self.has_company(subject, counted):',
-        'if False:',
+        'if far_apart or self.has_company(subject, counted):',
+        'if far_apart:',
+        STATE_TESTS,
+    ),
+    Mutant(
+        'two ends an hour apart convict',
+        STATE,
+        'if far_apart or self.has_company(subject, counted):',
+        'if self.has_company(subject, counted):',
         STATE_TESTS,
     ),
     Mutant(
