--- a/cyclamenlift/calls/tasks.py
+++ b/cyclamenlift/calls/tasks.py
@@ -294,7 +294,7 @@
 
     def request_hash(self, exchange: Exchange) -> RequestHash:
         """Return the hash of a request without its body."""
-        account = exchange.dialect.account
+        account = exchange.dialect.client_account
         return RequestHash(
             exchange.header('host') or '',
             exchange.method,
--- a/cyclamenlift/http/dialects.py
+++ b/cyclamenlift/http/dialects.py
@@ -18,7 +18,7 @@
     repeats it if ``call_id_repeated``. ``time_left_ms`` is the caller's
     time limit and, to the target, what is left of it. ``depth`` counts the
     calls above this one. ``caller_service`` tells the target which service
-    runs where the call began. ``account`` names whom a caller acts for; it
+    runs where the call began. ``client_account`` names whom a caller acts for; it
     only tells requests apart. ``incarnation_asked`` names the incarnation
     of the target that alone may run the call, ``incarnation`` the one that
     answers. ``proof`` is on every answer that a target made itself;
@@ -31,7 +31,7 @@
     time_left_ms: str
     depth: str = ''
     caller_service: str = ''
-    account: str = ''
+    client_account: str = ''
     incarnation_asked: str = ''
     incarnation: str = ''
     proof: str = ''
@@ -93,6 +93,6 @@
         time_left_ms='cyclamenlift-timeout-ms',
         depth='cyclamenlift-depth',
         caller_service='cyclamenlift-caller-service',
-        account='authorization',
+        client_account='authorization',
     )
 )
--- a/cyclamenlift/quarantine/fingerprints.py
+++ b/cyclamenlift/quarantine/fingerprints.py
@@ -1,7 +1,7 @@
 """What makes two attempts the same request: their fingerprint.
 
 It covers what the target acts on and what comes again each time: host,
-method, path with query, the account that the caller acts for, and the
+method, path with query, the client account, and the
 body. Names of attempts, deadlines, traces and other header fields differ
 each time and are left out. The hash is cryptographic, so that nobody can
 make a request that has the fingerprint of somebody else's.
@@ -19,8 +19,8 @@
 
     __slots__ = ('hash',)
 
-    def __init__(self, host: str, method: str, path: str, account: str):
-        parts = (host, method, path, account)
+    def __init__(self, host: str, method: str, path: str, client_account: str):
+        parts = (host, method, path, client_account)
         head = '\n'.join(parts).encode('utf-8', 'surrogateescape')
         self.hash = hashlib.blake2b(head, digest_size=FINGERPRINT_BYTES)
         # No header field holds a line end, so the parts stay apart.
