--- a/cyclamenlift/http/dialects.py
+++ b/cyclamenlift/http/dialects.py
@@ -18,10 +18,10 @@
     repeats it if ``call_id_repeated``. ``time_left_ms`` is the caller's
     time limit and, to the target, what is left of it. ``depth`` counts the
     calls above this one. ``caller_service`` tells the target which service
-    runs where the call began. ``client_account`` names whom a caller acts for; it
-    only tells requests apart. ``incarnation_asked`` names the incarnation
-    of the target that alone may run the call, ``incarnation`` the one that
-    answers. ``proof`` is on every answer that a target made itself;
+    runs where the call began. ``client_account`` names whom a caller acts
+    for; it only tells requests apart. ``incarnation_asked`` names the
+    incarnation of the target that alone may run the call, ``incarnation``
+    the one that answers. ``proof`` is on every answer that a target made;
     ``not_run`` says that the target did not run the call; ``load`` holds
     the target's own load. ``call_id_required`` refuses callers without
     one. ``fractional_retry`` writes ``Retry-After`` with fractions.
