Believe a connection only if it stays, when a target may have ended

A process that ends closes what it has open one after the other, so its listener took one connection more; the entry was told that the connection merely broke, before anybody knew of the end, and tried the next target. A look must stay for 5 ms now, and one that is lost at once is followed by another.

--- a/cyclamenlift/http/client.py
+++ b/cyclamenlift/http/client.py
@@ -19,6 +19,10 @@
 from cyclamenlift.http.target import TargetRequest
 from cyclamenlift.http.target_call import TargetCall
 
+# How long a connection must stay to show that the target goes on, in
+# seconds: a process that ends closes what it has open one after the other,
+# and its listener may still take one in between.
+STAYS_SECONDS = 0.005
 LOG = structlog.get_logger('http')
 
 
@@ -56,7 +60,8 @@
         # at it found that somebody does.
         self.refused_hooks: list[Callable[[], None]] = []
         self.found_hooks: list[Callable[[], None]] = []
-        self.looks: set[Stream] = set()
+        # Connections that are to show it; whether one more may follow.
+        self.looks: dict[Stream, bool] = {}
 
     # -- commands ---------------------------------------------------------
 
@@ -77,10 +82,13 @@
         self.keep_warm = True
         self.top_up()
 
-    def look(self) -> None:
-        """Open a connection for the pool, to see whether anybody listens."""
+    def look(self, once_more: bool = True) -> None:
+        """Open a connection for the pool, to see whether anybody listens.
+
+        One that is lost at once shows nothing, so another one follows.
+        """
         if len(self.streams) < self.limits.max_connections:
-            self.looks.add(self.open(None))
+            self.looks[self.open(None)] = once_more
 
     def drop_idle(self) -> None:
         """Close what is kept open to a target that is gone."""
@@ -231,7 +239,10 @@
         call = connection.call
         if call is None:
             self.release(stream)
-            self.tell_found(stream)
+            if stream in self.looks:
+                self.root.scheduler.after(
+                    STAYS_SECONDS, lambda: self.tell_found(stream)
+                )
         else:
             self.start(call, stream)
             if stream.open and not stream.pending and not call.done:
@@ -240,9 +251,8 @@
                 call.listener.on_drained()
 
     def tell_found(self, stream: Stream) -> None:
-        """Tell that somebody listens, if this connection was to show it."""
-        if stream in self.looks:
-            self.looks.discard(stream)
+        """Tell that somebody listens, if a look has not been lost again."""
+        if self.looks.pop(stream, None) is not None:
             for hook in self.found_hooks:
                 hook()
 
@@ -308,7 +318,7 @@
         connection = stream.context
         stop_timer(connection)
         self.forget_idle(stream)
-        self.looks.discard(stream)
+        look_again = self.looks.pop(stream, False)
         call = connection.call
         connection.call = None
         self.replace_lost()
@@ -316,6 +326,8 @@
         if kind is FailureKind.REFUSED:
             for hook in self.refused_hooks:
                 hook()
+        elif look_again:
+            self.look(once_more=False)
         if call is None or call.done:
             return
         if stream.connected and not call.head_given:
--- a/tests/runtime/builders.py
+++ b/tests/runtime/builders.py
@@ -35,6 +35,8 @@
 WAIT_SECONDS = 20.0
 # How long a call that ends its target runs there.
 END_SECONDS = 0.04
+# How long a target that ends may still take connections.
+LISTENER_SECONDS = 0.002
 LOCAL = Address('127.0.0.1', 0)
 
 
@@ -158,15 +160,32 @@
 
     def end(self) -> None:
         self.ended = True
+        self.end_listener()
+        self.end_connections()
+
+    def end_listener(self) -> None:
         # A thread that waits for a connection would keep the port open.
         self.server.shutdown(socket.SHUT_RDWR)
         self.server.close()
+
+    def end_connections(self) -> None:
         for conn in self.connections:
             with contextlib.suppress(OSError):
                 conn.shutdown(socket.SHUT_RDWR)
             conn.close()
 
 
+class SlowlyEndingTarget(EndingTarget):
+    """Ends its connections first and its listener a moment later."""
+
+    def end(self) -> None:
+        self.ended = True
+        self.end_connections()
+        time.sleep(LISTENER_SECONDS)
+        self.end_listener()
+        self.end_connections()
+
+
 def read_message(conn: socket.socket) -> bytes:
     """Return one request or answer, whole by its Content-Length."""
     data = b''
--- a/tests/runtime/test_ending_targets.py
+++ b/tests/runtime/test_ending_targets.py
@@ -10,6 +10,7 @@
 from tests.runtime.builders import PathBed
 from tests.runtime.builders import raw
 from tests.runtime.builders import ScriptedTarget
+from tests.runtime.builders import SlowlyEndingTarget
 
 BAD = '/bad'
 
@@ -72,6 +73,13 @@
     assert endings == [ClaimEnding.UNKNOWN] * 2 + [ClaimEnding.RELEASED]
 
 
+def test_a_target_that_ends_takes_connections_a_moment_longer(bed):
+    """A process that ends closes what it has open one after the other."""
+    path = bed(*(SlowlyEndingTarget(BAD) for _ in range(4)))
+    found = path.ask('POST', BAD, b'{}', Idempotency_Key='k')
+    assert found.result == ResultCode.TARGET_ENDED
+
+
 def test_a_target_that_only_breaks_off_accuses_nobody(bed):
     targets = [ScriptedTarget(raw(b'')) for _ in range(3)]
     path = bed(*targets)
