--- a/tests/quarantine/builders.py
+++ b/tests/quarantine/builders.py
@@ -123,19 +123,21 @@
         self.rng = random.Random(seed)
         self.loss = loss
         self.told = 0
+        self.ports = itertools.count(1)
         self.names: dict[int, str] = {}
         self.members: dict[str, Quarantine] = {}
         for _ in range(count):
             self.add()
 
     def add(self) -> Quarantine:
-        """Start another instance that knows nothing yet."""
-        port = len(self.names) + 1
+        """Start another instance, which knows its seed only."""
+        port = next(self.ports)
         owner = f'i-{port}'
         self.names[port] = owner
         made = Quarantine(self.heap, owner, self.rng)
         made.join(FakeNetwork(self, owner), FakeMembership(self, owner))
         self.members[owner] = made
+        self.join_by_seed(owner)
         return made
 
     def delay(self) -> float:
@@ -146,14 +148,24 @@
         self.heap.after(self.delay(), lambda: receive(link, message))
 
     def ping(self) -> None:
-        """Let each member hear one packet of another one."""
-        for owner, member in self.members.items():
-            port, peer = self.rng.choice(list(self.names.items()))
-            if peer == owner:
-                continue
-            digest = self.members[peer].membership.digest
-            seen = DigestSeen(digest, f'127.0.0.1:{port}', False)
-            member.membership.on_digest(seen)
+        """Let each member probe another one; both hear a packet."""
+        for port, owner in list(self.names.items()):
+            other = self.rng.choice(list(self.names))
+            if other != port:
+                self.hear(owner, other)
+                self.hear(self.names[other], port)
+
+    def hear(self, owner: str, port: int) -> None:
+        """Let a member hear what the one at ``port`` says that it knows."""
+        digest = self.members[self.names[port]].membership.digest
+        seen = DigestSeen(digest, f'127.0.0.1:{port}', False)
+        self.members[owner].membership.on_digest(seen)
+
+    def join_by_seed(self, owner: str) -> None:
+        """Let one that starts hear its seed, the oldest member."""
+        self.heap.after(
+            self.delay(), lambda: self.hear(owner, next(iter(self.names)))
+        )
 
     def run(self, seconds: float) -> None:
         """Let time pass, with one ping of each member a second."""
--- a/tests/quarantine/test_tasks.py
+++ b/tests/quarantine/test_tasks.py
@@ -84,6 +84,20 @@
     assert first.is_synced()
 
 
+def test_one_that_stayed_tells_all_others_that_were_restarted():
+    """Control instances, the seeds, stay while daemons are restarted."""
+    group = Group(6, 10)
+    members = list(group.members.values())
+    for member in members[:2]:
+        note_end(member, BAD)
+        group.run(0.5)
+    for port in range(2, 7):
+        del group.members[group.names.pop(port)]
+    started = [group.add() for _ in range(5)]
+    group.run(KNOWN_SECONDS)
+    assert keep_away(group) == 1 + len(started)
+
+
 def test_a_bystander_that_is_answered_is_soon_clear_everywhere():
     """It was at two ends alone with nobody else: all keep it away."""
     group = Group(40, 5, loss=0.1)
