Believe that a target runs only if it answers

What callers saw: a call that broke off at a target that was ending was told as a mere break (3000), so its request could be tried at another target and end that too; the end itself was known at the next call only.

Cause: a connection that stayed for 5 ms counted as proof that the target goes on. A process that ends takes connections until its listener is closed, and on a busy machine that took longer.

A target that closes its listener 20 ms late shows it each time: the new test in tests/runtime fails on the code before, with 3000.

Change: a taken connection only leads to a question for the target's page; its answer, or that of a call which began after the break, shows that the target runs. Without a page entries wait for the 50 ms of the look. A look that is lost is followed by others until then.

Why it holds: a process that is ending answers nothing.

--- a/cyclamenlift/gate/ends.py
+++ b/cyclamenlift/gate/ends.py
@@ -28,8 +28,8 @@
 # after some seconds.
 BROKE_BEFORE_START = 10.0
 # How long entries wait at most to hear that a call broke off, in seconds,
-# so that they hear with it whether its target has ended: the address is on
-# the same instance and refuses at once.
+# so that they hear with it whether its target has ended. An address on the
+# same instance refuses, and a page there answers, within a few milliseconds.
 LOOK_SECONDS = 0.05
 # Fingerprints in one line of the log.
 MOST_LOGGED = 48
@@ -50,6 +50,7 @@
 
     call: 'GateCall'
     detail: str
+    broke_at: float
 
 
 class EndWatch:
@@ -75,11 +76,12 @@
     def note_broken(self, call: 'GateCall', detail: str) -> None:
         """Take a call that broke off, and look whether anybody listens."""
         self.remember(call)
-        self.untold.append(Untold(call, detail))
+        now = self.gate.now()
+        self.untold.append(Untold(call, detail, now))
         if len(self.untold) == 1:
             scheduler = self.gate.scheduler
             self.timer = scheduler.after(LOOK_SECONDS, self.tell)
-            self.gate.client.look()
+            self.gate.client.look(now + LOOK_SECONDS)
 
     def note_cut(self, call: 'GateCall') -> None:
         """Take a call that was given up while the target ran it.
@@ -100,11 +102,29 @@
         """Take an answer: the target was there when that call began."""
         if self.broken:
             self.broken = [b for b in self.broken if b.broke_at >= begun_at]
+        self.note_running(begun_at)
 
     def note_found(self) -> None:
-        """Take it that somebody listens: the connections merely broke."""
+        """Ask a target that takes connections for its page.
+
+        A process that ends takes connections until its listener is closed,
+        and one that hangs for longer still: only an answer shows that it
+        runs.
+        """
         if self.untold:
+            self.gate.questions.ask()
+
+    def note_running(self, asked_at: float) -> None:
+        """Take it that the target answered what it was asked then.
+
+        What broke off before that merely broke.
+        """
+        if not self.untold:
+            return
+        if asked_at >= self.untold[-1].broke_at:
             self.tell()
+        else:
+            self.gate.questions.ask()
 
     def note_nobody_listens(self) -> None:
         """Take it that no connection can be had at the address."""
--- a/cyclamenlift/gate/health.py
+++ b/cyclamenlift/gate/health.py
@@ -182,6 +182,7 @@
 
     def on_end(self) -> None:
         self.judge(self.status in GOOD_STATUS)
+        self.gate.ends.note_running(self.asked_at)
 
     def on_drained(self) -> None:
         """Take no notice: the request has no body."""
--- a/cyclamenlift/http/client.py
+++ b/cyclamenlift/http/client.py
@@ -19,10 +19,9 @@
 from cyclamenlift.http.target import TargetRequest
 from cyclamenlift.http.target_call import TargetCall
 
-# How long a connection must stay to show that the target goes on, in
-# seconds: a process that ends closes what it has open one after the other,
-# and its listener may still take one in between.
-STAYS_SECONDS = 0.005
+# How soon a connection that was lost while one looks is followed by another,
+# in seconds: a process that ends closes its listener last.
+LOOK_AGAIN_SECONDS = 0.005
 LOG = structlog.get_logger('http')
 
 
@@ -57,11 +56,11 @@
         self.keep_warm = False
         self.warm_timer: Timer | None = None
         # Run when nobody listens at the target's address, and when a look
-        # at it found that somebody does.
+        # at it found that connections are taken.
         self.refused_hooks: list[Callable[[], None]] = []
         self.found_hooks: list[Callable[[], None]] = []
-        # Connections that are to show it; whether one more may follow.
-        self.looks: dict[Stream, bool] = {}
+        # Connections that are to show it; until when others may follow.
+        self.looks: dict[Stream, float] = {}
 
     # -- commands ---------------------------------------------------------
 
@@ -82,13 +81,15 @@
         self.keep_warm = True
         self.top_up()
 
-    def look(self, once_more: bool = True) -> None:
+    def look(self, deadline: float) -> None:
         """Open a connection for the pool, to see whether anybody listens.
 
-        One that is lost at once shows nothing, so another one follows.
+        One that is lost before ``deadline`` shows nothing: another follows.
         """
+        if self.now() > deadline:
+            return
         if len(self.streams) < self.limits.max_connections:
-            self.looks[self.open(None)] = once_more
+            self.looks[self.open(None)] = deadline
 
     def drop_idle(self) -> None:
         """Close what is kept open to a target that is gone."""
@@ -240,9 +241,8 @@
         if call is None:
             self.release(stream)
             if stream in self.looks:
-                self.root.scheduler.after(
-                    STAYS_SECONDS, lambda: self.tell_found(stream)
-                )
+                for hook in self.found_hooks:
+                    hook()
         else:
             self.start(call, stream)
             if stream.open and not stream.pending and not call.done:
@@ -250,12 +250,6 @@
                 # after which the kernel reports nothing.
                 call.listener.on_drained()
 
-    def tell_found(self, stream: Stream) -> None:
-        """Tell that somebody listens, if a look has not been lost again."""
-        if self.looks.pop(stream, None) is not None:
-            for hook in self.found_hooks:
-                hook()
-
     def on_data(self, stream: Stream, data: bytes) -> None:
         call = stream.context.call
         if call is None or not call.head_given:
@@ -318,7 +312,7 @@
         connection = stream.context
         stop_timer(connection)
         self.forget_idle(stream)
-        look_again = self.looks.pop(stream, False)
+        look_deadline = self.looks.pop(stream, None)
         call = connection.call
         connection.call = None
         self.replace_lost()
@@ -326,8 +320,10 @@
         if kind is FailureKind.REFUSED:
             for hook in self.refused_hooks:
                 hook()
-        elif look_again:
-            self.look(once_more=False)
+        elif look_deadline is not None:
+            self.root.scheduler.after(
+                LOOK_AGAIN_SECONDS, lambda: self.look(look_deadline)
+            )
         if call is None or call.done:
             return
         if stream.connected and not call.head_given:
--- a/tests/gate/builders.py
+++ b/tests/gate/builders.py
@@ -33,7 +33,7 @@
         self.listeners.append(listener)
         return self
 
-    def look(self):
+    def look(self, _deadline):
         self.looks += 1
 
     def drop_idle(self):
--- a/tests/gate/test_ends.py
+++ b/tests/gate/test_ends.py
@@ -3,6 +3,7 @@
 import pytest
 from structlog.testing import capture_logs
 
+from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.gate.registration import Announcement
 from cyclamenlift.http.target import FailureKind
 from cyclamenlift.http.target import TargetFailure
@@ -75,3 +76,25 @@
         break_off(bench, TargetFailure(True, 'spoilt', FailureKind.OTHER))
         bench.gate.ends.note_nobody_listens()
     assert ended(logs) == []
+
+
+def test_a_target_that_only_takes_connections_is_not_believed_to_run(bench):
+    """Guards against a first end that others know only after a retry."""
+    run(bench, b'a')
+    break_off(bench)
+    before = bench.asked
+    bench.gate.ends.note_found()
+    assert bench.asked == before + 1
+    assert not bench.told
+    bench.gate.ends.note_nobody_listens()
+    assert [told.code for told in bench.told] == [ResultCode.TARGET_ENDED]
+
+
+def test_a_page_that_was_asked_before_the_break_shows_nothing(bench):
+    """Guards against an answer from before the end that counts after it."""
+    run(bench, b'a')
+    break_off(bench)
+    bench.gate.ends.note_running(asked_at=-0.1)
+    assert not bench.told
+    bench.gate.ends.note_running(asked_at=0.1)
+    assert [told.code for told in bench.told] == [ResultCode.TARGET_BROKE_OFF]
--- a/tests/gate/test_suspects.py
+++ b/tests/gate/test_suspects.py
@@ -119,7 +119,7 @@
 def test_entries_do_not_wait_long_where_nothing_shows_an_end(bench):
     bench.call(1, fingerprint=BAD)
     bench.target.listeners[0].on_failure(CLOSED)
-    bench.gate.ends.note_found()
+    bench.gate.ends.note_running(asked_at=bench.gate.now())
     assert codes(bench) == [ResultCode.TARGET_BROKE_OFF]
     assert bench.told[0].end is None
 
--- a/tests/runtime/builders.py
+++ b/tests/runtime/builders.py
@@ -178,10 +178,14 @@
 class SlowlyEndingTarget(EndingTarget):
     """Ends its connections first and its listener a moment later."""
 
+    def __init__(self, path: str, listener_seconds: float = LISTENER_SECONDS):
+        super().__init__(path)
+        self.listener_seconds = listener_seconds
+
     def end(self) -> None:
         self.ended = True
         self.end_connections()
-        time.sleep(LISTENER_SECONDS)
+        time.sleep(self.listener_seconds)
         self.end_listener()
         self.end_connections()
 
--- a/tests/runtime/test_ending_targets.py
+++ b/tests/runtime/test_ending_targets.py
@@ -13,6 +13,9 @@
 from tests.runtime.builders import SlowlyEndingTarget
 
 BAD = '/bad'
+# From the end of a target's connections to that of its listener, in seconds:
+# as its machine is busy.
+SLOW_END = 0.02
 
 
 @pytest.fixture
@@ -80,6 +83,13 @@
     assert found.result == ResultCode.TARGET_ENDED
 
 
+def test_a_target_that_ends_slowly_is_not_taken_for_one_that_runs(bed):
+    """Guards against a first end that is told as a mere break."""
+    path = bed(*(SlowlyEndingTarget(BAD, SLOW_END) for _ in range(4)))
+    found = path.ask('POST', BAD, b'{}', Idempotency_Key='k')
+    assert found.result == ResultCode.TARGET_ENDED
+
+
 def test_a_target_that_only_breaks_off_accuses_nobody(bed):
     targets = [ScriptedTarget(raw(b'')) for _ in range(3)]
     path = bed(*targets)
