--- a/cyclamenlift/gate/explaining.py
+++ b/cyclamenlift/gate/explaining.py
@@ -99,5 +99,7 @@
         pace_age_ms=int((now - state.learning.pace.told_at) * MILLISECONDS),
         state=TargetState(state.target_state).name,
         incarnation=gate.registration.incarnation,
+        lag_ms=int(gate.lag_now(call.link) * MILLISECONDS),
+        bodies_due=gate.bytes_due(),
         **fields,
     )
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -199,17 +199,20 @@
 
     def figures(self, link=None) -> LoadFigures:
         """Return the load, with the lag of one link if it is for it."""
-        lag = 0.0
-        if link is not None:
-            lag = self.delays.lag(link.number, machine_seconds())
+        lag = self.lag_now(link) if link is not None else 0.0
         return self.state.figures(self.now(), lag, self.body_wait())
 
+    def lag_now(self, link) -> float:
+        """Return how late calls of a connection come now, in seconds."""
+        return self.delays.lag(link.number, machine_seconds())
+
+    def bytes_due(self) -> int:
+        """Return the bytes of bodies that are still to come."""
+        return sum(call.bytes_due() for call in self.calls.values())
+
     def body_wait(self) -> float:
-        """Return how long the bodies that were asked for take to come."""
-        if not self.link_rate:
-            return 0.0
-        due = sum(call.bytes_due() for call in self.calls.values())
-        return due / self.link_rate
+        """Return how long the bodies that were let in take to come."""
+        return self.bytes_due() / self.link_rate if self.link_rate else 0.0
 
     def is_idle(self) -> bool:
         if self.questions.waiting or self.ends.is_looking:
