--- a/tests/gate/builders.py
+++ b/tests/gate/builders.py
@@ -27,6 +27,7 @@
         self.bodies = []
         self.looks = 0
         self.sent = True
+        self.connected = False
 
     def request(self, request, listener):
         self.requests.append(request)
@@ -36,6 +37,9 @@
     def look(self, _deadline):
         self.looks += 1
 
+    def has_connections(self) -> bool:
+        return self.connected
+
     def drop_idle(self):
         """Close nothing."""
 
@@ -46,6 +50,13 @@
         """Stop."""
 
 
+class NoTimer:
+    """A timer that runs nothing."""
+
+    def cancel(self) -> None:
+        """Cancel nothing."""
+
+
 class GateBench:
     """A gate that can ask its target, and the entry's end of a link."""
 
