Send calls back at once while nobody listens at the target

Cause: that nobody listens was used to accuse requests, not to refuse. The gate stayed READY for 3.5 s, since the good answers of before overruled the page that could not be reached, and after that UNHEALTHY, which entries use where all others refuse. It let calls in, with bodies of 60 KB, and sent them back when no connection could be had.

Change: from the first refused connection, once no other is up, the gate refuses at once, sends back what waits, and announces itself as not there; it tries the address four times a second and believes a taken connection, a new announcement or an answer. A late check-in of the one that went changes nothing.

Why it holds: a connection that is refused at the own instance can't be had by anybody; a target that is full has others open and is not taken for gone.

The test's target kept a connection that it took while it ended, which no process that ended can: it closes those now.

--- a/cyclamenlift/gate/announcements.py
+++ b/cyclamenlift/gate/announcements.py
@@ -56,6 +56,7 @@
         gate.state.renew(announcement.warm_up_seconds > 0.0)
         if before:
             gate.client.drop_idle()
+        gate.presence.note_present('announcement')
         if not announcement.draining:
             gate.set_target_state(TargetState.READY)
 
--- a/cyclamenlift/gate/ends.py
+++ b/cyclamenlift/gate/ends.py
@@ -111,6 +111,7 @@
         and one that hangs for longer still: only an answer shows that it
         runs.
         """
+        self.gate.presence.note_present('connection')
         if self.untold:
             self.gate.questions.ask()
 
@@ -119,6 +120,7 @@
 
         What broke off before that merely broke.
         """
+        self.gate.presence.note_answer(asked_at)
         if not self.untold:
             return
         if asked_at >= self.untold[-1].broke_at:
@@ -132,6 +134,7 @@
         if not registration.draining:
             incarnation = registration.incarnation
             self.end('nobody listens', incarnation, BROKE_JUST_NOW)
+        self.gate.presence.note_nobody_listens()
 
     def note_next_incarnation(self, before: str) -> None:
         """Take it that another one has announced itself after ``before``."""
--- a/cyclamenlift/gate/health.py
+++ b/cyclamenlift/gate/health.py
@@ -131,6 +131,9 @@
     def judge(self, good: bool) -> None:
         self.call = None
         self.timer.cancel()
+        if self.gate.presence.absent:
+            # Nobody is there to be well or ill.
+            return
         if not good and self.gate.answers_well():
             # The page says otherwise than the answers: these count.
             LOG.info('health_page_overruled', status=self.status)
--- a/cyclamenlift/gate/state.py
+++ b/cyclamenlift/gate/state.py
@@ -242,7 +242,11 @@
     def drain(self) -> list[Expired]:
         """Stop taking calls; return the queued ones, which did not run."""
         self.target_state = TargetState.DRAINING
-        waiting = [Expired(key, ResultCode.DRAINING) for key in self.queue]
+        return self.empty_queue(ResultCode.DRAINING)
+
+    def empty_queue(self, code: ResultCode) -> list[Expired]:
+        """Take out all queued calls, which did not run."""
+        waiting = [Expired(key, code) for key in self.queue]
         self.queue.clear()
         return waiting
 
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -12,6 +12,7 @@
 from cyclamenlift.gate.ends import EndWatch
 from cyclamenlift.gate.explaining import explain_hold
 from cyclamenlift.gate.news import GateNews
+from cyclamenlift.gate.presence import Presence
 from cyclamenlift.gate.probes import ProbeBudget
 from cyclamenlift.gate.questions import PaceQuestions
 from cyclamenlift.gate.registration import Announced
@@ -90,6 +91,7 @@
         self.refused = 0
         self.questions = PaceQuestions(scheduler)
         self.ends = EndWatch(self)
+        self.presence = Presence(self)
         self.quarantine = Quarantine(scheduler)
         self.suspects = SuspectCheck(self)
 
@@ -123,11 +125,17 @@
         waiting = self.state.drain()
         LOG.info('gate_draining', queued=len(waiting))
         self.follow(Turn(expired=waiting))
-        self.questions.answered()
+        self.send_waiting_back(ResultCode.DRAINING)
+        self.tell_state()
+
+    def send_waiting_back(self, code: ResultCode) -> None:
+        """Send back all calls that the target has not got yet."""
+        self.follow(Turn(expired=self.state.empty_queue(code)))
         for call in list(self.calls.values()):
             if call.gathering:
-                self.take_slot_back(call)
-        self.tell_state()
+                self.take_slot_back(call, code)
+        # Who waits for the target's word is decided on again.
+        self.questions.answered()
         self.check_idle()
 
     def set_target_state(self, state: TargetState) -> None:
@@ -269,6 +277,9 @@
             call.tell_refused(ResultCode.NO_TARGET, 'ends not known yet')
             return
         self.news.note_call(link, now)
+        if self.presence.absent:
+            call.tell_refused(ResultCode.TARGET_UNREACHABLE, 'nobody listens')
+            return
         if self.suspects.turn_away(call):
             return
         self.calls[call.key] = call
@@ -298,6 +309,10 @@
 
     def decide(self, call: GateCall, now: float) -> None:
         """Let a call in, to the target or its queue, or send it back."""
+        if self.presence.absent:
+            gone = Admission(Verdict.REFUSED, ResultCode.TARGET_UNREACHABLE)
+            self.send_back(call, gone)
+            return
         if self.is_too_slow(call.start, now):
             slow = Admission(Verdict.REFUSED, ResultCode.TARGET_SLOW)
             self.send_back(call, slow)
@@ -321,14 +336,14 @@
         """Begin a call whose body has come, by the pace of now."""
         self.with_pace(call, self.begin_or_hold)
 
-    def take_slot_back(self, call: GateCall) -> None:
+    def take_slot_back(self, call: GateCall, code: ResultCode) -> None:
         """Send a call back whose body is on its way to a target that goes.
 
-        The target would get it long after it said so.
+        The target would get it long after it said so, or never.
         """
         self.questions.withdraw(call.key)
         self.release(call, None, False)
-        call.tell_refused(ResultCode.DRAINING)
+        call.tell_refused(code)
 
     def begin_or_hold(self, call: GateCall, now: float) -> None:
         """Begin a call that has a slot, unless a spell is to be held out."""
--- a/cyclamenlift/http/client.py
+++ b/cyclamenlift/http/client.py
@@ -86,8 +86,6 @@
 
         One that is lost before ``deadline`` shows nothing: another follows.
         """
-        if self.now() > deadline:
-            return
         if len(self.streams) < self.limits.max_connections:
             self.looks[self.open(None)] = deadline
 
@@ -104,6 +102,10 @@
         self.waiting.clear()
         super().close_all()
 
+    def has_connections(self) -> bool:
+        """Tell whether any connection to the target is up."""
+        return any(stream.connected for stream in self.streams.values())
+
     # -- pool -------------------------------------------------------------
 
     def assign(self, call: TargetCall) -> None:
@@ -312,7 +314,7 @@
         connection = stream.context
         stop_timer(connection)
         self.forget_idle(stream)
-        look_deadline = self.looks.pop(stream, None)
+        look_deadline = self.looks.pop(stream, 0.0)
         call = connection.call
         connection.call = None
         self.replace_lost()
@@ -320,7 +322,7 @@
         if kind is FailureKind.REFUSED:
             for hook in self.refused_hooks:
                 hook()
-        elif look_deadline is not None:
+        elif self.now() < look_deadline:
             self.root.scheduler.after(
                 LOOK_AGAIN_SECONDS, lambda: self.look(look_deadline)
             )
--- a/tests/runtime/builders.py
+++ b/tests/runtime/builders.py
@@ -97,10 +97,10 @@
     ``requests`` holds what arrived whole, in order.
     """
 
-    def __init__(self, *scripts: Script):
+    def __init__(self, *scripts: Script, address: Address = LOCAL):
         self.scripts = scripts or (answer(),)
         self.requests: list[bytes] = []
-        self.server = socket.create_server(tuple(LOCAL))
+        self.server = socket.create_server(tuple(address))
         self.address = Address(*self.server.getsockname())
         self.lock = threading.Lock()
         self.run(self.accept)
@@ -145,6 +145,10 @@
 
     def serve(self, conn: socket.socket) -> None:
         self.connections.append(conn)
+        if self.ended:
+            # A process that has ended holds no connection.
+            conn.close()
+            return
         super().serve(conn)
 
     def accept(self) -> None:
--- a/tests/runtime/test_ending_targets.py
+++ b/tests/runtime/test_ending_targets.py
@@ -6,6 +6,7 @@
 
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.wire.gen.protocol.ttypes import ClaimEnding
+from tests.runtime.builders import answer
 from tests.runtime.builders import EndingTarget
 from tests.runtime.builders import PathBed
 from tests.runtime.builders import raw
@@ -97,3 +98,20 @@
         found = path.ask(path=BAD)
         assert found.result == ResultCode.TARGET_BROKE_OFF
     assert path.calls.quarantine.evidence.reports == {}
+
+
+def test_a_target_that_is_back_gets_calls_again(bed):
+    """Guards against a gate that keeps refusing after its target's return."""
+    target = EndingTarget('/none')
+    path = bed(target)
+    assert path.ask().status == 200
+    target.end()
+    gate = path.gates[0]
+    path.run_until(lambda: path.ask().status == 503)
+    assert gate.presence.absent
+    found = path.ask()
+    assert (found.status, json.loads(found.body)['run']) == (503, 'no')
+    back = ScriptedTarget(answer(), address=target.address)
+    path.run_until(lambda: not gate.presence.absent)
+    assert path.ask().status == 200
+    back.close()
--- a/tools/mutants_calls.py
+++ b/tools/mutants_calls.py
@@ -197,10 +197,17 @@
     Mutant(
         'a body on its way goes on to a target that leaves',
         'cyclamenlift/gate/tasks.py',
-        'if call.gathering:\n                self.take_slot_back(call)',
+        'if call.gathering:\n                self.take_slot_back(call, code)',
         'pass',
         'tests/gate/test_gathering.py',
     ),
+    Mutant(
+        'calls are let in to a target that is gone',
+        'cyclamenlift/gate/presence.py',
+        'self.absent = True',
+        'self.absent = False',
+        'tests/gate/test_presence.py',
+    ),
     Mutant(
         'slow calls are thought to free their slots soon',
         'cyclamenlift/gate/state.py',
