Try a disk again until it can be opened

What callers saw: nothing by itself.

Cause: after a write that failed the replica opens its folder again. If that failed too it gave up for good, while its process went on; it happens where the write that failed was the term, since then nothing is cut first that would tell that the disk still refuses. An error while a torn tail was cut ended the try without a word.

Evidence: the new test in tests/replication/test_tasks.py fails on the code before ("not in time"): the replica never comes back. So does that of the torn tail (OSError).

Why it holds: the same trial is made until it succeeds, and a trial that fails changes nothing on the disk.

--- a/cyclamenlift/replication/segments.py
+++ b/cyclamenlift/replication/segments.py
@@ -108,7 +108,10 @@
         if offset < len(data):
             if not is_last or record_follows(data, offset):
                 return damaged(path, f'no whole record at byte {offset}')
-            self.cut_tail(path, offset, len(data))
+            try:
+                self.cut_tail(path, offset, len(data))
+            except OSError as error:
+                return failed(path, error)
         number = int(path.name.removeprefix(LOG_PREFIX))
         highest = max((e.index for e in entries), default=0)
         self.segments.append(Segment(path, number, highest))
--- a/cyclamenlift/replication/sync.py
+++ b/cyclamenlift/replication/sync.py
@@ -58,6 +58,7 @@
         self.wake_in, self.wake_out = socket.socketpair()
         self.wake_in.setblocking(False)
         self.wake_out.setblocking(False)
+        self.stopped = False
         self.thread = threading.Thread(
             target=self.run_writes, name='sync', daemon=True
         )
@@ -71,12 +72,16 @@
         self.writes.put(writes)
 
     def stop(self) -> None:
-        """Finish what is queued and close the folder."""
+        """Finish what is queued and close the folder, once."""
+        if self.stopped:
+            return
+        self.stopped = True
         self.writes.put(None)
         self.thread.join(JOIN_SECONDS)
         self.poller.discard(self.wake_in)
         self.wake_in.close()
         self.wake_out.close()
+        self.unregister()
 
     # -- on the loop ------------------------------------------------------
 
--- a/cyclamenlift/replication/tasks.py
+++ b/cyclamenlift/replication/tasks.py
@@ -192,7 +192,6 @@
             return
         self.active = False
         self.sync.stop()
-        self.sync.unregister()
         self.sync = None
         self.waiting.fail_all(self.not_leader())
 
@@ -333,21 +332,27 @@
             self.plan_reopen()
             return
         self.sync.stop()
-        self.sync.unregister()
         self.machine.restore(self.blank)
         self.applied_index = 0
         learned = self.state.addresses
         noted = self.state.noted
         opened = self.open()
         if isinstance(opened, Failure):
-            problem = opened.failure().line()
-            LOG.error('replica_not_reopened', problem=problem)
-            self.sync = None
+            self.note_not_reopened(opened.failure())
             return
         for name in noted:
             self.state.note_peer(name, learned.get(name, ''))
         LOG.info('replica_reopened')
 
+    def note_not_reopened(self, problem: Problem) -> None:
+        """Try again later, unless what is on the disk is damaged."""
+        if problem.code == ResultCode.STORAGE_FAILED:
+            LOG.warning('disk_still_refuses', error=problem.line())
+            self.plan_reopen()
+            return
+        LOG.error('replica_not_reopened', problem=problem.line())
+        self.sync = None
+
     # -- proposals --------------------------------------------------------
 
     def plan_flush(self) -> None:
--- a/tests/replication/test_storage.py
+++ b/tests/replication/test_storage.py
@@ -13,6 +13,7 @@
 from cyclamenlift.replication.effects import PersistTerm
 from cyclamenlift.replication.folder import METADATA_NAME
 from cyclamenlift.replication.folder import SNAPSHOT_NAME
+from cyclamenlift.replication.segments import Segments
 from cyclamenlift.replication.snapshots import Snapshot
 from cyclamenlift.replication.storage import open_storage
 from cyclamenlift.replication.voters import Configuration
@@ -214,3 +215,17 @@
     with pytest.raises(OSError):
         storage.write([entries(1)])
     storage.close()
+
+
+def test_a_torn_tail_on_a_disk_that_refuses_is_told_as_such(
+    tmp_path, monkeypatch
+):
+    """Guards against an opening that ends without a word."""
+    (tmp_path / 'log-000000000001').write_bytes(b'torn')
+
+    def refuse(*_arguments):
+        raise OSError(errno.ENOSPC, 'full')
+
+    monkeypatch.setattr(Segments, 'cut_tail', refuse)
+    found = Segments(tmp_path).read(0)
+    assert found.failure().code is ResultCode.STORAGE_FAILED
--- a/tests/replication/test_tasks.py
+++ b/tests/replication/test_tasks.py
@@ -8,6 +8,7 @@
 import pytest
 from returns.result import Failure
 from returns.result import Success
+from structlog.testing import capture_logs
 
 from bench.replication_node import CountMachine
 from cyclamenlift.core.codes import ResultCode
@@ -154,3 +155,25 @@
     assert newest in synced
     assert str(tmp_path) in synced
     again.replica.stop()
+
+
+def test_a_disk_that_refuses_to_be_opened_is_tried_again(
+    tmp_path, monkeypatch
+):
+    """Guards against an instance that one failed opening ends for good."""
+    alone = Alone(tmp_path).lead()
+    assert alone.ask('propose', b'x') == Success(b'1')
+    with monkeypatch.context() as patch:
+        break_disk(alone, patch)
+        patch.setattr(os, 'fsync', os.fdatasync)
+        alone.replica.state.persist_term()
+        alone.replica.handle_effects()
+        with capture_logs() as logs:
+            alone.turn_until(lambda: refusals(logs) >= 2)
+    alone.turn_until(lambda: alone.replica.leads)
+    assert alone.ask('propose', b'z') == Success(b'2')
+    alone.replica.stop()
+
+
+def refusals(logs) -> int:
+    return sum(e['event'] == 'disk_still_refuses' for e in logs)
