Let bodies come in turns on a slow link

Cause: each body that a gate lets in has a window of 32 KiB, and nothing bounded all of them. With seven slots and a queue 224 KB and more were under way on a link of 4.3 Mbit/s, 0.4 s of it, and questions of entries, answers and calls of other kinds waited behind.

Change: bodies take turns, as many at once as fill 0.12 s of the gate's link, two at least; first those the target waits for, then those with a slot. One that stops coming for 0.2 s does not count. Links of unknown rate and calls of the own instance are as before.

Why it holds: what waits in front of a question is bounded by the link, not by the number of calls.

--- a/cyclamenlift/gate/running.py
+++ b/cyclamenlift/gate/running.py
@@ -37,10 +37,6 @@
 INLINE_ANSWER = 64 * 1024
 # Bytes of an answer that may be on their way without a credit.
 WINDOW = 256 * 1024
-# Bytes of a request's body that may be on their way: two chunks keep a
-# link of 100 Mbit/s busy at 2 ms there and back, and what fills the way of
-# a slow link, where other calls wait behind it, stays small.
-BODY_WINDOW = 32 * 1024
 # Bodies up to this size are gathered before the target gets the call, as a
 # target begins the work when it has read the body: one of 60 KB takes a
 # quarter of a second on a link of 2 Mbit/s, and half a spell may have passed.
@@ -132,14 +128,19 @@
     def ask_for_body(self) -> None:
         """Let the entry send a body that did not come with the call."""
         if not self.body_whole:
-            self.link.send(Credit(self.start.call_id, BODY_WINDOW))
+            self.gate.bodies.ask(self)
 
-    def bytes_due(self) -> int:
-        """Return the bytes of the body that the link has still to bring.
+    @property
+    def is_local(self) -> bool:
+        """Whether it came from the entry of this instance.
 
-        Nobody greets on a link inside one process: nothing travels there.
+        Nobody greets on a link inside one process.
         """
-        if self.body_whole or self.link.hello is None:
+        return self.link.hello is None
+
+    def bytes_due(self) -> int:
+        """Return the bytes of the body that the link has still to bring."""
+        if self.body_whole or self.is_local:
             return 0
         return max(0, (self.start.body_length or 0) - self.received)
 
@@ -149,6 +150,7 @@
             self.body.append(data)
             self.received += len(data)
         self.body_whole = self.body_whole or last
+        self.gate.bodies.note_moved(self)
         if self.ended:
             return
         if self.target_call is not None:
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -8,6 +8,7 @@
 from cyclamenlift.core.clock import machine_seconds
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.gate.announcements import Announcements
+from cyclamenlift.gate.bodies import BodyTurns
 from cyclamenlift.gate.delays import Delays
 from cyclamenlift.gate.ends import EndWatch
 from cyclamenlift.gate.explaining import explain_hold
@@ -92,6 +93,7 @@
         self.questions = PaceQuestions(scheduler)
         self.ends = EndWatch(self)
         self.presence = Presence(self)
+        self.bodies = BodyTurns(self)
         self.quarantine = Quarantine(scheduler)
         self.suspects = SuspectCheck(self)
 
@@ -453,6 +455,7 @@
         call.ended = True
         self.calls.pop(call.key, None)
         self.by_name.pop(call.start.trace_id, None)
+        self.bodies.end(call)
         cancel_timer(call.timer)
         cancel_timer(call.wait_timer)
 
--- a/tests/gate/test_bodies.py
+++ b/tests/gate/test_bodies.py
@@ -8,6 +8,9 @@
 
 import pytest
 
+from cyclamenlift.gate.bodies import BODY_WINDOW
+from cyclamenlift.wire.gen.protocol.ttypes import BodyChunk
+from cyclamenlift.wire.gen.protocol.ttypes import Cancel
 from cyclamenlift.wire.gen.protocol.ttypes import Hello
 from tests.gate.builders import GateBench
 
@@ -38,7 +41,56 @@
     return sum(c.bytes_allowed for c in bench.credits) - received
 
 
+def asked(bench: GateBench) -> list[int]:
+    return [credit.call_id for credit in bench.credits]
+
+
+def deliver(bench: GateBench, number: int) -> None:
+    """Bring the whole body of a call."""
+    chunk = BodyChunk(number, b'x' * LENGTH, True)
+    bench.gate.on_body_chunk(bench.gate_end, chunk)
+
+
 def test_a_question_waits_behind_few_bytes_of_bodies(bench):
     """Guards against bodies that fill a slow link for all that is asked."""
     let_in(bench, 7)
     assert under_way(bench) <= MOST_WAIT * SLOW_LINK
+
+
+def test_the_next_body_is_asked_for_when_one_has_come(bench):
+    """Guards against bodies that are let in and never asked for."""
+    let_in(bench, 4)
+    for number in (1, 2, 3, 4):
+        assert number in asked(bench)
+        deliver(bench, number)
+    assert len(bench.target.requests) == 4
+
+
+def test_a_body_that_is_given_up_makes_room_for_the_next(bench):
+    """Guards against a place that a call keeps after its end."""
+    let_in(bench, 3)
+    first, second = asked(bench)
+    bench.gate.on_cancel(bench.gate_end, Cancel(first))
+    assert asked(bench) == [first, second, 3]
+
+
+def test_a_body_that_stops_coming_makes_room_for_the_next(bench):
+    """Guards against one entry that stands still in front of all others."""
+    let_in(bench, 3)
+    bench.gate.now = lambda: 1.0
+    bench.gate.bodies.fill()
+    assert asked(bench) == [1, 2, 3]
+
+
+def test_a_wide_link_is_not_kept_empty(bench):
+    """Guards against uploads that wait for each other without need."""
+    bench.gate.link_rate = 125_000_000.0
+    let_in(bench, 7)
+    assert under_way(bench) == 7 * BODY_WINDOW
+
+
+def test_bodies_of_the_own_instance_cross_no_link(bench):
+    """Guards against local callers that wait for others' bodies."""
+    bench.gate_end.hello = None
+    let_in(bench, 7)
+    assert under_way(bench) == 7 * BODY_WINDOW
--- a/tools/mutants_calls.py
+++ b/tools/mutants_calls.py
@@ -201,6 +201,13 @@
         'pass',
         'tests/gate/test_gathering.py',
     ),
+    Mutant(
+        'all bodies come at once',
+        'cyclamenlift/gate/bodies.py',
+        'self.on_their_way() < self.places()',
+        'True',
+        'tests/gate/test_bodies.py',
+    ),
     Mutant(
         'calls are let in to a target that is gone',
         'cyclamenlift/gate/presence.py',
