--- a/cyclamenlift/calls/intake.py
+++ b/cyclamenlift/calls/intake.py
@@ -7,6 +7,7 @@
 from returns.result import Success
 
 from cyclamenlift.calls.shares import ShareTurns
+from cyclamenlift.core.clock import MILLISECONDS
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.http.exchange import Exchange
@@ -22,7 +23,6 @@
 MAX_KEY = 255
 MAX_CALL_ID = 128
 UPLOAD_BYTES = 64 * 1024
-MILLISECONDS = 1000
 
 
 @dataclasses.dataclass(slots=True)
--- a/cyclamenlift/calls/life.py
+++ b/cyclamenlift/calls/life.py
@@ -14,6 +14,8 @@
 from cyclamenlift.calls.state import EndKind
 from cyclamenlift.calls.state import Step
 from cyclamenlift.calls.tries import Tries
+from cyclamenlift.core.clock import MICROSECONDS
+from cyclamenlift.core.clock import MILLISECONDS
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.http.exchange import Exchange
@@ -32,8 +34,6 @@
 if typing.TYPE_CHECKING:
     from cyclamenlift.calls.tasks import Calls
 
-MICROSECONDS = 1_000_000
-MILLISECONDS = 1000
 SERVER_ERROR = 500
 OVERLOAD_HEADER = 'cyclamenlift-overloaded'
 OVERLOAD_CODES = frozenset((ResultCode.OVERLOADED, ResultCode.QUEUE_DEADLINE))
--- a/cyclamenlift/calls/tasks.py
+++ b/cyclamenlift/calls/tasks.py
@@ -21,6 +21,8 @@
 from cyclamenlift.calls.returning import UsualTimes
 from cyclamenlift.calls.shares import ShareTurns
 from cyclamenlift.calls.tries import SLOW_ASKED
+from cyclamenlift.core.clock import MICROSECONDS
+from cyclamenlift.core.clock import MILLISECONDS
 from cyclamenlift.core.codes import is_not_run
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.problems import Problem
@@ -44,8 +46,6 @@
 from cyclamenlift.wire.gen.protocol.ttypes import Refused
 
 LOG = structlog.get_logger('calls')
-MICROSECONDS = 1_000_000
-MILLISECONDS = 1000
 GOOD_CODES = (ResultCode.ANSWERED, ResultCode.ANSWERED_FROM_RECORD)
 # What a caller asked for is not named by the rules in force.
 UNNAMED_CODES = (ResultCode.NO_ROUTE, ResultCode.UNKNOWN_SERVICE)
--- a/cyclamenlift/calls/tries.py
+++ b/cyclamenlift/calls/tries.py
@@ -5,6 +5,8 @@
 from cyclamenlift.calls.attempt import Try
 from cyclamenlift.calls.state import MOST_ASKED
 from cyclamenlift.core.clock import machine_seconds
+from cyclamenlift.core.clock import MICROSECONDS
+from cyclamenlift.core.clock import MILLISECONDS
 from cyclamenlift.core.clock import time_left
 from cyclamenlift.quarantine.state import Standing
 from cyclamenlift.routing.hedging import last_in_time
@@ -17,8 +19,6 @@
 if typing.TYPE_CHECKING:
     from cyclamenlift.calls.life import Call
 
-MICROSECONDS = 1_000_000
-MILLISECONDS = 1000
 # The gate gets a little less time than the entry has, so that its proof
 # of "not run" arrives before the entry must answer without one.
 GATE_MARGIN = 0.010
--- a/cyclamenlift/cli/event_history.py
+++ b/cyclamenlift/cli/event_history.py
@@ -12,8 +12,7 @@
 from cyclamenlift.cli.output import say_table
 from cyclamenlift.cli.registry import command
 from cyclamenlift.cli.registry import ExitStatus
-
-MILLISECONDS = 1000
+from cyclamenlift.core.clock import MILLISECONDS
 
 
 @command('event history')
--- a/cyclamenlift/console/rendering.py
+++ b/cyclamenlift/console/rendering.py
@@ -5,11 +5,11 @@
 import jinja2
 
 from cyclamenlift.console.forms import text_of
+from cyclamenlift.core.clock import MILLISECONDS
 from cyclamenlift.core.codes import describe
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.http.pages import WebAnswer
 
-MILLISECONDS = 1000
 # Only what stands in the page itself may be used by it.
 SECURITY = (
     (
--- a/cyclamenlift/core/latency.py
+++ b/cyclamenlift/core/latency.py
@@ -2,10 +2,11 @@
 
 from typing import TYPE_CHECKING
 
+from cyclamenlift.core.clock import MICROSECONDS
+
 if TYPE_CHECKING:
     from hdrh.histogram import HdrHistogram
 
-MICROSECONDS = 1_000_000
 SIGNIFICANT_DIGITS = 2
 # An HDR histogram of two digits keeps the first eight bits of a value.
 KEPT_BITS = 8
--- a/cyclamenlift/core/metrics.py
+++ b/cyclamenlift/core/metrics.py
@@ -11,9 +11,9 @@
 import dataclasses
 import enum
 
+from cyclamenlift.core.clock import MICROSECONDS
 from cyclamenlift.core.latency import LatencyHistogram
 
-MICROSECONDS = 1_000_000
 LONGEST_SECONDS = 600.0
 QUANTILES = (0.5, 0.99, 0.999)
 THOUSAND = 1000
--- a/cyclamenlift/core/streams.py
+++ b/cyclamenlift/core/streams.py
@@ -15,12 +15,13 @@
 
 from circuits.core.components import BaseComponent
 
+from cyclamenlift.core.clock import MILLISECONDS
+
 READ_SIZE = 65536
 # Bytes that are offered to the kernel in one call: about what it takes at
 # once; what it leaves is offered again.
 SEND_SIZE = 65536
 LISTEN_BACKLOG = 1024
-MILLISECONDS = 1000
 IN_PROGRESS = (errno.EINPROGRESS, errno.EWOULDBLOCK)
 
 
--- a/cyclamenlift/gate/explaining.py
+++ b/cyclamenlift/gate/explaining.py
@@ -4,6 +4,7 @@
 
 import structlog
 
+from cyclamenlift.core.clock import MILLISECONDS
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.wire.gen.protocol.ttypes import TargetState
 
@@ -12,7 +13,6 @@
     from cyclamenlift.gate.tasks import Gate
 
 LOG = structlog.get_logger('gate')
-MILLISECONDS = 1000
 
 
 def explain_refusal(
--- a/cyclamenlift/gate/presence.py
+++ b/cyclamenlift/gate/presence.py
@@ -11,6 +11,7 @@
 
 import structlog
 
+from cyclamenlift.core.clock import MILLISECONDS
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.wire.gen.protocol.ttypes import TargetState
 
@@ -70,7 +71,7 @@
             'target_present',
             incarnation=gate.registration.incarnation,
             shown_by=shown_by,
-            absent_ms=int((gate.now() - self.absent_at) * 1000),
+            absent_ms=int((gate.now() - self.absent_at) * MILLISECONDS),
         )
         gate.set_target_state(TargetState.READY)
 
--- a/cyclamenlift/gate/running.py
+++ b/cyclamenlift/gate/running.py
@@ -7,6 +7,8 @@
 
 import typing
 
+from cyclamenlift.core.clock import MICROSECONDS
+from cyclamenlift.core.clock import MILLISECONDS
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.gate.admission import Asking
 from cyclamenlift.gate.admission import wait_when_refused
@@ -43,8 +45,6 @@
 # A gate holds as many as its slots and its queue at most.
 GATHERED_BODY = 256 * 1024
 CHUNK = 64 * 1024
-MILLISECONDS = 1000
-MICROSECONDS = 1_000_000
 SERVER_ERROR = 500
 
 
--- a/cyclamenlift/gate/state.py
+++ b/cyclamenlift/gate/state.py
@@ -11,6 +11,7 @@
 import enum
 import operator
 
+from cyclamenlift.core.clock import MILLISECONDS
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.gate.admission import Asking
 from cyclamenlift.gate.admission import crowded_from
@@ -30,7 +31,6 @@
 from cyclamenlift.wire.gen.protocol.ttypes import TargetState
 
 MIN_RETRY_AFTER = 0.005
-MILLISECONDS = 1000
 
 
 class Verdict(enum.Enum):
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -6,6 +6,8 @@
 import structlog
 
 from cyclamenlift.core.clock import machine_seconds
+from cyclamenlift.core.clock import MICROSECONDS
+from cyclamenlift.core.clock import MILLISECONDS
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.gate.announcements import Announcements
 from cyclamenlift.gate.bodies import BodyTurns
@@ -45,8 +47,6 @@
 from cyclamenlift.wire.gen.protocol.ttypes import TargetState
 
 LOG = structlog.get_logger('gate')
-MILLISECONDS = 1000
-MICROSECONDS = 1_000_000
 # When a caller may come back whose call waited in vain, in seconds: about
 # the half second after which a slow spell is over.
 WAITED_RETRY = 0.25
--- a/cyclamenlift/http/response.py
+++ b/cyclamenlift/http/response.py
@@ -3,6 +3,7 @@
 from http import HTTPStatus
 import json
 
+from cyclamenlift.core.clock import MILLISECONDS
 from cyclamenlift.core.codes import describe
 from cyclamenlift.core.codes import is_not_run
 from cyclamenlift.core.codes import ResultCode
@@ -19,7 +20,6 @@
 DEFAULT_STATUS = 400
 RETRY_STATUS = (429, 503, 504)
 DEFAULT_RETRY_MS = 100
-MILLISECONDS = 1000
 
 STATUS_LINES = {
     int(status): f'HTTP/1.1 {int(status)} {status.phrase}'
--- a/cyclamenlift/ledger/tasks.py
+++ b/cyclamenlift/ledger/tasks.py
@@ -9,6 +9,7 @@
 from circuits.core.components import BaseComponent
 import structlog
 
+from cyclamenlift.core.clock import MILLISECONDS
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.streams import Address
 from cyclamenlift.core.tasks import Root
@@ -30,7 +31,6 @@
 MAX_SPACING_SECONDS = 2.0
 MAX_RELEASES = 1_000
 RELEASE_SECONDS = 30.0
-MILLISECONDS = 1000
 LOG = structlog.get_logger('ledger')
 
 
--- a/cyclamenlift/models/rules.py
+++ b/cyclamenlift/models/rules.py
@@ -3,13 +3,13 @@
 import dataclasses
 import fnmatch
 
+from cyclamenlift.core.clock import MILLISECONDS
 from cyclamenlift.models.document import EventDocument
 from cyclamenlift.models.document import ServiceModel
 from cyclamenlift.models.routes import CallerLimitsModel
 from cyclamenlift.models.routes import RouteModel
 
 SAFE_METHODS = ('GET', 'HEAD', 'OPTIONS')
-MILLISECONDS = 1000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cyclamenlift/quarantine/wire.py
+++ b/cyclamenlift/quarantine/wire.py
@@ -1,10 +1,10 @@
 """Reports as they travel: read from peers with care, ages on the wire."""
 
+from cyclamenlift.core.clock import MILLISECONDS
 from cyclamenlift.quarantine.fingerprints import FINGERPRINT_BYTES
 from cyclamenlift.quarantine.state import Report
 from cyclamenlift.wire.gen.protocol.ttypes import EndReport
 
-MILLISECONDS = 1000
 # Fingerprints in one report, so that it fits in a datagram with the names
 # of its sender. A target that ran more at its end is told of in parts.
 MOST_FINGERPRINTS = 48
--- a/cyclamenlift/routing/estimates.py
+++ b/cyclamenlift/routing/estimates.py
@@ -6,6 +6,8 @@
 
 import bisect
 
+from cyclamenlift.core.clock import MICROSECONDS
+from cyclamenlift.core.clock import MILLISECONDS
 from cyclamenlift.routing.messages import Outcome
 from cyclamenlift.wire.gen.protocol.ttypes import LoadFigures
 
@@ -30,8 +32,6 @@
 ERROR_FORGIVEN = 0.7
 REFUSED_SECONDS = 0.05
 PERMILLE = 1000.0
-MILLISECONDS = 1000.0
-MICROSECONDS = 1e6
 
 
 class Estimate:
--- a/cyclamenlift/standins/faults.py
+++ b/cyclamenlift/standins/faults.py
@@ -6,7 +6,8 @@
 
 import pydantic
 
-MILLISECONDS = 1000.0
+from cyclamenlift.core.clock import MILLISECONDS
+
 Positive = Annotated[float, pydantic.Field(gt=0)]
 NotNegative = Annotated[float, pydantic.Field(ge=0)]
 
--- a/cyclamenlift/standins/service.py
+++ b/cyclamenlift/standins/service.py
@@ -13,6 +13,7 @@
 
 import pydantic
 
+from cyclamenlift.core.clock import MILLISECONDS
 from cyclamenlift.standins.answers import AnswerFacts
 from cyclamenlift.standins.answers import build_answer
 from cyclamenlift.standins.counters import Counters
@@ -21,7 +22,6 @@
 from cyclamenlift.standins.faults import FaultState
 from cyclamenlift.standins.faults import LoadReport
 
-MILLISECONDS = 1000.0
 MAX_LAG_SECONDS = 60.0
 
 
--- a/cyclamenlift/standins/summary.py
+++ b/cyclamenlift/standins/summary.py
@@ -6,10 +6,11 @@
 
 from hdrh.histogram import HdrHistogram
 
+from cyclamenlift.core.clock import MICROSECONDS
+
 LOWEST_US = 1
 HIGHEST_US = 120_000_000
 DIGITS = 3
-MICROSECONDS = 1e6
 PERCENTILES = {'p50': 50.0, 'p90': 90.0, 'p99': 99.0, 'p999': 99.9}
 
 
