Tell a target as ready only once it is known

Their calls could be sent to a gate that refuses them.

Cause: a gate whose target takes connections again told it as ready, also where nobody had said yet which target that is. Entries then chose the gate, and it refused each call until the target's word came.

Evidence: the new test fails on the code before (READY for STARTING).

Change: such a gate stays as it was; the announcement or the page that names the target makes it ready, as at a start. The condition stood in three places and is one query now (Gate.awaits_target).

Why it holds: it is the condition under which calls are refused.

--- a/cyclamenlift/gate/health.py
+++ b/cyclamenlift/gate/health.py
@@ -139,7 +139,7 @@
             LOG.info('health_page_overruled', status=self.status)
             good = True
         self.failures = 0 if good else self.failures + 1
-        if self.gate.dialect.incarnation_asked and self.gate.is_unknown():
+        if self.gate.awaits_target():
             return
         if good:
             self.gate.set_target_state(TargetState.READY)
--- a/cyclamenlift/gate/presence.py
+++ b/cyclamenlift/gate/presence.py
@@ -73,7 +73,8 @@
             shown_by=shown_by,
             absent_ms=int((gate.now() - self.absent_at) * MILLISECONDS),
         )
-        gate.set_target_state(TargetState.READY)
+        if not gate.awaits_target():
+            gate.set_target_state(TargetState.READY)
 
     def note_answer(self, asked_at: float) -> None:
         """Take it that the target answered what it was asked then."""
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -250,6 +250,10 @@
         registration = self.registration
         return registration.current is None or registration.doubted
 
+    def awaits_target(self) -> bool:
+        """Tell whether no call may go in before its target is known."""
+        return bool(self.dialect.incarnation_asked) and self.is_unknown()
+
     def call_headers(self, call: GateCall) -> list[tuple[str, str]]:
         """Return the headers that tell the target depth and time left."""
         left = max(1, int((call.deadline - self.now()) * MILLISECONDS))
@@ -271,7 +275,7 @@
         if start.service_name != self.service:
             call.tell_refused(ResultCode.NO_TARGET, 'another service')
             return
-        if self.dialect.incarnation_asked and self.is_unknown():
+        if self.awaits_target():
             call.tell_refused(ResultCode.NO_TARGET, 'no target known yet')
             return
         if self.quarantine.is_behind():
--- a/tests/gate/test_presence.py
+++ b/tests/gate/test_presence.py
@@ -102,6 +102,16 @@
     assert len(bench.target.requests) == 1
 
 
+def test_a_target_that_nobody_has_heard_of_is_not_told_as_ready():
+    """Guards against entries that are sent to a gate which lets nobody in."""
+    bench = GateBench(can_ask=False)
+    bench.gate.announcements.doubt()
+    leave(bench)
+    bench.gate.ends.note_found()
+    assert not bench.gate.presence.absent
+    assert bench.gate.state.target_state == TargetState.STARTING
+
+
 def test_a_late_word_of_the_one_that_went_does_not_bring_it_back(bench):
     """Guards against a check-in that was under way when its sender ended."""
     leave(bench)
