Give the way of a call into the target a module of its own

gate/tasks.py had 491 lines and two jobs: the messages of entries, and what becomes of a call (begun, held, sent back). The second is gate/entrance.py now, twelve methods moved as they were; tasks.py has 385 lines.

Behaviour stays: tests of gate, calls, runtime, platform and tools pass, and the four mutants of these paths are noticed.

--- a/cyclamenlift/gate/presence.py
+++ b/cyclamenlift/gate/presence.py
@@ -58,7 +58,7 @@
             waiting=len(gate.calls),
         )
         gate.set_target_state(TargetState.STARTING)
-        gate.send_waiting_back(ResultCode.TARGET_UNREACHABLE)
+        gate.entrance.send_waiting_back(ResultCode.TARGET_UNREACHABLE)
         self.plan_try()
 
     def note_present(self, shown_by: str) -> None:
--- a/cyclamenlift/gate/running.py
+++ b/cyclamenlift/gate/running.py
@@ -157,7 +157,7 @@
             self.forward_body()
         elif self.body_whole:
             if self.gathering:
-                self.gate.on_body_gathered(self)
+                self.gate.entrance.on_body_gathered(self)
         elif data and self.gathers:
             self.link.send(Credit(self.start.call_id, len(data)))
 
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -13,7 +13,7 @@
 from cyclamenlift.gate.bodies import BodyTurns
 from cyclamenlift.gate.delays import Delays
 from cyclamenlift.gate.ends import EndWatch
-from cyclamenlift.gate.explaining import explain_hold
+from cyclamenlift.gate.entrance import Entrance
 from cyclamenlift.gate.news import GateNews
 from cyclamenlift.gate.presence import Presence
 from cyclamenlift.gate.probes import ProbeBudget
@@ -23,10 +23,8 @@
 from cyclamenlift.gate.registration import Registration
 from cyclamenlift.gate.registration import UNKNOWN_START
 from cyclamenlift.gate.running import GateCall
-from cyclamenlift.gate.state import Admission
 from cyclamenlift.gate.state import GateState
 from cyclamenlift.gate.state import Turn
-from cyclamenlift.gate.state import Verdict
 from cyclamenlift.gate.suspects import SuspectCheck
 from cyclamenlift.http.dialects import DEFAULT_DIALECT
 from cyclamenlift.http.dialects import Dialect
@@ -47,9 +45,6 @@
 from cyclamenlift.wire.gen.protocol.ttypes import TargetState
 
 LOG = structlog.get_logger('gate')
-# When a caller may come back whose call waited in vain, in seconds: about
-# the half second after which a slow spell is over.
-WAITED_RETRY = 0.25
 # Answers of the last few seconds, faded by age, that outweigh a health page
 # that says otherwise, and the share of failures from which they do not.
 WELL_ANSWERED = 3.0
@@ -94,6 +89,7 @@
         self.ends = EndWatch(self)
         self.presence = Presence(self)
         self.bodies = BodyTurns(self)
+        self.entrance = Entrance(self)
         self.quarantine = Quarantine(scheduler)
         self.suspects = SuspectCheck(self)
 
@@ -127,19 +123,9 @@
         waiting = self.state.drain()
         LOG.info('gate_draining', queued=len(waiting))
         self.follow(Turn(expired=waiting))
-        self.send_waiting_back(ResultCode.DRAINING)
+        self.entrance.send_waiting_back(ResultCode.DRAINING)
         self.tell_state()
 
-    def send_waiting_back(self, code: ResultCode) -> None:
-        """Send back all calls that the target has not got yet."""
-        self.follow(Turn(expired=self.state.empty_queue(code)))
-        for call in list(self.calls.values()):
-            if call.gathering:
-                self.take_slot_back(call, code)
-        # Who waits for the target's word is decided on again.
-        self.questions.answered()
-        self.check_idle()
-
     def set_target_state(self, state: TargetState) -> None:
         """Note a change that start-up or the target's health showed."""
         before = self.state.target_state
@@ -184,12 +170,7 @@
         """Tell entries of a change of pace; send back what it makes late."""
         if self.news.is_due(self.state.pace_percent(now)):
             self.news.tell(self.figures(), now)
-            self.send_hopeless_back(now)
-
-    def is_too_slow(self, start: CallStart, now: float) -> bool:
-        """Tell whether an entry would rather have its call back."""
-        most = start.most_pace_percent or 0
-        return 0 < most < self.state.pace_percent(now)
+            self.entrance.send_hopeless_back(now)
 
     def release(
         self, call: GateCall, seconds: float | None, failed: bool
@@ -293,86 +274,7 @@
         call.timer = self.scheduler.at(
             call.deadline, lambda: self.on_deadline(call)
         )
-        self.with_pace(call, self.decide)
-
-    def is_pace_doubtful(self, call: GateCall, now: float) -> bool:
-        """Tell whether to ask the target for its pace before a call."""
-        start = call.start
-        if not (self.dialect.load and start.route_name):
-            return False
-        objective = (start.objective_left_us or 0) / MICROSECONDS
-        return self.state.learning.is_doubtful(
-            start.route_name, objective, now
-        )
-
-    def with_pace(self, call: GateCall, go_on: Callable) -> None:
-        """Go on with a call at once, or when its target has told its pace."""
-        if self.is_pace_doubtful(call, self.now()) and self.questions.put(
-            call.key, lambda: go_on(call, self.now())
-        ):
-            return
-        go_on(call, self.now())
-
-    def decide(self, call: GateCall, now: float) -> None:
-        """Let a call in, to the target or its queue, or send it back."""
-        if self.presence.absent:
-            gone = Admission(Verdict.REFUSED, ResultCode.TARGET_UNREACHABLE)
-            self.send_back(call, gone)
-            return
-        if self.is_too_slow(call.start, now):
-            slow = Admission(Verdict.REFUSED, ResultCode.TARGET_SLOW)
-            self.send_back(call, slow)
-            return
-        admission = self.admit(call, now)
-        if admission.verdict is Verdict.REFUSED:
-            self.send_back(call, admission)
-            return
-        if admission.verdict is Verdict.START:
-            call.begin(now)
-        elif admission.latest_start:
-            call.wait_timer = self.scheduler.at(
-                admission.latest_start, lambda: self.on_wait_over(call)
-            )
-        if admission.held:
-            explain_hold(self, call, admission.held)
-        if not call.ended:
-            call.ask_for_body()
-
-    def on_body_gathered(self, call: GateCall) -> None:
-        """Begin a call whose body has come, by the pace of now."""
-        self.with_pace(call, self.begin_or_hold)
-
-    def take_slot_back(self, call: GateCall, code: ResultCode) -> None:
-        """Send a call back whose body is on its way to a target that goes.
-
-        The target would get it long after it said so, or never.
-        """
-        self.questions.withdraw(call.key)
-        self.release(call, None, False)
-        call.tell_refused(code)
-
-    def begin_or_hold(self, call: GateCall, now: float) -> None:
-        """Begin a call that has a slot, unless a spell is to be held out."""
-        admission = self.state.reconsider(call.asking(), now)
-        if admission.held:
-            explain_hold(self, call, admission.held)
-            call.gathering = False
-            call.wait_timer = self.scheduler.at(
-                admission.latest_start, lambda: self.on_wait_over(call)
-            )
-        else:
-            call.begin(now)
-
-    def send_back(self, call: GateCall, admission: Admission) -> None:
-        """Tell the entry that a call was not let in."""
-        self.forget(call)
-        call.tell_refused(admission.code, '', admission.retry_after)
-
-    def admit(self, call: GateCall, now: float) -> Admission:
-        """Decide on a call, by its route's objective if it has one."""
-        if not call.start.route_name:
-            return self.state.admit(call.key, call.deadline, now)
-        return self.state.admit_routed(call.asking(), now)
+        self.entrance.take(call)
 
     def lag_of(self, link, start: CallStart) -> float:
         """Return how late a call came; 0 where its sender tells no time."""
@@ -381,18 +283,6 @@
         sent_at = start.sent_at_us / MICROSECONDS
         return self.delays.note(link.number, sent_at, machine_seconds())
 
-    def on_wait_over(self, call: GateCall) -> None:
-        """Send a call back that waited until it can not be in time."""
-        if call.ended or not self.state.withdraw(call.key):
-            return
-        self.forget(call)
-        call.tell_refused(ResultCode.QUEUE_DEADLINE, 'waited', WAITED_RETRY)
-        self.check_idle()
-
-    def send_hopeless_back(self, now: float) -> None:
-        """Send queued calls back that a slow spell has made late."""
-        self.follow(Turn(expired=self.state.hopeless(now)))
-
     def on_body_chunk(self, link, chunk: BodyChunk) -> None:
         call = self.calls.get((link.number, chunk.call_id))
         if call is not None:
--- a/cyclamenlift/runtime/mechanisms.py
+++ b/cyclamenlift/runtime/mechanisms.py
@@ -122,7 +122,7 @@
 
 @mechanism('hopeless_back', 'sends back what a slow spell has made late')
 def without_hopeless_back(node: 'DaemonNode') -> None:
-    node.gate.send_hopeless_back = lambda _now: None
+    node.gate.entrance.send_hopeless_back = lambda _now: None
 
 
 @mechanism('hold_in_spells', 'holds calls while their target is slow')
@@ -139,7 +139,7 @@
 
 @mechanism('ask_pace', 'asks a target for its pace before a call begins')
 def without_asking(node: 'DaemonNode') -> None:
-    node.gate.is_pace_doubtful = lambda _call, _now: False
+    node.gate.entrance.is_pace_doubtful = lambda _call, _now: False
 
 
 @mechanism('path_lag', 'takes the time on a slow link off the time left')
--- a/tools/mutants_calls.py
+++ b/tools/mutants_calls.py
@@ -189,14 +189,14 @@
     ),
     Mutant(
         'the pace at which a body has come is not looked at',
-        'cyclamenlift/gate/tasks.py',
+        'cyclamenlift/gate/entrance.py',
         'self.with_pace(call, self.begin_or_hold)',
         'call.begin(self.now())',
         'tests/gate/test_gathering.py',
     ),
     Mutant(
         'a body on its way goes on to a target that leaves',
-        'cyclamenlift/gate/tasks.py',
+        'cyclamenlift/gate/entrance.py',
         'if call.gathering:\n                self.take_slot_back(call, code)',
         'pass',
         'tests/gate/test_gathering.py',
