Show where an order arrives and where its caller is sent

What callers saw: a valid change without an acknowledgement for 4 s. Logs could not tell whether it reached no instance at all, an instance that does not lead, or one that knew no leader: only the leader's answer was written. Now an instance writes one line for each order that arrives (its id as in change_answered, base, chosen number, remote, who leads as known there) and one when it sends a caller on. No change of logic.

--- a/cyclamenlift/platform/operators.py
+++ b/cyclamenlift/platform/operators.py
@@ -14,6 +14,8 @@
 from cyclamenlift.events.queries import show
 from cyclamenlift.events.reports import DocumentReport
 from cyclamenlift.events.reports import PublishReport
+from cyclamenlift.events.sight import log_sent_on
+from cyclamenlift.events.sight import log_taken
 from cyclamenlift.http.exchange import Exchange
 from cyclamenlift.http.json_requests import answer
 from cyclamenlift.http.json_requests import JSON_TYPE
@@ -92,14 +94,15 @@
         if isinstance(version, Failure):
             self.refuse_change(exchange, version.failure())
             return
-        if not self.context.leads():
-            self.send_to_leader(exchange)
-            return
         change = Change(
             change_id=change_id(path, base, body),
             base_version=int(base),
             chosen_version=version.unwrap(),
         )
+        log_taken(change, path, exchange.remote, self.context.replica.leader)
+        if not self.context.leads():
+            self.send_to_leader(exchange)
+            return
         if path == REPLACE_PATH:
             self.replace(exchange, change, body)
         else:
@@ -158,6 +161,7 @@
     def send_to_leader(self, exchange: Exchange) -> None:
         """Name the leader's place, or say that there is none now."""
         leader = self.context.leader_hint()
+        log_sent_on(exchange.path, leader)
         if not leader:
             problem = Problem(ResultCode.NOT_LEADER, 'no leader is known')
             refuse(exchange, NOT_SURE, problem)
