--- /dev/null
+++ b/tests/platform/fleet.py
@@ -0,0 +1,148 @@
+"""The adapter's programs as a small fleet of processes on loopback."""
+
+import http.client
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+from typing import NamedTuple
+
+from tests.platform.builders import as_body
+from tests.platform.builders import configuration
+from tests.platform.builders import free_ports
+from tests.platform.builders import own_host
+from tests.platform.builders import ROOT
+from tests.platform.builders import settings_lines
+
+WAIT_SECONDS = 30.0
+# How long an operator waits for one answer.
+PATIENCE_SECONDS = 1.0
+REPLACE = '/v1/Config.Replace'
+PATCH = '/v1/Config.Patch'
+GET = '/v1/Config.Get'
+
+
+class Answer(NamedTuple):
+    """What an operator heard; status 0 for nothing in time."""
+
+    status: int
+    value: dict
+    location: str = ''
+
+
+class Fleet:
+    """Control instances and daemons; ``close`` ends what still runs."""
+
+    def __init__(self, folder: pathlib.Path, control: int, daemons: int):
+        self.folder = folder
+        host = own_host()
+        self.control_port, inner = free_ports(host, 2)
+        self.inner = f'{inner},{inner + 1}'
+        self.control = [own_host() for _ in range(control)]
+        self.daemons = [own_host() for _ in range(daemons)]
+        self.processes: dict[str, subprocess.Popen] = {}
+        for host in self.control:
+            self.start(host, 'control')
+        for host in self.daemons:
+            self.start(host, 'daemon')
+
+    def settings(self, host: str) -> str:
+        """Return the settings file of the machine with this address."""
+        entry, ready, app = free_ports(host, 3)
+        port = self.control_port
+        seeds = [f'{seed}:{port}' for seed in self.control[:3]]
+        return settings_lines(
+            **{
+                'ip': host,
+                'listen.outbound': f'{host}:{entry}',
+                'listen.ready': f'{host}:{ready}',
+                'listen.control': f'{host}:{port}',
+                'internal_ports': self.inner,
+                'seeds': ','.join(seeds),
+                'fault_tolerance.machines': str(len(self.control) // 2),
+                'app_addr': f'{host}:{app}',
+                'data_dir': str(self.folder / host),
+            }
+        )
+
+    def start(self, host: str, kind: str) -> None:
+        path = self.folder / f'{host}.conf'
+        path.write_text(self.settings(host))
+        with open(self.folder / f'{host}.log', 'ab') as log:
+            self.processes[host] = subprocess.Popen(
+                [sys.executable, '-m', 'cyclamenlift.platform', kind],
+                cwd=ROOT,
+                env={'CYCLAMENLIFT_BOOT': str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def log(self, host: str) -> str:
+        return (self.folder / f'{host}.log').read_text()
+
+    def freeze(self, host: str) -> None:
+        self.processes[host].send_signal(signal.SIGSTOP)
+
+    def kill(self, host: str) -> None:
+        self.processes[host].kill()
+        self.processes[host].wait()
+
+    def ask(
+        self,
+        host: str,
+        path: str,
+        body: bytes = b'',
+        base: int | None = None,
+        seconds: float = PATIENCE_SECONDS,
+    ) -> Answer:
+        """Send one order, or a read without a base; no redirect is taken."""
+        headers = {} if base is None else {'Base-Version': str(base)}
+        method = 'GET' if base is None else 'POST'
+        connection = http.client.HTTPConnection(
+            host, self.control_port, timeout=seconds
+        )
+        try:
+            connection.request(method, path, body, headers)
+            answer = connection.getresponse()
+            value = json.loads(answer.read() or b'{}')
+        except (OSError, http.client.HTTPException):
+            return Answer(0, {})
+        finally:
+            connection.close()
+        place = answer.headers.get('Location', '')
+        return Answer(answer.status, value, place)
+
+    def ask_until(self, host: str, path: str, body: bytes, base: int):
+        """Send an order again until it is accepted; return the seconds."""
+        began = time.monotonic()
+        while True:
+            answer = self.ask(host, path, body, base)
+            seconds = time.monotonic() - began
+            if answer.status == 200:
+                return seconds
+            assert seconds < WAIT_SECONDS, self.log(host)[-2000:]
+            time.sleep(0.05)
+
+    def found(self) -> str:
+        """Send the first configuration; return the leader's host."""
+        body = as_body(configuration(version=1))
+        deadline = time.monotonic() + WAIT_SECONDS
+        while time.monotonic() < deadline:
+            for host in self.control:
+                answer = self.ask(host, REPLACE, body, 0)
+                if answer.status == 200 and self.leads(host):
+                    return host
+            time.sleep(0.05)
+        raise AssertionError(self.log(self.control[0])[-2000:])
+
+    def leads(self, host: str) -> bool:
+        """Tell whether an instance is the one that answers reads itself."""
+        return self.ask(host, GET).status == 200
+
+    def close(self) -> None:
+        for process in self.processes.values():
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+            process.wait()
