Give what must reach the leader a part of its own

Claims find the leader by asking one control instance after the other; orders are to do the same. That part is moved out of the client of the ledger (LeaderErrands), which keeps what belongs to claims. Two things are new: an instance whose connection is up is asked before one whose connection is not, and a hint to an instance that has just been silent is not followed, since those who do not lead name a lost leader for up to a second. Tests of the ledger pass unchanged, but for where a constant is imported from.

--- a/cyclamenlift/ledger/finder.py
+++ b/cyclamenlift/ledger/finder.py
@@ -1,5 +1,6 @@
 """Which control instance to ask next: pure state, no sockets."""
 
+from collections.abc import Callable
 import random
 
 from cyclamenlift.core.streams import Address
@@ -26,36 +27,56 @@
         """Remember that ``address`` answered as leader."""
         self.leader = address
 
-    def note_refused(self, address: Address, hint: str) -> Address | None:
-        """Forget a leader that is none; return where the hint points.
+    def note_control(self, address: Address, live: bool) -> None:
+        """Learn of a control instance, or that one is gone.
 
-        None when there is no hint, or it names the one that gave it or an
-        instance whose address is not known.
+        The last one stays: there must be somebody to ask.
+        """
+        if live:
+            if address not in self.control:
+                self.control.append(address)
+        elif address in self.control and len(self.control) > 1:
+            self.control.remove(address)
+            self.note_silent(address)
+
+    def place_of(self, hint: str) -> Address | None:
+        """Return where an instance is that a hint names, if known."""
+        return self.names.get(hint)
+
+    def note_refused(self, address: Address, hinted: Address | None) -> None:
+        """Forget a leader that is none, and take up its hint.
+
+        A hint to the very instance that gave it is none.
         """
         if self.leader == address:
             self.leader = None
-        hinted = self.names.get(hint)
-        if hinted is None or hinted == address:
-            return None
-        self.leader = hinted
-        return hinted
+        if hinted is not None and hinted != address:
+            self.leader = hinted
 
     def note_silent(self, address: Address) -> None:
         """Forget a leader that gave no answer."""
         if self.leader == address:
             self.leader = None
 
-    def choose(self, tried: Address | None = None) -> Address | None:
+    def choose(
+        self,
+        tried: Address | None = None,
+        is_up: Callable[[Address], bool] = lambda address: True,
+    ) -> Address | None:
         """Return whom to ask: the last leader, else the next in the list.
 
         After ``tried`` comes the one behind it in the list, so that every
-        instance is reached; a first question goes to any.
+        instance is reached; a first question goes to any. Those whose
+        connection is up come first: the others may be dark.
         """
         if not self.control:
             return None
         if self.leader is not None and self.leader != tried:
             return self.leader
-        if tried not in self.control:
-            return self.rng.choice(self.control)
-        index = self.control.index(tried)
-        return self.control[(index + 1) % len(self.control)]
+        if tried in self.control:
+            index = self.control.index(tried) + 1
+        else:
+            index = self.rng.randrange(len(self.control))
+        in_turn = self.control[index:] + self.control[:index]
+        others = [a for a in in_turn if a != tried]
+        return next(filter(is_up, others), (others or in_turn)[0])
--- a/cyclamenlift/wire/tasks.py
+++ b/cyclamenlift/wire/tasks.py
@@ -154,6 +154,11 @@
         link = self.outgoing.get(address)
         return link is not None and not link.closed
 
+    def is_up(self, address: Address) -> bool:
+        """Tell whether a link to ``address`` is open and was answered."""
+        link = self.outgoing.get(address)
+        return link is not None and link.was_up and not link.closed
+
     def received_from(self, address: Address) -> int:
         """Return the bytes that came over the link to ``address``."""
         link = self.outgoing.get(address)
--- a/tests/ledger/builders.py
+++ b/tests/ledger/builders.py
@@ -136,6 +136,9 @@
     def is_linked(self, address) -> bool:
         return address in self.links
 
+    def is_up(self, address) -> bool:
+        return address in self.links
+
     def received_from(self, _address) -> int:
         return 0
 
--- a/tests/ledger/test_tasks.py
+++ b/tests/ledger/test_tasks.py
@@ -2,10 +2,10 @@
 
 import pytest
 
+from cyclamenlift.ledger.errands import SILENCE_SECONDS
 from cyclamenlift.ledger.tasks import MAX_RELEASES
 from cyclamenlift.ledger.tasks import PATIENCE_SECONDS
 from cyclamenlift.ledger.tasks import RELEASE_SECONDS
-from cyclamenlift.ledger.tasks import SILENCE_SECONDS
 from cyclamenlift.wire.gen.protocol import ttypes
 from tests.ledger.builders import ClientBed
 from tests.ledger.builders import CONTROL
