Let claims ask control instances that were no seeds

What callers would see: claims of a daemon knew the instances of its settings alone (three seeds of five control instances), so with these dark or replaced no claim found the leader, though the configuration, which learns of others by membership, went on. The test of an instance that became known later needs the new call and could not run on the code before.

--- a/cyclamenlift/runtime/daemon.py
+++ b/cyclamenlift/runtime/daemon.py
@@ -322,7 +322,9 @@
             address = Address.parse(record.peer_address)
         except ValueError:
             return
-        self.follower.note_control(address, is_live(record))
+        live = is_live(record)
+        self.follower.note_control(address, live)
+        self.claims.finder.note_control(address, live)
 
     def on_slots(self, slots: int) -> None:
         self.membership.announce(slots=slots)
--- a/cyclamenlift/wire/cyclamenlift.thrift
+++ b/cyclamenlift/wire/cyclamenlift.thrift
@@ -353,6 +353,30 @@
   1: list<EndReport> reports
 }
 
+// --- orders of operators ----------------------------------------------------
+
+// An order on its way to the leader. What its kind means and how its body is
+// read is the leader's matter. The change id is made of all that follows it.
+struct OrderRequest {
+  1: i64 request_id,
+  2: string kind,
+  3: string change_id,
+  4: i64 base_version,
+  5: i64 chosen_version,
+  6: binary body
+}
+
+// What became of it. With the code of an instance that does not lead, the
+// address says who does, as far as known.
+struct OrderAnswer {
+  1: i64 request_id,
+  2: i32 code,
+  3: i64 version,
+  4: i64 current_version,
+  5: string detail,
+  6: string leader_address
+}
+
 // One message of a TCP connection: exactly one field is set.
 union Frame {
   1: Hello hello,
@@ -380,7 +404,9 @@
   24: SnapshotAnswer snapshot_answer,
   25: LoadNews load_news,
   26: EndsRequest ends_request,
-  27: EndsAnswer ends_answer
+  27: EndsAnswer ends_answer,
+  28: OrderRequest order_request,
+  29: OrderAnswer order_answer
 }
 
 // --- membership ----------------------------------------------------------
--- a/cyclamenlift/wire/gen/protocol/ttypes.py
+++ b/cyclamenlift/wire/gen/protocol/ttypes.py
@@ -3451,6 +3451,230 @@
         return not (self == other)
 
 
+class OrderRequest(object):
+    """
+    Attributes:
+     - request_id
+     - kind
+     - change_id
+     - base_version
+     - chosen_version
+     - body
+
+    """
+
+
+    def __init__(self, request_id=None, kind=None, change_id=None, base_version=None, chosen_version=None, body=None,):
+        self.request_id = request_id
+        self.kind = kind
+        self.change_id = change_id
+        self.base_version = base_version
+        self.chosen_version = chosen_version
+        self.body = body
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.request_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.change_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.base_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.chosen_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.body = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OrderRequest')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.I64, 1)
+            oprot.writeI64(self.request_id)
+            oprot.writeFieldEnd()
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 2)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
+            oprot.writeFieldEnd()
+        if self.change_id is not None:
+            oprot.writeFieldBegin('change_id', TType.STRING, 3)
+            oprot.writeString(self.change_id.encode('utf-8') if sys.version_info[0] == 2 else self.change_id)
+            oprot.writeFieldEnd()
+        if self.base_version is not None:
+            oprot.writeFieldBegin('base_version', TType.I64, 4)
+            oprot.writeI64(self.base_version)
+            oprot.writeFieldEnd()
+        if self.chosen_version is not None:
+            oprot.writeFieldBegin('chosen_version', TType.I64, 5)
+            oprot.writeI64(self.chosen_version)
+            oprot.writeFieldEnd()
+        if self.body is not None:
+            oprot.writeFieldBegin('body', TType.STRING, 6)
+            oprot.writeBinary(self.body)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class OrderAnswer(object):
+    """
+    Attributes:
+     - request_id
+     - code
+     - version
+     - current_version
+     - detail
+     - leader_address
+
+    """
+
+
+    def __init__(self, request_id=None, code=None, version=None, current_version=None, detail=None, leader_address=None,):
+        self.request_id = request_id
+        self.code = code
+        self.version = version
+        self.current_version = current_version
+        self.detail = detail
+        self.leader_address = leader_address
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.request_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.code = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.current_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.detail = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.leader_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OrderAnswer')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.I64, 1)
+            oprot.writeI64(self.request_id)
+            oprot.writeFieldEnd()
+        if self.code is not None:
+            oprot.writeFieldBegin('code', TType.I32, 2)
+            oprot.writeI32(self.code)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 3)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.current_version is not None:
+            oprot.writeFieldBegin('current_version', TType.I64, 4)
+            oprot.writeI64(self.current_version)
+            oprot.writeFieldEnd()
+        if self.detail is not None:
+            oprot.writeFieldBegin('detail', TType.STRING, 5)
+            oprot.writeString(self.detail.encode('utf-8') if sys.version_info[0] == 2 else self.detail)
+            oprot.writeFieldEnd()
+        if self.leader_address is not None:
+            oprot.writeFieldBegin('leader_address', TType.STRING, 6)
+            oprot.writeString(self.leader_address.encode('utf-8') if sys.version_info[0] == 2 else self.leader_address)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -3480,11 +3704,13 @@
      - load_news
      - ends_request
      - ends_answer
+     - order_request
+     - order_answer
 
     """
 
 
-    def __init__(self, hello=None, call_start=None, body_chunk=None, credit=None, answer_start=None, refused=None, broken=None, cancel=None, cancelled=None, probe=None, probe_answer=None, document_request=None, document_answer=None, claim_request=None, claim_answer=None, claim_end=None, claim_end_answer=None, vote_request=None, vote_answer=None, append_request=None, append_answer=None, snapshot_chunk=None, snapshot_answer=None, load_news=None, ends_request=None, ends_answer=None,):
+    def __init__(self, hello=None, call_start=None, body_chunk=None, credit=None, answer_start=None, refused=None, broken=None, cancel=None, cancelled=None, probe=None, probe_answer=None, document_request=None, document_answer=None, claim_request=None, claim_answer=None, claim_end=None, claim_end_answer=None, vote_request=None, vote_answer=None, append_request=None, append_answer=None, snapshot_chunk=None, snapshot_answer=None, load_news=None, ends_request=None, ends_answer=None, order_request=None, order_answer=None,):
         self.hello = hello
         self.call_start = call_start
         self.body_chunk = body_chunk
@@ -3511,6 +3737,8 @@
         self.load_news = load_news
         self.ends_request = ends_request
         self.ends_answer = ends_answer
+        self.order_request = order_request
+        self.order_answer = order_answer
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3677,6 +3905,18 @@
                     self.ends_answer.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 28:
+                if ftype == TType.STRUCT:
+                    self.order_request = OrderRequest()
+                    self.order_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 29:
+                if ftype == TType.STRUCT:
+                    self.order_answer = OrderAnswer()
+                    self.order_answer.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3791,6 +4031,14 @@
             oprot.writeFieldBegin('ends_answer', TType.STRUCT, 27)
             self.ends_answer.write(oprot)
             oprot.writeFieldEnd()
+        if self.order_request is not None:
+            oprot.writeFieldBegin('order_request', TType.STRUCT, 28)
+            self.order_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.order_answer is not None:
+            oprot.writeFieldBegin('order_answer', TType.STRUCT, 29)
+            self.order_answer.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4760,6 +5008,26 @@
     None,  # 0
     (1, TType.LIST, 'reports', (TType.STRUCT, [EndReport, None], False), None, ),  # 1
 )
+all_structs.append(OrderRequest)
+OrderRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'request_id', None, None, ),  # 1
+    (2, TType.STRING, 'kind', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'change_id', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'base_version', None, None, ),  # 4
+    (5, TType.I64, 'chosen_version', None, None, ),  # 5
+    (6, TType.STRING, 'body', 'BINARY', None, ),  # 6
+)
+all_structs.append(OrderAnswer)
+OrderAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'request_id', None, None, ),  # 1
+    (2, TType.I32, 'code', None, None, ),  # 2
+    (3, TType.I64, 'version', None, None, ),  # 3
+    (4, TType.I64, 'current_version', None, None, ),  # 4
+    (5, TType.STRING, 'detail', 'UTF8', None, ),  # 5
+    (6, TType.STRING, 'leader_address', 'UTF8', None, ),  # 6
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -4790,6 +5058,8 @@
     (25, TType.STRUCT, 'load_news', [LoadNews, None], None, ),  # 25
     (26, TType.STRUCT, 'ends_request', [EndsRequest, None], None, ),  # 26
     (27, TType.STRUCT, 'ends_answer', [EndsAnswer, None], None, ),  # 27
+    (28, TType.STRUCT, 'order_request', [OrderRequest, None], None, ),  # 28
+    (29, TType.STRUCT, 'order_answer', [OrderAnswer, None], None, ),  # 29
 )
 all_structs.append(MemberRecord)
 MemberRecord.thrift_spec = (
--- a/tests/ledger/test_tasks.py
+++ b/tests/ledger/test_tasks.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from cyclamenlift.core.streams import Address
 from cyclamenlift.ledger.errands import SILENCE_SECONDS
 from cyclamenlift.ledger.tasks import MAX_RELEASES
 from cyclamenlift.ledger.tasks import PATIENCE_SECONDS
@@ -239,3 +240,40 @@
         message.request_id = 77
         bed.network.deliver(CONTROL[0], message)
     assert not bed.answers
+
+
+# Guards against claims that know the seeds alone: once these were replaced
+# or dark, no claim found the leader though the others did.
+def test_an_instance_that_became_known_later_is_asked_as_well():
+    bed = ClientBed()
+    finder = bed.client.finder
+    later = Address('127.0.0.1', 9)
+    finder.note_control(later, live=True)
+    for address in CONTROL:
+        finder.note_control(address, live=False)
+    assert finder.control == [later]
+    finder.note_control(later, live=False)
+    bed.claim()
+    assert bed.asked(Request) == [later]
+
+
+# Guards against a second spent on dark instances while others are up.
+def test_instances_whose_connection_is_up_are_asked_first():
+    bed = ClientBed()
+    up = CONTROL[1]
+    bed.network.links = {up: bed.network.links[up]}
+    bed.claim()
+    assert bed.asked(Request) == [up]
+
+
+# Guards against going in circles between a leader that froze and those who
+# go on naming it until they have another one.
+def test_a_hint_to_a_silent_instance_is_not_followed():
+    bed = ClientBed()
+    bed.claim()
+    silent, _ = bed.network.sent[-1]
+    bed.client.finder.note_name('gone', silent)
+    bed.pass_time(SILENCE_SECONDS)
+    bed.reply(verdict(NOT_LEADER, 'gone'))
+    bed.pass_time(0.01)
+    assert bed.asked(Request)[-1] != silent
