Confirm no check-in of a target of another machine

What callers would see: calls to a target after it was told that it may go. A daemon took any check-in of its service for its own target's, and confirmed every farewell, whosever it was. Until now only the own target reached that address; with orders taken there, others may come as well while their own daemon is gone. A daemon now refuses those (503, so that the target asks elsewhere): it tells them by the host they come from or name. The test failed before (200 for all).

--- a/cyclamenlift/gate/registration.py
+++ b/cyclamenlift/gate/registration.py
@@ -35,7 +35,8 @@
     ``slots`` is how many calls it runs at once; ``warm_up_seconds`` how
     much longer it stays slow after its start; ``sequence`` is ``ASKED``
     where its page told this. ``born_ms`` is the Unix
-    millisecond of its start, ``UNKNOWN_START`` where it is not told.
+    millisecond of its start, ``UNKNOWN_START`` where it is not told;
+    ``address`` is where it listens, empty where that is not told.
     """
 
     incarnation: str
@@ -46,6 +47,7 @@
     sequence: int = ASKED
     version: str = ''
     born_ms: int = UNKNOWN_START
+    address: str = ''
 
     @property
     def was_asked(self) -> bool:
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -9,6 +9,7 @@
 from cyclamenlift.core.clock import MICROSECONDS
 from cyclamenlift.core.clock import MILLISECONDS
 from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.streams import Address
 from cyclamenlift.gate.announcements import Announcements
 from cyclamenlift.gate.bodies import BodyTurns
 from cyclamenlift.gate.delays import Delays
@@ -75,6 +76,8 @@
         self.announcements = Announcements(self, self.clock.unix_ms)
         self.news = GateNews()
         self.delays = Delays()
+        # The host of the target, '' where it is not known.
+        self.target_host = ''
         # Bytes a second of this instance's link, 0 if it is not known.
         self.link_rate = 0.0
         self.budget = ProbeBudget()
@@ -133,6 +136,23 @@
         if self.state.target_state != before:
             self.tell_state()
 
+    def is_foreign(self, incarnation: str, address: str) -> bool:
+        """Tell whether what comes from an address is of another target.
+
+        Targets of other machines may come here while their own daemon is
+        gone. Nobody here could keep their callers away, so they must not be
+        confirmed.
+        """
+        if (
+            not self.target_host
+            or incarnation == self.registration.incarnation
+        ):
+            return False
+        foreign = Address.parse(address).host != self.target_host
+        if foreign:
+            LOG.info('check_in_of_another', incarnation=incarnation[:60])
+        return foreign
+
     def announce(self, announcement: Announcement) -> Announced:
         """Take what the target tells of itself."""
         return self.announcements.announce(announcement)
--- a/cyclamenlift/platform/targets.py
+++ b/cyclamenlift/platform/targets.py
@@ -85,6 +85,7 @@
             sequence=beat.seq,
             version=beat.version,
             born_ms=beat.born,
+            address=beat.address,
         )
     )
 
@@ -141,6 +142,9 @@
             detail = f'{name!r} of service {announcement.service[:60]!r}'
             self.refuse_told(exchange, name, bad_request(detail))
             return
+        if self.gate.is_foreign(name, announcement.address):
+            refuse(exchange, 503, Problem(ResultCode.NO_TARGET))
+            return
         self.gate.announce(announcement)
         answer(exchange, 200)
 
@@ -149,6 +153,9 @@
         if isinstance(found, Failure):
             self.refuse_told(exchange, name, found.failure())
             return
+        if self.gate.is_foreign(name, str(exchange.remote)):
+            refuse(exchange, 503, Problem(ResultCode.NO_TARGET))
+            return
         self.gate.target_leaves(name, found.unwrap())
         answer(exchange, 200)
 
--- a/cyclamenlift/runtime/daemon.py
+++ b/cyclamenlift/runtime/daemon.py
@@ -165,6 +165,7 @@
             self.dialect,
         )
         gate.link_rate = settings.link_mbps * BYTES_OF_MEGABIT
+        gate.target_host = client.address.host
         gate.quarantine = self.quarantine
         gate.ends.watch(client)
         self.health = HealthCheck(gate, client, settings)
--- a/tests/platform/test_targets.py
+++ b/tests/platform/test_targets.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 import pytest
 
+from cyclamenlift.core.streams import Address
 from cyclamenlift.gate.tasks import Gate
 from cyclamenlift.platform.targets import TargetCheckIns
 from cyclamenlift.wire.gen.protocol.ttypes import TargetState
@@ -28,6 +29,7 @@
     """A request that keeps its answer."""
 
     method = 'POST'
+    remote = Address('127.0.0.1', 9)
 
     def __init__(self, path: str, body: bytes):
         self.path = path
@@ -207,3 +209,19 @@
     asked = Asked('/v1/Something/else', b'{}')
     TargetCheckIns(gate, 'prices').take(asked)
     assert asked.status == 404
+
+
+# Guards against a confirmation that nobody keeps: a target of another machine
+# whose own daemon is gone comes here, is confirmed, and its callers go on.
+def test_targets_of_other_machines_are_not_confirmed(gate):
+    gate.target_host = '127.0.0.1'
+    assert beat(gate) == 200
+    assert beat(gate, 'i-9', address='127.0.0.9:80', seq=9) == 503
+    assert gate.registration.incarnation == 'i-1'
+    checks = TargetCheckIns(gate, 'prices')
+    asked = Asked('/v1/Instances.Deregister/i-9', b'')
+    asked.remote = Address('127.0.0.9', 1)
+    checks.take(asked)
+    assert asked.status == 503
+    assert gate.state.target_state == TargetState.READY
+    assert leave(gate, 'i-1') == 200
