Let every instance see an order through

What callers saw: a valid change had no acknowledgement for 4 s though control was calm, with one or two of five control instances dark and answers lost on their way.

Cause: an order depended on one instance and one answer. Followers named the leader (a redirect, whose answer is lost as easily), refused without one, and did not answer from their own log; five doors in all, each dark one a second at every visit.

Change: daemons and followers carry an order to the leader themselves (OrderRequest, OrderAnswer; another instance is asked after 0.25 s of silence, a lost connection or a refusal), any instance answers what its copy of the log holds, the leader carries out once what comes twice, and what is not decided after 0.7 s is answered 504, not 503, if it may have been carried out. Daemons serve the operators' address, so there are as many doors as machines. Orders over 32 KB and reads are still sent on.

--- /dev/null
+++ b/cyclamenlift/events/carrying.py
@@ -0,0 +1,163 @@
+"""Orders on their way to the leader."""
+
+import structlog
+
+from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.streams import Address
+from cyclamenlift.core.tasks import Root
+from cyclamenlift.events.orders import log_taken
+from cyclamenlift.events.orders import MOST_CARRIED_BYTES
+from cyclamenlift.events.orders import Order
+from cyclamenlift.events.orders import OrderDone
+from cyclamenlift.events.orders import PATIENCE_SECONDS
+from cyclamenlift.events.orders import SHOWN_ID
+from cyclamenlift.events.reports import PublishReport
+from cyclamenlift.ledger.errands import Errand
+from cyclamenlift.ledger.errands import LeaderErrands
+from cyclamenlift.ledger.finder import LeaderFinder
+from cyclamenlift.wire.gen.protocol.ttypes import OrderAnswer
+from cyclamenlift.wire.gen.protocol.ttypes import OrderRequest
+from cyclamenlift.wire.tasks import Link
+from cyclamenlift.wire.tasks import PeerNetwork
+
+LOG = structlog.get_logger('orders')
+
+
+class OrderCarrier(LeaderErrands):
+    """Carries orders to the leader, for a daemon or another instance.
+
+    An order that comes to the leader twice is carried out once: its change
+    id is in the log.
+    """
+
+    max_spacing_seconds = 0.1
+
+    def __init__(
+        self,
+        root: Root,
+        network: PeerNetwork,
+        finder: LeaderFinder,
+        instance: str,
+        own_address: Address | None = None,
+    ):
+        super().__init__(root, network, finder, channel='orders')
+        self.instance = instance
+        self.own_address = own_address
+        network.subscribe(OrderAnswer, self.on_answer)
+
+    # -- commands ---------------------------------------------------------
+
+    def carry(self, order: Order, give_up_at: float, done: OrderDone) -> None:
+        """Ask for an outcome until ``give_up_at``; ``done`` runs once."""
+        change = order.change
+        request = OrderRequest(
+            kind=order.kind,
+            change_id=change.change_id,
+            base_version=change.base_version,
+            chosen_version=change.chosen_version,
+            body=order.body,
+        )
+        self.begin(request, give_up_at, give_up_at, done)
+
+    def note_leader(self, address: Address) -> None:
+        """Ask the leader, now that it is known, for all that waits."""
+        self.finder.note_leader(address)
+        for errand in list(self.errands.values()):
+            if errand.asked != address:
+                errand.silent.discard(address)
+                self.ask(errand)
+
+    def take_back(self) -> list[Errand]:
+        """Ask nobody any more; return what was under way."""
+        errands = list(self.errands.values())
+        self.errands.clear()
+        for errand in errands:
+            if errand.timer is not None:
+                errand.timer.cancel()
+        return errands
+
+    def ask_next(self, errand: Errand) -> None:
+        """Give up at once when all were asked and none can be reached."""
+        control = self.finder.control
+        reached = any(self.network.is_up(address) for address in control)
+        if reached or errand.hops < len(control):
+            super().ask_next(errand)
+        else:
+            self.plan(errand, self.now(), self.give_up)
+
+    def give_up(self, errand: Errand) -> None:
+        code = ResultCode.NOT_LEADER
+        if errand.maybe_taken():
+            code = ResultCode.CHANGE_UNKNOWN
+        self.conclude(errand, PublishReport(code, self.instance))
+
+    def conclude(self, errand: Errand, report: PublishReport) -> None:
+        """Hand over an outcome, and tell how it was got."""
+        began_at = errand.give_up_at - PATIENCE_SECONDS
+        LOG.info(
+            'order_carried',
+            order=errand.message.change_id[:SHOWN_ID],
+            code=int(report.code),
+            via=str(errand.asked or ''),
+            asked=errand.hops,
+            seconds=round(self.now() - began_at, 3),
+        )
+        self.finish(errand, report)
+
+    # -- answers ----------------------------------------------------------
+
+    def on_answer(self, link: Link, answer: OrderAnswer) -> None:
+        errand = self.errands.get(answer.request_id)
+        if errand is None or link.address is None:
+            return
+        if answer.code == ResultCode.NOT_LEADER:
+            self.on_not_leader(errand, link, self.hinted(answer))
+        elif answer.code == ResultCode.CHANGE_UNKNOWN:
+            self.on_lost_leader(errand, link)
+        else:
+            self.finder.note_leader(link.address)
+            self.conclude(errand, report_of(answer, self.instance))
+
+    def hinted(self, answer: OrderAnswer) -> Address | None:
+        """Return where the leader is by an answer, if not here."""
+        try:
+            address = Address.parse(answer.leader_address or '')
+        except ValueError:
+            return None
+        return None if address == self.own_address else address
+
+
+def report_of(answer: OrderAnswer, instance: str) -> PublishReport:
+    return PublishReport(
+        ResultCode(answer.code),
+        instance,
+        answer.version or 0,
+        answer.current_version or 0,
+        answer.detail or '',
+    )
+
+
+class OrderDoor:
+    """Takes orders on a daemon, and carries all of them."""
+
+    def __init__(self, carrier: OrderCarrier):
+        self.carrier = carrier
+
+    def take(self, order: Order, remote: Address, done: OrderDone) -> None:
+        """See an order through."""
+        log_taken(order, remote, leads=False)
+        give_up_at = self.carrier.now() + PATIENCE_SECONDS
+        self.carrier.carry(order, give_up_at, done)
+
+    def takes(self, body_length: int | None) -> bool:
+        """Tell whether an order of this size is taken."""
+        return body_length is not None and body_length <= MOST_CARRIED_BYTES
+
+    def read(self, _done) -> bool:
+        """Leave reads to control instances: they hold the documents."""
+        return False
+
+    def place(self) -> Address | None:
+        """Return the leader, else an instance that is up."""
+        network = self.carrier.network
+        return self.carrier.finder.choose(None, network.is_up)
--- a/cyclamenlift/events/reports.py
+++ b/cyclamenlift/events/reports.py
@@ -37,6 +37,13 @@
     leader: str = ''
     problems: tuple[FieldProblem, ...] = ()
 
+    def summary(self) -> str:
+        """Return the first error, or the detail of a change without any."""
+        if not self.problems:
+            return self.detail
+        first = self.problems[0]
+        return f'{first.path} {first.detail}'.strip()
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DocumentReport:
--- a/cyclamenlift/platform/programs.py
+++ b/cyclamenlift/platform/programs.py
@@ -25,6 +25,7 @@
 
 EXIT_SETTINGS = 2
 EXIT_FAILED = 1
+OPERATOR_PATHS = '/v1/Config.'
 LOG = structlog.get_logger('platform')
 
 
@@ -60,8 +61,20 @@
         return complain(problems)
     ready = Readiness(node.is_ready)
     listen(node.loop, fields['listen.ready'], ready.take, 'ready')
+    address = Address.parse(fields['listen.control'])
     check_ins = TargetCheckIns(node.gate, settings.service)
-    listen(node.loop, fields['listen.control'], check_ins.take, 'targets')
+
+    def take(exchange) -> None:
+        """Take a call of an operator or of a target."""
+        if not exchange.path.startswith(OPERATOR_PATHS):
+            check_ins.take(exchange)
+            return
+        # Few daemons are ever asked, and the others need not load it.
+        from cyclamenlift.platform.operators import OperatorCalls
+
+        OperatorCalls(node.orders, address.port).take(exchange)
+
+    listen(node.loop, str(address), take, 'targets')
     node.start_parts()
     watch_settings(node, fields, stamp)
     keep_start_up_objects()
@@ -88,7 +101,7 @@
         complain([started.failure()])
         return EXIT_FAILED
     address = Address.parse(fields['listen.control'])
-    calls = OperatorCalls(node.context, address.port)
+    calls = OperatorCalls(node.orders, address.port)
     listen(node.loop, str(address), calls.take, 'operators')
     watch_settings(node, fields, stamp)
     keep_start_up_objects()
--- a/cyclamenlift/runtime/control.py
+++ b/cyclamenlift/runtime/control.py
@@ -18,9 +18,12 @@
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.core.streams import Address
 from cyclamenlift.core.tasks import build_root
+from cyclamenlift.events.carrying import OrderCarrier
 from cyclamenlift.events.context import ControlContext
+from cyclamenlift.events.desk import OrderDesk
 from cyclamenlift.events.server import DocumentServer
 from cyclamenlift.http.lazy_web import LazyWebServer
+from cyclamenlift.ledger.finder import LeaderFinder
 from cyclamenlift.ledger.server import ClaimServer
 from cyclamenlift.membership.records import is_live
 from cyclamenlift.membership.settings import MembershipSettings
@@ -72,6 +75,8 @@
             self.machine.events,
             self.machine.ledger,
         )
+        self.carrier = self.make_carrier(peers)
+        self.orders = OrderDesk(self.context, self.network, self.carrier)
         self.metrics = ControlMetrics(self.context, self.claims)
         self.membership = self.make_membership()
         self.quarantine = Quarantine(
@@ -156,7 +161,9 @@
         if record.instance == self.settings.instance:
             return
         address = Address.parse(record.peer_address)
-        self.replica.note_peer(record.instance, address, is_live(record))
+        live = is_live(record)
+        self.replica.note_peer(record.instance, address, live)
+        self.carrier.finder.note_control(address, live)
 
     def make_claim_server(self) -> ClaimServer:
         return ClaimServer(
@@ -168,6 +175,17 @@
             self.settings.recorded_answer_bytes,
         )
 
+    def make_carrier(self, peers: dict[str, Address]) -> OrderCarrier:
+        settings = self.settings
+        others = [a for n, a in peers.items() if n != settings.instance]
+        return OrderCarrier(
+            self.loop,
+            self.network,
+            LeaderFinder(others, self.rng),
+            settings.instance,
+            Address.parse(settings.peer_listen),
+        )
+
     def make_document_server(self) -> DocumentServer:
         server = DocumentServer(
             self.network,
@@ -224,7 +242,7 @@
         self.check_idle()
 
     def check_idle(self) -> None:
-        busy = self.admin.busy or self.claims.proposals
+        busy = self.admin.busy or self.claims.proposals or self.orders.busy
         if busy and self.loop.scheduler.clock.now() < self.stop_deadline:
             self.loop.scheduler.after(IDLE_CHECK_SECONDS, self.check_idle)
             return
--- a/cyclamenlift/runtime/daemon.py
+++ b/cyclamenlift/runtime/daemon.py
@@ -18,6 +18,8 @@
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.core.streams import Address
 from cyclamenlift.core.tasks import build_root
+from cyclamenlift.events.carrying import OrderCarrier
+from cyclamenlift.events.carrying import OrderDoor
 from cyclamenlift.events.tasks import ConfigFollower
 from cyclamenlift.gate.health import HealthCheck
 from cyclamenlift.gate.tasks import Gate
@@ -80,6 +82,10 @@
         self.routing.instance = settings.instance
         self.routing.link_rate = settings.link_mbps * BYTES_OF_MEGABIT
         self.claims = ClaimClient(self.loop, self.network, self.control, rng)
+        self.carrier = OrderCarrier(
+            self.loop, self.network, self.claims.finder, settings.instance
+        )
+        self.orders = OrderDoor(self.carrier)
         self.quarantine = Quarantine(self.scheduler, settings.instance, rng)
         self.calls = self.make_calls()
         self.gate = self.make_gate() if settings.target else None
