Believe of control only what control says

What callers would see: an older configuration, or none. Seeds are machines that serve the operators' address, and daemons serve it now, so a seed may be a daemon. A daemon answered with 'committed' once it had a confirmed version itself; one that asked it as a control instance would take this for a majority read. Now no daemon says so, and a seed that membership knows as a daemon is no longer asked as control, by daemons and by control instances.

--- a/cyclamenlift/events/tasks.py
+++ b/cyclamenlift/events/tasks.py
@@ -274,7 +274,8 @@
     def on_request(self, link: Link, request: DocumentRequest) -> None:
         """Give a peer what it lacks, or send it on while others get theirs."""
         history = self.adoption.history
-        answer = bare_answer(history.version, request, self.confirmed)
+        # Only who leads control can tell that nothing newer is committed.
+        answer = bare_answer(history.version, request, committed=False)
         if lacks(history, request):
             self.fill(answer, request)
         link.send(answer)
--- a/cyclamenlift/runtime/control.py
+++ b/cyclamenlift/runtime/control.py
@@ -155,13 +155,20 @@
         self.membership.announce(config_version=self.machine.events.version)
 
     def on_member(self, record: MemberRecord) -> None:
-        """Tell the replica of another control instance."""
-        if record.role != MemberRole.CONTROL:
-            return
+        """Tell the replica of another control instance.
+
+        A seed, which it takes for one, may turn out to be a daemon.
+        """
+        is_control = record.role == MemberRole.CONTROL
         if record.instance == self.settings.instance:
             return
+        if (
+            not is_control
+            and record.instance not in self.replica.settings.peers
+        ):
+            return
         address = Address.parse(record.peer_address)
-        live = is_live(record)
+        live = is_control and is_live(record)
         self.replica.note_peer(record.instance, address, live)
         self.carrier.finder.note_control(address, live)
 
--- a/cyclamenlift/runtime/daemon.py
+++ b/cyclamenlift/runtime/daemon.py
@@ -318,18 +318,19 @@
 
     def on_member(self, record: MemberRecord) -> None:
         if record.role == MemberRole.CONTROL:
-            self.on_control_instance(record)
+            self.on_control_instance(record, is_live(record))
             return
+        # A seed may turn out to be a daemon.
+        self.on_control_instance(record, live=False)
         self.routing.note_member(record, self.scheduler.clock.now())
         self.calls.note_entries(len(self.routing.records))
 
-    def on_control_instance(self, record: MemberRecord) -> None:
+    def on_control_instance(self, record: MemberRecord, live: bool) -> None:
         """Ask a control instance that became known, or no longer."""
         try:
             address = Address.parse(record.peer_address)
         except ValueError:
             return
-        live = is_live(record)
         self.follower.note_control(address, live)
         self.claims.finder.note_control(address, live)
 
--- a/tests/events/test_tasks.py
+++ b/tests/events/test_tasks.py
@@ -298,3 +298,16 @@
     assert bed.asked() == [Address.parse(PEERS[1])]
     bed.give(Address.parse(PEERS[1]), 5)
     assert bed.follower.version == 5
+
+
+# Guards against a daemon that passes for a control instance, as a seed may:
+# its word must not count as that of a majority.
+def test_a_daemon_never_answers_that_a_version_is_committed():
+    bed = FollowerBed()
+    bed.follower.start()
+    bed.give(CONTROL[0], 3, committed=True)
+    assert bed.follower.confirmed
+    peer = bed.network.links[CONTROL[1]]
+    bed.network.deliver(CONTROL[1], DocumentRequest(1, 0))
+    assert peer.sent[-1].version == 3
+    assert not peer.sent[-1].committed
