--- a/cyclamenlift/events/carrying.py
+++ b/cyclamenlift/events/carrying.py
@@ -20,6 +20,9 @@
 from cyclamenlift.wire.tasks import Link
 from cyclamenlift.wire.tasks import PeerNetwork
 
+# Orders on their way from one instance: with those of the largest size they
+# take 2 MB. Operators have eight under way.
+MOST_CARRIED = 64
 LOG = structlog.get_logger('orders')
 
 
@@ -48,7 +51,14 @@
     # -- commands ---------------------------------------------------------
 
     def carry(self, order: Order, give_up_at: float, done: OrderDone) -> None:
-        """Ask for an outcome until ``give_up_at``; ``done`` runs once."""
+        """Ask for an outcome until ``give_up_at``; ``done`` runs once.
+
+        With too many under way an order is refused at once.
+        """
+        if len(self.errands) >= MOST_CARRIED:
+            LOG.warning('order_not_carried', order=order.shown_id)
+            done(PublishReport(ResultCode.NOT_LEADER, self.instance))
+            return
         change = order.change
         request = OrderRequest(
             kind=order.kind,
--- a/tests/events/test_carrying.py
+++ b/tests/events/test_carrying.py
@@ -6,6 +6,7 @@
 
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.streams import Address
+from cyclamenlift.events.carrying import MOST_CARRIED
 from cyclamenlift.events.carrying import OrderCarrier
 from cyclamenlift.events.carrying import OrderDoor
 from cyclamenlift.events.orders import MOST_CARRIED_BYTES
@@ -140,6 +141,15 @@
     assert bed.places[-1] == leader
 
 
+# Guards against a flood of orders that fills an instance's memory.
+def test_orders_beyond_the_bound_are_refused_at_once():
+    bed = CarrierBed()
+    for _ in range(MOST_CARRIED + 1):
+        bed.take()
+    assert bed.codes == [ResultCode.NOT_LEADER]
+    assert len(bed.carrier.errands) == MOST_CARRIED
+
+
 @pytest.mark.parametrize(
     'length, taken',
     [
