Say 504 of an order that may be in a log, and say it in time

An order that the leader had appended when it lost its place began anew as one that nobody had taken, so its operator could hear 503, which promises that it is not carried out. And a leader whose commit hung answered nothing until then, beyond the second that operators wait.

--- a/cyclamenlift/events/carrying.py
+++ b/cyclamenlift/events/carrying.py
@@ -50,14 +50,21 @@
 
     # -- commands ---------------------------------------------------------
 
-    def carry(self, order: Order, give_up_at: float, done: OrderDone) -> None:
+    def carry(
+        self,
+        order: Order,
+        give_up_at: float,
+        done: OrderDone,
+        was_taken: bool = False,
+    ) -> None:
         """Ask for an outcome until ``give_up_at``; ``done`` runs once.
 
-        With too many under way an order is refused at once.
+        With too many under way an order is refused at once. ``was_taken``
+        says that it may be in the log already.
         """
         if len(self.errands) >= MOST_CARRIED:
             LOG.warning('order_not_carried', order=order.shown_id)
-            done(PublishReport(ResultCode.NOT_LEADER, self.instance))
+            done(PublishReport(open_code(was_taken), self.instance))
             return
         change = order.change
         request = OrderRequest(
@@ -67,7 +74,7 @@
             chosen_version=change.chosen_version,
             body=order.body,
         )
-        self.begin(request, give_up_at, give_up_at, done)
+        self.begin(request, give_up_at, give_up_at, done, was_taken)
 
     def note_leader(self, address: Address) -> None:
         """Ask the leader, now that it is known, for all that waits."""
@@ -96,9 +103,7 @@
             self.plan(errand, self.now(), self.give_up)
 
     def give_up(self, errand: Errand) -> None:
-        code = ResultCode.NOT_LEADER
-        if errand.maybe_taken():
-            code = ResultCode.CHANGE_UNKNOWN
+        code = open_code(errand.maybe_taken())
         self.conclude(errand, PublishReport(code, self.instance))
 
     def conclude(self, errand: Errand, report: PublishReport) -> None:
@@ -137,6 +142,13 @@
         return None if address == self.own_address else address
 
 
+def open_code(maybe_taken: bool) -> ResultCode:
+    """Return what is answered of an order that got no outcome."""
+    if maybe_taken:
+        return ResultCode.CHANGE_UNKNOWN
+    return ResultCode.NOT_LEADER
+
+
 def report_of(answer: OrderAnswer, instance: str) -> PublishReport:
     return PublishReport(
         ResultCode(answer.code),
--- a/cyclamenlift/events/desk.py
+++ b/cyclamenlift/events/desk.py
@@ -29,6 +29,46 @@
 LOG = structlog.get_logger('orders')
 
 
+class OutcomeWait:
+    """Waits for what becomes of an order that this instance carries out.
+
+    If it stops to lead meanwhile, the order is carried to the next leader.
+    At ``give_up_at`` its operator hears that the outcome is not known.
+    """
+
+    def __init__(
+        self,
+        carrier: OrderCarrier,
+        order: Order,
+        give_up_at: float,
+        done: OrderDone,
+    ):
+        self.carrier = carrier
+        self.order = order
+        self.give_up_at = give_up_at
+        self.done = done
+        self.over = False
+        self.timer = carrier.loop.scheduler.at(give_up_at, self.give_up)
+
+    def take(self, report: PublishReport) -> None:
+        """Hand over an outcome, or have the order carried."""
+        if self.over:
+            return
+        self.over = True
+        self.timer.cancel()
+        if report.code not in OPEN_CODES:
+            self.done(report)
+            return
+        was_taken = report.code == ResultCode.CHANGE_UNKNOWN
+        self.carrier.carry(self.order, self.give_up_at, self.done, was_taken)
+
+    def give_up(self) -> None:
+        self.over = True
+        LOG.warning('order_not_decided', order=self.order.shown_id)
+        code = ResultCode.CHANGE_UNKNOWN
+        self.done(PublishReport(code, self.carrier.instance))
+
+
 class OrderDesk:
     """Carries orders out while this instance leads, and to who leads else.
 
@@ -85,17 +125,12 @@
     ) -> None:
         """Answer from the log, carry the order out, or have it carried."""
 
-        def finish(report: PublishReport) -> None:
-            if report.code in OPEN_CODES:
-                self.carrier.carry(order, give_up_at, done)
-            else:
-                done(report)
-
         known = self.known(order.change)
         if known is not None:
             done(known)
         elif self.context.leads():
-            self.carry_out(order, finish)
+            wait = OutcomeWait(self.carrier, order, give_up_at, done)
+            self.carry_out(order, wait.take)
         else:
             self.carrier.carry(order, give_up_at, done)
 
--- a/cyclamenlift/ledger/errands.py
+++ b/cyclamenlift/ledger/errands.py
@@ -31,7 +31,8 @@
     ``deadline`` is the call's, ``give_up_at`` ends the asking. ``open_asks``
     counts, for each instance, the times it was asked without proving that
     it does not lead: each of them may have put the message into the log.
-    ``silent`` holds those who gave no answer.
+    ``silent`` holds those who gave no answer. ``was_taken`` says that it
+    may be in the log since before it was an errand.
     """
 
     message: object
@@ -45,10 +46,11 @@
     )
     silent: set[Address] = dataclasses.field(default_factory=set)
     timer: Timer | None = None
+    was_taken: bool = False
 
     def maybe_taken(self) -> bool:
         """Tell whether a leader may have put it into the log."""
-        return any(self.open_asks.values())
+        return self.was_taken or any(self.open_asks.values())
 
 
 class LeaderErrands(BaseComponent):
@@ -80,10 +82,19 @@
 
     # -- commands ---------------------------------------------------------
 
-    def begin(self, message, deadline: float, give_up_at: float, done) -> None:
+    def begin(
+        self,
+        message,
+        deadline: float,
+        give_up_at: float,
+        done: Callable,
+        was_taken: bool = False,
+    ) -> None:
         """Number a message and ask the first instance."""
         message.request_id = next(self.numbers)
-        errand = Errand(message, deadline, give_up_at, done)
+        errand = Errand(
+            message, deadline, give_up_at, done, was_taken=was_taken
+        )
         self.errands[message.request_id] = errand
         self.ask(errand)
 
--- a/tests/events/test_desk.py
+++ b/tests/events/test_desk.py
@@ -3,8 +3,10 @@
 import random
 
 import pytest
+from returns.result import Failure
 
 from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.problems import Problem
 from cyclamenlift.core.streams import Address
 from cyclamenlift.core.tasks import build_root
 from cyclamenlift.events.carrying import OrderCarrier
@@ -12,8 +14,10 @@
 from cyclamenlift.events.desk import OrderDesk
 from cyclamenlift.events.orders import order_from
 from cyclamenlift.events.orders import ORDER_KINDS
+from cyclamenlift.events.orders import PATIENCE_SECONDS
 from cyclamenlift.ledger.finder import LeaderFinder
 from cyclamenlift.models.document import document_from_bytes
+from cyclamenlift.wire.gen.protocol.ttypes import OrderAnswer
 from cyclamenlift.wire.gen.protocol.ttypes import OrderRequest
 from tests.events.builders import control_context
 from tests.events.builders import document
@@ -51,7 +55,8 @@
 
     def __init__(self, leader='a'):
         self.context = control_context(leader)
-        self.root = build_root(FakeClock())
+        self.clock = FakeClock()
+        self.root = build_root(self.clock)
         self.network = FakeNetwork()
         finder = LeaderFinder(list(CONTROL), random.Random(1))
         self.carrier = OrderCarrier(self.root, self.network, finder, 'a')
@@ -76,6 +81,17 @@
         self.desk.on_request(link, request)
         return link.sent[0] if link.sent else None
 
+    def pass_time(self, seconds: float) -> None:
+        self.clock.instant += seconds
+        self.root.scheduler.run_due()
+
+    def refuse_all(self) -> None:
+        """Let all who were asked say that they do not lead."""
+        sent, self.network.sent = self.network.sent, []
+        for address, request in sent:
+            answer = OrderAnswer(request.request_id, ResultCode.NOT_LEADER)
+            self.network.deliver(address, answer)
+
     @property
     def codes(self) -> list[int]:
         return [report.code for report in self.reports]
@@ -149,6 +165,32 @@
     assert isinstance(bed.network.sent[-1][1], OrderRequest)
 
 
+# Guards against 'certainly not' for an order that is in a log.
+@pytest.mark.parametrize('seconds', [0.0, 0.8])
+def test_an_order_that_may_be_in_the_log_is_never_said_not_to_be(seconds):
+    bed = DeskBed()
+    slow = SlowReplica(bed.context)
+    slow.hold()
+    bed.take()
+    bed.pass_time(seconds)
+    bed.context.replica.elect('')
+    (_, done), *_ = slow.proposed
+    done(Failure(Problem(ResultCode.CHANGE_UNKNOWN)))
+    while not bed.reports:
+        bed.refuse_all()
+        bed.pass_time(0.05)
+    assert bed.codes == [ResultCode.CHANGE_UNKNOWN]
+
+
+# Guards against an operator who hears nothing while a commit hangs.
+def test_an_order_that_is_not_decided_is_answered_within_the_patience():
+    bed = DeskBed()
+    SlowReplica(bed.context).hold()
+    bed.take()
+    bed.pass_time(PATIENCE_SECONDS + 0.05)
+    assert bed.codes == [ResultCode.CHANGE_UNKNOWN]
+
+
 # Guards against a connection, and all that it brings, lost for one order.
 def test_an_order_that_cannot_be_read_costs_no_connection():
     bed = DeskBed()
