Refuse an order at which our own code fails, for good

Found by a reviewer. An exception while the leader read an order was answered as 'unknown', so the order was carried to it again and again (ten times in 0.7 s); one in the edit of a partial change ran within the replica, which stops at an error of its own, and would have stopped the next leader as well. No order that does so is known: 15 odd ones were tried. Both are refused now as invalid (5003, 400) with a line.

--- a/cyclamenlift/events/carrying.py
+++ b/cyclamenlift/events/carrying.py
@@ -5,12 +5,12 @@
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.streams import Address
 from cyclamenlift.core.tasks import Root
+from cyclamenlift.events.commands import SHOWN_ID
 from cyclamenlift.events.orders import log_taken
 from cyclamenlift.events.orders import MOST_CARRIED_BYTES
 from cyclamenlift.events.orders import Order
 from cyclamenlift.events.orders import OrderDone
 from cyclamenlift.events.orders import PATIENCE_SECONDS
-from cyclamenlift.events.orders import SHOWN_ID
 from cyclamenlift.events.reports import PublishReport
 from cyclamenlift.ledger.errands import Errand
 from cyclamenlift.ledger.errands import LeaderErrands
@@ -63,7 +63,7 @@
         says that it may be in the log already.
         """
         if len(self.errands) >= MOST_CARRIED:
-            LOG.warning('order_not_carried', order=order.shown_id)
+            LOG.warning('order_not_carried', order=order.change.shown_id)
             done(PublishReport(open_code(was_taken), self.instance))
             return
         change = order.change
--- a/cyclamenlift/events/commands.py
+++ b/cyclamenlift/events/commands.py
@@ -8,6 +8,7 @@
 
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.packing import pack
+from cyclamenlift.core.problems import brief
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.events.border import Publication
 from cyclamenlift.events.border import StorageReplacement
@@ -24,6 +25,11 @@
 from cyclamenlift.wire.gen.protocol.ttypes import Command
 from cyclamenlift.wire.gen.protocol.ttypes import PublishCommand
 
+# Characters of a change's id in log lines.
+SHOWN_ID = 12
+# The most that is told of an error that nobody expected.
+MOST_DETAIL = 200
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Change:
@@ -37,6 +43,11 @@
     operator_name: str = ''
     chosen_version: int = 0
 
+    @property
+    def shown_id(self) -> str:
+        """The beginning of the id, for log lines."""
+        return self.change_id[:SHOWN_ID]
+
 
 def publish(
     context: ControlContext,
@@ -138,6 +149,13 @@
     )
 
 
+def failed_report(context: ControlContext, error: Exception) -> PublishReport:
+    """Return the refusal of a change at which our own code failed."""
+    detail = brief(f'{type(error).__name__}: {error}', MOST_DETAIL)
+    problem = Problem(ResultCode.DOCUMENT_INVALID, detail)
+    return invalid_report(context, [problem])
+
+
 def not_leader_report(context: ControlContext) -> PublishReport:
     return PublishReport(
         ResultCode.NOT_LEADER,
--- a/cyclamenlift/events/desk.py
+++ b/cyclamenlift/events/desk.py
@@ -8,6 +8,7 @@
 from cyclamenlift.core.streams import Address
 from cyclamenlift.events.carrying import OrderCarrier
 from cyclamenlift.events.commands import Change
+from cyclamenlift.events.commands import failed_report
 from cyclamenlift.events.commands import not_leader_report
 from cyclamenlift.events.commands import outcome_report
 from cyclamenlift.events.context import ControlContext
@@ -64,7 +65,7 @@
 
     def give_up(self) -> None:
         self.over = True
-        LOG.warning('order_not_decided', order=self.order.shown_id)
+        LOG.warning('order_not_decided', order=self.order.change.shown_id)
         code = ResultCode.CHANGE_UNKNOWN
         self.done(PublishReport(code, self.carrier.instance))
 
@@ -145,14 +146,11 @@
         try:
             kind = ORDER_KINDS.get(order.kind)
             kind(self.context, order, lambda r: self.finish(change_id, r))
-        except Exception:
+        except Exception as error:
             # A body that is read may hold what nobody expected. That must
             # not cost the connection, which brings other things as well.
-            LOG.exception('order_failed', order=order.shown_id)
-            report = PublishReport(
-                ResultCode.CHANGE_UNKNOWN, self.context.instance
-            )
-            self.finish(change_id, report)
+            LOG.exception('order_failed', order=order.change.shown_id)
+            self.finish(change_id, failed_report(self.context, error))
 
     def finish(self, change_id: str, report: PublishReport) -> None:
         for done in self.under_way.pop(change_id, ()):
--- a/cyclamenlift/events/orders.py
+++ b/cyclamenlift/events/orders.py
@@ -23,8 +23,6 @@
 MOST_CARRIED_BYTES = 32 * 1024
 # Codes that leave open what becomes of an order.
 OPEN_CODES = (ResultCode.NOT_LEADER, ResultCode.CHANGE_UNKNOWN)
-# Characters of a change's id in log lines.
-SHOWN_ID = 12
 LOG = structlog.get_logger('orders')
 
 
@@ -40,11 +38,6 @@
     change: Change
     body: bytes
 
-    @property
-    def shown_id(self) -> str:
-        """The beginning of the change's id, for log lines."""
-        return self.change.change_id[:SHOWN_ID]
-
 
 def order_from(
     kind: str, base_version: int, chosen_version: int, body: bytes
@@ -89,7 +82,7 @@
     """Tell that an order arrived here from its operator."""
     LOG.info(
         'order_taken',
-        order=order.shown_id,
+        order=order.change.shown_id,
         kind=order.kind,
         base=order.change.base_version,
         chosen=order.change.chosen_version,
@@ -108,7 +101,7 @@
     LOG.info(
         'change_answered',
         code=int(report.code),
-        change=order.shown_id,
+        change=order.change.shown_id,
         base=order.change.base_version,
         chosen=order.change.chosen_version,
         current=report.current_version,
--- a/cyclamenlift/events/partial.py
+++ b/cyclamenlift/events/partial.py
@@ -9,10 +9,12 @@
 
 from returns.result import Failure
 from returns.result import Result
+import structlog
 
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.events.commands import Change
+from cyclamenlift.events.commands import failed_report
 from cyclamenlift.events.commands import invalid_report
 from cyclamenlift.events.commands import not_leader_report
 from cyclamenlift.events.commands import outcome_report
@@ -23,6 +25,7 @@
 from cyclamenlift.models.document import document_from_bytes
 from cyclamenlift.models.document import EventDocument
 
+LOG = structlog.get_logger('orders')
 Edit = Callable[[EventDocument], Result[EventDocument, Problem]]
 Done = Callable[[PublishReport], None]
 
@@ -59,7 +62,13 @@
     if data is None:
         done(conflict_report(context, change))
         return
-    edited = edit(document_from_bytes(data))
+    try:
+        edited = edit(document_from_bytes(data))
+    except Exception as error:
+        # This runs within the replica, which stops at an error of its own.
+        LOG.exception('order_failed', order=change.shown_id)
+        done(failed_report(context, error))
+        return
     if isinstance(edited, Failure):
         done(invalid_report(context, [edited.failure()]))
         return
--- a/tests/events/test_chosen_versions.py
+++ b/tests/events/test_chosen_versions.py
@@ -128,3 +128,13 @@
     context.replica.leader = 'b'
     report = partial(context, Change('p', 5, chosen_version=8))
     assert report.code == ResultCode.NOT_LEADER
+
+
+# Guards against an order that stops the replica of the leader, and then of
+# the next one that it is carried to.
+def test_an_edit_that_fails_is_refused_and_stops_nobody():
+    def fail(document):
+        raise RecursionError('too deep')
+
+    report = partial(begun(), Change('p', 5, chosen_version=9), fail)
+    assert report.code == INVALID
