Ask no daemon as a control instance, nor oneself

Seeds were believed to be control instances until others were known, and the last one for good; an order sent to such a daemon would have cost the connection and the calls on it (shown with two networks). Now whoever is known as a daemon is not asked as control, even if it is the only one, an instance does not ask itself, and a daemon answers such an order instead of hanging up.

--- a/cyclamenlift/events/carrying.py
+++ b/cyclamenlift/events/carrying.py
@@ -164,6 +164,7 @@
 
     def __init__(self, carrier: OrderCarrier):
         self.carrier = carrier
+        carrier.network.subscribe(OrderRequest, self.on_request)
 
     def take(self, order: Order, remote: Address, done: OrderDone) -> None:
         """See an order through."""
@@ -179,6 +180,11 @@
         """Leave reads to control instances: they hold the documents."""
         return False
 
+    def on_request(self, link: Link, request: OrderRequest) -> None:
+        """Refuse an order of one who takes this daemon for control."""
+        code = int(ResultCode.NOT_LEADER)
+        link.send(OrderAnswer(request.request_id, code))
+
     def place(self) -> Address | None:
         """Return the leader, else an instance that is up."""
         network = self.carrier.network
--- a/cyclamenlift/events/tasks.py
+++ b/cyclamenlift/events/tasks.py
@@ -141,7 +141,12 @@
             if self.started and not self.confirmed:
                 self.network.give_up_connecting(address)
                 self.ask(address, with_document=False)
-        elif address in self.control and len(self.control) > 1:
+        elif len(self.control) > 1:
+            self.note_other(address)
+
+    def note_other(self, address: Address) -> None:
+        """Learn that an address is not one of a control instance."""
+        if address in self.control:
             self.control.remove(address)
             LOG.info('control_lost', address=str(address))
 
--- a/cyclamenlift/ledger/finder.py
+++ b/cyclamenlift/ledger/finder.py
@@ -35,7 +35,12 @@
         if live:
             if address not in self.control:
                 self.control.append(address)
-        elif address in self.control and len(self.control) > 1:
+        elif len(self.control) > 1:
+            self.note_other(address)
+
+    def note_other(self, address: Address) -> None:
+        """Learn that an address is not one of a control instance."""
+        if address in self.control:
             self.control.remove(address)
             self.note_silent(address)
 
--- a/cyclamenlift/runtime/daemon.py
+++ b/cyclamenlift/runtime/daemon.py
@@ -77,7 +77,7 @@
         self.scheduler = self.loop.scheduler
         self.stopping = False
         self.network = self.make_network()
-        self.control = [Address.parse(text) for text in settings.control]
+        self.control = self.first_control()
         self.routing = RoutingState(settings.data_centre, rng)
         self.routing.instance = settings.instance
         self.routing.link_rate = settings.link_mbps * BYTES_OF_MEGABIT
@@ -112,6 +112,12 @@
 
     # -- parts ------------------------------------------------------------
 
+    def first_control(self) -> list[Address]:
+        """Return the control instances of the settings, not ourselves."""
+        settings = self.settings
+        own = settings.advertise_peer or settings.peer_listen
+        return [Address.parse(a) for a in settings.control if a != own]
+
     def make_network(self) -> PeerNetwork:
         settings = self.settings
         network = PeerNetwork(
@@ -318,19 +324,25 @@
 
     def on_member(self, record: MemberRecord) -> None:
         if record.role == MemberRole.CONTROL:
-            self.on_control_instance(record, is_live(record))
+            self.on_control_instance(record)
             return
-        # A seed may turn out to be a daemon.
-        self.on_control_instance(record, live=False)
+        self.on_daemon(record)
         self.routing.note_member(record, self.scheduler.clock.now())
         self.calls.note_entries(len(self.routing.records))
 
-    def on_control_instance(self, record: MemberRecord, live: bool) -> None:
+    def on_daemon(self, record: MemberRecord) -> None:
+        """Ask no daemon as a control instance, though it may be a seed."""
+        address = parse_place(record.peer_address)
+        if address is not None:
+            self.follower.note_other(address)
+            self.claims.finder.note_other(address)
+
+    def on_control_instance(self, record: MemberRecord) -> None:
         """Ask a control instance that became known, or no longer."""
-        try:
-            address = Address.parse(record.peer_address)
-        except ValueError:
+        address = parse_place(record.peer_address)
+        if address is None:
             return
+        live = is_live(record)
         self.follower.note_control(address, live)
         self.claims.finder.note_control(address, live)
 
@@ -367,6 +379,14 @@
             self.begin_stop()
 
 
+def parse_place(text: str) -> Address | None:
+    """Return the address that a member told, None if it is none."""
+    try:
+        return Address.parse(text)
+    except ValueError:
+        return None
+
+
 def limit_callers(limits: HttpLimits, wanted: CallerLimits) -> HttpLimits:
     """Return the limits of the border with those of the document."""
     return dataclasses.replace(
--- a/tests/events/test_carrying.py
+++ b/tests/events/test_carrying.py
@@ -160,3 +160,23 @@
 )
 def test_a_daemon_carries_no_large_order(length, taken):
     assert CarrierBed().door.takes(length) == taken
+
+
+# Guards against a connection, and the calls on it, lost for an order that
+# came to a daemon: seeds are machines that take orders, so one may be asked.
+def test_a_daemon_that_is_asked_as_control_says_that_it_does_not_lead():
+    bed = CarrierBed()
+    bed.network.deliver(CONTROL[0], OrderRequest(7, 'whole', 'x', 1, 2, b''))
+    (answer,) = bed.network.links[CONTROL[0]].sent
+    assert (answer.request_id, answer.code) == (7, ResultCode.NOT_LEADER)
+
+
+def test_a_seed_that_is_a_daemon_is_not_asked_even_if_it_is_the_only_one():
+    bed = CarrierBed()
+    finder = bed.carrier.finder
+    for address in CONTROL:
+        finder.note_other(address)
+    later = Address('127.0.0.1', 9)
+    finder.note_control(later, live=True)
+    bed.take()
+    assert bed.places == [later]
