Let daemons know the leader, and pass over one whose connection is down

A daemon learned of the leader only from an order that it had carried itself, so a read went from daemon to follower to leader, the two redirects that callers follow; and a leader known long ago was asked first though its connection was down. Polls of the configuration tell the leader now. What waits is asked again of a new leader also if it was just asked while it stood for election; control instances take up to 256 KB for each other (their links are wide), daemons 32 KB; a code of a later release decides nothing. Tests: the leader of polls, the passed over leader and the unknown code.

--- a/cyclamenlift/events/carrying.py
+++ b/cyclamenlift/events/carrying.py
@@ -8,6 +8,7 @@
 from cyclamenlift.events.commands import SHOWN_ID
 from cyclamenlift.events.orders import log_taken
 from cyclamenlift.events.orders import MOST_CARRIED_BYTES
+from cyclamenlift.events.orders import OPEN_CODES
 from cyclamenlift.events.orders import Order
 from cyclamenlift.events.orders import OrderDone
 from cyclamenlift.events.orders import PATIENCE_SECONDS
@@ -23,6 +24,8 @@
 # Orders on their way from one instance: with those of the largest size they
 # take 2 MB. Operators have eight under way.
 MOST_CARRIED = 64
+# What decides an order. A code of a later release decides nothing here.
+FINAL_CODES = frozenset(ResultCode) - set(OPEN_CODES)
 LOG = structlog.get_logger('orders')
 
 
@@ -80,9 +83,9 @@
         """Ask the leader, now that it is known, for all that waits."""
         self.finder.note_leader(address)
         for errand in list(self.errands.values()):
-            if errand.asked != address:
-                errand.silent.discard(address)
-                self.ask(errand)
+            errand.silent.discard(address)
+            errand.asked = None
+            self.ask(errand)
 
     def take_back(self) -> list[Errand]:
         """Ask nobody any more; return what was under way."""
@@ -127,11 +130,11 @@
             return
         if answer.code == ResultCode.NOT_LEADER:
             self.on_not_leader(errand, link, self.hinted(answer))
-        elif answer.code == ResultCode.CHANGE_UNKNOWN:
-            self.on_lost_leader(errand, link)
-        else:
+        elif answer.code in FINAL_CODES:
             self.finder.note_leader(link.address)
             self.conclude(errand, report_of(answer, self.instance))
+        else:
+            self.on_lost_leader(errand, link)
 
     def hinted(self, answer: OrderAnswer) -> Address | None:
         """Return where the leader is by an answer, if not here."""
--- a/cyclamenlift/events/desk.py
+++ b/cyclamenlift/events/desk.py
@@ -13,7 +13,7 @@
 from cyclamenlift.events.commands import outcome_report
 from cyclamenlift.events.context import ControlContext
 from cyclamenlift.events.orders import log_taken
-from cyclamenlift.events.orders import MOST_CARRIED_BYTES
+from cyclamenlift.events.orders import MOST_DESK_BYTES
 from cyclamenlift.events.orders import OPEN_CODES
 from cyclamenlift.events.orders import Order
 from cyclamenlift.events.orders import ORDER_KINDS
@@ -102,7 +102,7 @@
         """Tell whether an order of this size is taken."""
         if self.context.leads():
             return True
-        return body_length is not None and body_length <= MOST_CARRIED_BYTES
+        return body_length is not None and body_length <= MOST_DESK_BYTES
 
     def known(self, change: Change) -> PublishReport | None:
         """Return the outcome of a change that is in our copy of the log."""
--- a/cyclamenlift/events/orders.py
+++ b/cyclamenlift/events/orders.py
@@ -18,9 +18,10 @@
 # How long an instance tries before it says that it got no outcome, in
 # seconds: callers wait for a second.
 PATIENCE_SECONDS = 0.7
-# Larger orders go from their callers to the leader: they would hold up what
-# else travels between instances, and fill the links of daemons.
+# Larger orders go from their callers to the leader: they would fill the
+# links of daemons and, between control instances, hold up the log.
 MOST_CARRIED_BYTES = 32 * 1024
+MOST_DESK_BYTES = 256 * 1024
 # Codes that leave open what becomes of an order.
 OPEN_CODES = (ResultCode.NOT_LEADER, ResultCode.CHANGE_UNKNOWN)
 LOG = structlog.get_logger('orders')
--- a/cyclamenlift/events/tasks.py
+++ b/cyclamenlift/events/tasks.py
@@ -73,6 +73,8 @@
         self.adoption = Adoption()
         self.numbers = itertools.count(1)
         self.hooks: list[Callable[[EventRules], None]] = []
+        # Run with where the leader is, each time that this is told.
+        self.leader_hooks: list[Callable[[Address], None]] = []
         self.puller = Puller(self)
         self.share = LinkShare()
         self.lag = Lag()
@@ -239,6 +241,8 @@
         )
         self.conclude(self.adoption.consider(offer), offer)
         self.go_on(offer, bool(answer.busy))
+        if offer.majority:
+            self.note_leader(link.address)
         if from_control and answer.leader_address:
             self.follow_hint(answer.leader_address)
 
@@ -259,15 +263,20 @@
         if version != self.unreadable_version:
             self.puller.pull(version, address)
 
+    def note_leader(self, address: Address) -> None:
+        for hook in self.leader_hooks:
+            hook(address)
+
     def follow_hint(self, leader_address: str) -> None:
         """Ask the leader that a follower named, unless it was just asked."""
-        if self.confirmed or not self.started:
-            return
         try:
             address = Address.parse(leader_address)
         except ValueError:
             LOG.warning('leader_hint_unreadable', address=leader_address[:100])
             return
+        self.note_leader(address)
+        if self.confirmed or not self.started:
+            return
         asked_at = self.asked_at.get(str(address), NEVER)
         if self.now() - asked_at < HINT_SECONDS:
             return
--- a/cyclamenlift/ledger/finder.py
+++ b/cyclamenlift/ledger/finder.py
@@ -72,12 +72,14 @@
 
         After ``tried`` comes the one behind it in the list, so that every
         instance is reached; a first question goes to any. Those whose
-        connection is up come first: the others may be dark.
+        connection is up come first: the others may be dark, also the last
+        leader.
         """
+        if self.leader not in (None, tried):
+            if is_up(self.leader) or not any(map(is_up, self.control)):
+                return self.leader
         if not self.control:
             return None
-        if self.leader is not None and self.leader != tried:
-            return self.leader
         if tried in self.control:
             index = self.control.index(tried) + 1
         else:
--- a/cyclamenlift/runtime/daemon.py
+++ b/cyclamenlift/runtime/daemon.py
@@ -93,6 +93,7 @@
         self.follower = ConfigFollower(
             self.loop, self.network, self.control, rng
         )
+        self.follower.leader_hooks.append(self.claims.finder.note_leader)
         self.calls.is_behind = self.follower.is_behind
         self.follower.share.link_rate = settings.link_mbps * BYTES_OF_MEGABIT
         self.entry = self.make_entry()
--- a/tests/events/test_carrying.py
+++ b/tests/events/test_carrying.py
@@ -132,6 +132,24 @@
     assert len(bed.places) == len(CONTROL)
 
 
+# Guards against reads and orders that go to a leader of long ago.
+def test_a_leader_whose_connection_is_down_is_passed_over():
+    bed = CarrierBed()
+    bed.carrier.finder.note_leader(CONTROL[0])
+    del bed.network.links[CONTROL[0]]
+    assert bed.door.place() in CONTROL[1:]
+    bed.take()
+    assert bed.places[0] in CONTROL[1:]
+
+
+def test_a_code_of_a_later_release_decides_nothing():
+    bed = CarrierBed()
+    bed.take()
+    bed.reply(OrderAnswer(0, 5999))
+    assert not bed.reports
+    assert len(bed.places) == 2
+
+
 def test_what_waits_is_asked_again_when_the_leader_becomes_known():
     bed = CarrierBed()
     bed.take()
--- a/tests/events/test_tasks.py
+++ b/tests/events/test_tasks.py
@@ -311,3 +311,16 @@
     bed.network.deliver(CONTROL[1], DocumentRequest(1, 0))
     assert peer.sent[-1].version == 3
     assert not peer.sent[-1].committed
+
+
+# Guards against reads that are sent on twice: a daemon that carries no order
+# knew no leader, though it is told of it with each poll.
+def test_the_leader_is_learned_from_polls():
+    bed = FollowerBed()
+    told = []
+    bed.follower.leader_hooks.append(told.append)
+    bed.follower.start()
+    bed.give(CONTROL[0], 3, committed=True)
+    hint = DocumentAnswer(1, 3, leader_address=str(CONTROL[2]))
+    bed.network.deliver(CONTROL[1], hint)
+    assert told == [CONTROL[0], CONTROL[2]]
