Ask a named leader although its connection is down

What callers would see: keyed calls refused for good (2005) by a daemon whose connection to the leader was lost, and orders that find no leader. Cause: instances whose connection is up come first, so while two others were up, and named the leader each time, the leader itself was never connected to. Now who is named is asked next, and each round reaches all instances, those that are up first. Both new tests failed before.

--- a/cyclamenlift/ledger/errands.py
+++ b/cyclamenlift/ledger/errands.py
@@ -31,8 +31,10 @@
     ``deadline`` is the call's, ``give_up_at`` ends the asking. ``open_asks``
     counts, for each instance, the times it was asked without proving that
     it does not lead: each of them may have put the message into the log.
-    ``silent`` holds those who gave no answer. ``was_taken`` says that it
-    may be in the log since before it was an errand.
+    ``silent`` holds those who gave no answer, ``in_round`` those who were
+    asked since all were, and ``hinted`` is who was named as the leader.
+    ``was_taken`` says that it may be in the log since before it was an
+    errand.
     """
 
     message: object
@@ -45,6 +47,8 @@
         default_factory=collections.Counter
     )
     silent: set[Address] = dataclasses.field(default_factory=set)
+    in_round: set[Address] = dataclasses.field(default_factory=set)
+    hinted: Address | None = None
     timer: Timer | None = None
     was_taken: bool = False
 
@@ -120,7 +124,7 @@
     def ask(self, errand: Errand) -> None:
         """Send to the likeliest leader, and again if it stays silent."""
         now = self.now()
-        address = self.finder.choose(errand.asked, self.network.is_up)
+        address = self.next_place(errand)
         if address is None or now >= errand.give_up_at:
             self.plan(errand, now, self.give_up)
             return
@@ -131,6 +135,18 @@
         if self.network.send(address, errand.message):
             errand.open_asks[address] += 1
 
+    def next_place(self, errand: Errand) -> Address | None:
+        """Return whom to ask: who was named as the leader, else in turn."""
+        hinted, errand.hinted = errand.hinted, None
+        if errand.in_round.issuperset(self.finder.control):
+            errand.in_round.clear()
+        address = hinted or self.finder.choose(
+            errand.asked, self.network.is_up, errand.in_round
+        )
+        if address is not None:
+            errand.in_round.add(address)
+        return address
+
     def plan(
         self, errand: Errand, at: float, step: Callable[[Errand], None]
     ) -> None:
@@ -173,8 +189,9 @@
             errand.open_asks[link.address] -= 1
         if link.address != errand.asked:
             return
-        if hinted in errand.silent:
+        if hinted in errand.silent or hinted == link.address:
             hinted = None
+        errand.hinted = hinted
         self.finder.note_refused(link.address, hinted)
         self.ask_next(errand)
 
--- a/cyclamenlift/ledger/finder.py
+++ b/cyclamenlift/ledger/finder.py
@@ -1,6 +1,7 @@
 """Which control instance to ask next: pure state, no sockets."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 import random
 
 from cyclamenlift.core.streams import Address
@@ -67,13 +68,14 @@
         self,
         tried: Address | None = None,
         is_up: Callable[[Address], bool] = lambda address: True,
+        in_round: Collection[Address] = (),
     ) -> Address | None:
         """Return whom to ask: the last leader, else the next in the list.
 
         After ``tried`` comes the one behind it in the list, so that every
-        instance is reached; a first question goes to any. Those whose
-        connection is up come first: the others may be dark, also the last
-        leader.
+        instance is reached; a first question goes to any. Of those who were
+        not asked ``in_round``, the ones whose connection is up come first:
+        the others may be dark, also the last leader.
         """
         if self.leader not in (None, tried):
             if is_up(self.leader) or not any(map(is_up, self.control)):
@@ -85,5 +87,6 @@
         else:
             index = self.rng.randrange(len(self.control))
         in_turn = self.control[index:] + self.control[:index]
-        others = [a for a in in_turn if a != tried]
-        return next(filter(is_up, others), (others or in_turn)[0])
+        others = [a for a in in_turn if a != tried] or in_turn
+        fresh = [a for a in others if a not in in_round] or others
+        return next(filter(is_up, fresh), fresh[0])
--- a/tests/ledger/test_tasks.py
+++ b/tests/ledger/test_tasks.py
@@ -277,3 +277,26 @@
     bed.reply(verdict(NOT_LEADER, 'gone'))
     bed.pass_time(0.01)
     assert bed.asked(Request)[-1] != silent
+
+
+# Guards against a leader that nobody asks: its connection was lost, those to
+# the others are up, and these name it each time.
+def test_a_leader_without_a_connection_is_asked_when_it_is_named():
+    bed = ClientBed()
+    leader = CONTROL[2]
+    del bed.network.links[leader]
+    bed.client.finder.note_name('leads', leader)
+    bed.claim()
+    bed.reply(verdict(NOT_LEADER, 'leads'))
+    assert bed.asked(Request)[-1] == leader
+
+
+# Guards against instances that are never asked since others are up.
+def test_each_round_reaches_all_instances():
+    bed = ClientBed()
+    for address in CONTROL[1:]:
+        del bed.network.links[address]
+    bed.claim()
+    for _ in CONTROL[1:]:
+        bed.pass_time(SILENCE_SECONDS)
+    assert sorted(bed.asked(Request)) == sorted(CONTROL)
