Ask who else names a version when a pull brings nothing

Cause: while a pull was under way, who else named the version was dropped; the next to be asked was any control instance by chance, also ones that had just not answered or whose connection was not up; a connection that never came up did not end a pull; an answer without the version did not end it either, and bytes of calls on that connection passed for the document for up to 3.0 s, above the bound.

When a pull is silent for 0.5 s, its connection is lost or never comes up, or its answer (told by its number) lacks the version, the next is asked at once: the newest other one that named it, then a control instance whose connection is up, then any not tried. Busy peers are left for control first. Each address is asked once; after all have failed, the next to name the version is asked at once, and the watch begins anew within 0.5 s.

A test is replaced: test_a_pull_is_asked_of_another_when_its_connection_is _lost held that a connection that never came up asks nobody, and that a second loss in a row waits for the watch. Both were the fault. What they guarded, connections that fail at once in turns for ever, is held by the new one: each address at once at most once, then nobody until the watch, for connections that were up and that were not.

Why it holds: whoever names the version again while a pull is silent had power a moment ago and is asked first, so a chain of dark members ends with the first one that is well and speaks.

--- a/cyclamenlift/events/tasks.py
+++ b/cyclamenlift/events/tasks.py
@@ -50,10 +50,11 @@
     New versions come from three sides: gossip names one (``note_version``)
     and it is pulled from that peer; a control instance tells a few daemons
     unasked; and a slow poll of one control instance at a time finds what
-    both missed. A peer that is slow or busy is left for a control instance,
-    whose link is wide. Until a majority read has confirmed the version, all
-    control instances are asked which one there is, twice a second; the
-    document is then pulled from one.
+    both missed. A peer that brings nothing is left for another one that
+    named the version, a busy one for a control instance, whose link is wide.
+    Until a majority read has confirmed the version, all control instances
+    are asked which one there is, twice a second; the document is then pulled
+    from one.
     """
 
     channel = 'configuration'
@@ -197,8 +198,11 @@
             if not self.network.is_linked(address):
                 self.ask(address)
 
-    def ask(self, address: Address, with_document: bool = True) -> None:
-        """Ask one instance for the newest version, or only which it is."""
+    def ask(self, address: Address, with_document: bool = True) -> int:
+        """Ask one instance for the newest version, or only which it is.
+
+        Returns the number that its answer will carry.
+        """
         self.asked_at[str(address)] = self.now()
         request = DocumentRequest(
             request_id=next(self.numbers),
@@ -207,6 +211,7 @@
             without_document=not with_document,
         )
         self.network.send(address, request)
+        return request.request_id
 
     def asked_ms(self, source: str) -> int:
         """Return how long ago ``source`` was last asked, -1 for never."""
@@ -241,6 +246,7 @@
         )
         self.conclude(self.adoption.consider(offer), offer)
         self.go_on(offer, bool(answer.busy))
+        self.puller.on_answered(offer, answer.request_id or 0)
         if offer.majority:
             self.note_leader(link.address)
         if from_control and answer.leader_address:
--- a/tests/events/test_tasks.py
+++ b/tests/events/test_tasks.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from cyclamenlift.core.packing import pack
 from cyclamenlift.core.streams import Address
 from cyclamenlift.events.giving import MOST_OCCUPIED_SECONDS
 from cyclamenlift.events.pulling import MOST_PULL_SECONDS
@@ -223,6 +224,48 @@
     assert bed.asked() == [Address.parse(PEERS[1])]
 
 
+# Guards against copies of a document that a starting daemon holds already.
+def test_a_document_that_waits_for_others_word_is_not_asked_for_again():
+    bed = FollowerBed()
+    bed.follower.start()
+    for peer in PEERS[:2]:
+        bed.follower.note_version(6, peer)
+    while FIRST not in bed.asked():
+        bed.pass_time(0.05)
+        request = bed.network.sent[-1][1] if bed.network.sent else None
+    answer = DocumentAnswer(
+        request.request_id, 6, b'', False, pack(document('v6'))
+    )
+    bed.network.deliver(FIRST, answer)
+    assert bed.asked() == []
+    bed.pass_time(1.0)
+    assert bed.follower.version == 6
+
+
+# Guards against one that named a version being forgotten when the pull from
+# another one has failed with nobody left.
+def test_who_names_a_version_when_nobody_is_left_is_asked_at_once():
+    bed = running(3)
+    bed.follower.note_version(4, PEERS[0])
+    asked = bed.asked()
+    while asked:
+        asked = lose(bed, asked[-1])
+    bed.follower.note_version(4, PEERS[0])
+    assert bed.asked() == []
+    bed.follower.note_version(4, PEERS[1])
+    assert bed.asked() == [Address.parse(PEERS[1])]
+
+
+def test_a_control_instance_whose_connection_is_up_is_asked_first():
+    for number in range(3):
+        bed = running(3)
+        up = CONTROL[number]
+        bed.network.is_up = lambda address, up=up: address == up
+        bed.follower.note_version(4, PEERS[0])
+        bed.asked()
+        assert lose(bed, FIRST) == [up]
+
+
 # Guards against calls' bytes that pass for a document for longer than a
 # change may take.
 def test_a_pull_over_a_connection_with_calls_ends_within_the_bound():
@@ -245,17 +288,21 @@
     return bed.asked()
 
 
-def test_a_pull_is_asked_of_another_when_its_connection_is_lost():
+@pytest.mark.parametrize('was_up', [True, False])
+def test_a_pull_is_asked_of_another_when_its_connection_is_lost(was_up):
     bed = running(3)
     bed.follower.note_version(4, PEERS[0])
     bed.asked()
-    assert lose(bed, FIRST, was_up=False) == []
-    (other,) = lose(bed, FIRST)
-    assert other in CONTROL
-    # One that fails as well is left to the watch, lest it go on for ever.
-    assert lose(bed, other) == []
+    asked = [FIRST]
+    for _ in CONTROL:
+        (other,) = lose(bed, asked[-1], was_up)
+        asked.append(other)
+    # Each one once, lest it go on for ever; then the watch begins anew.
+    assert sorted(asked[1:]) == sorted(CONTROL)
+    for address in asked:
+        assert lose(bed, address, was_up) == []
     bed.pass_time(PULL_SECONDS + 0.1)
-    assert bed.follower.puller.under_way.address != other
+    assert bed.follower.puller.under_way.address != asked[-1]
 
 
 def test_who_is_told_that_a_peer_is_busy_asks_control():
@@ -267,6 +314,18 @@
     assert asked in CONTROL
 
 
+# Guards against peers that are all busy with the same version and send
+# whoever asks from one to the other.
+def test_a_busy_peer_is_left_for_control_though_others_named_the_version():
+    bed = running(3)
+    for peer in PEERS:
+        bed.follower.note_version(4, peer)
+    bed.asked()
+    bed.network.deliver(FIRST, DocumentAnswer(1, 4, b'', busy=True))
+    (asked,) = bed.asked()
+    assert asked in CONTROL
+
+
 def test_a_version_that_a_majority_named_is_pulled_from_one():
     bed = FollowerBed()
     bed.follower.start()
