Let a control instance that is cut off have daemons carry its orders

An instance that hears of no leader asks a daemon at each other time; the daemon carries the order and answers. Relayed orders are not relayed again. The tests need the new field and could not run before.

--- a/cyclamenlift/events/carrying.py
+++ b/cyclamenlift/events/carrying.py
@@ -1,10 +1,13 @@
 """Orders on their way to the leader."""
 
+from collections.abc import Callable
+
 import structlog
 
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.streams import Address
 from cyclamenlift.core.tasks import Root
+from cyclamenlift.events.commands import Change
 from cyclamenlift.events.commands import SHOWN_ID
 from cyclamenlift.events.orders import log_taken
 from cyclamenlift.events.orders import MOST_CARRIED_BYTES
@@ -24,6 +27,10 @@
 # Orders on their way from one instance: with those of the largest size they
 # take 2 MB. Operators have eight under way.
 MOST_CARRIED = 64
+# Of so many questions without a hint one goes to a control instance.
+RELAY_EACH = 2
+# How long a daemon tries for another instance, in seconds.
+RELAY_SECONDS = 0.4
 # What decides an order. A code of a later release decides nothing here.
 FINAL_CODES = frozenset(ResultCode) - set(OPEN_CODES)
 LOG = structlog.get_logger('orders')
@@ -49,6 +56,8 @@
         super().__init__(root, network, finder, channel='orders')
         self.instance = instance
         self.own_address = own_address
+        # Returns a daemon that may reach a leader, None for none.
+        self.find_relay: Callable[[], Address | None] = lambda: None
         network.subscribe(OrderAnswer, self.on_answer)
 
     # -- commands ---------------------------------------------------------
@@ -96,6 +105,21 @@
                 errand.timer.cancel()
         return errands
 
+    def next_place(self, errand: Errand) -> Address | None:
+        """Return whom to ask; at each other time a daemon, if none leads.
+
+        Control instances may be cut off from each other and be reached by
+        daemons all the same.
+        """
+        errand.message.relayed = False
+        relay = None
+        if errand.hinted is None and errand.hops % RELAY_EACH:
+            relay = self.find_relay()
+        if relay is None:
+            return super().next_place(errand)
+        errand.message.relayed = True
+        return relay
+
     def ask_next(self, errand: Errand) -> None:
         """Give up at once when all were asked and none can be reached."""
         control = self.finder.control
@@ -111,14 +135,13 @@
 
     def conclude(self, errand: Errand, report: PublishReport) -> None:
         """Hand over an outcome, and tell how it was got."""
-        began_at = errand.give_up_at - PATIENCE_SECONDS
         LOG.info(
             'order_carried',
             order=errand.message.change_id[:SHOWN_ID],
             code=int(report.code),
             via=str(errand.asked or ''),
             asked=errand.hops,
-            seconds=round(self.now() - began_at, 3),
+            seconds=round(self.now() - errand.began_at, 3),
         )
         self.finish(errand, report)
 
@@ -131,7 +154,8 @@
         if answer.code == ResultCode.NOT_LEADER:
             self.on_not_leader(errand, link, self.hinted(answer))
         elif answer.code in FINAL_CODES:
-            self.finder.note_leader(link.address)
+            if not errand.message.relayed:
+                self.finder.note_leader(link.address)
             self.conclude(errand, report_of(answer, self.instance))
         else:
             self.on_lost_leader(errand, link)
@@ -152,6 +176,30 @@
     return ResultCode.NOT_LEADER
 
 
+def order_of(request: OrderRequest) -> Order:
+    """Return the order of a message."""
+    change = Change(
+        change_id=request.change_id or '',
+        base_version=request.base_version or 0,
+        chosen_version=request.chosen_version or 0,
+    )
+    return Order(request.kind or '', change, request.body or b'')
+
+
+def answer_of(
+    request: OrderRequest, report: PublishReport, leader: Address | None = None
+) -> OrderAnswer:
+    """Return the message that tells what became of an order."""
+    return OrderAnswer(
+        request_id=request.request_id,
+        code=int(report.code),
+        version=report.version,
+        current_version=report.current_version,
+        detail=report.summary(),
+        leader_address=str(leader) if leader else '',
+    )
+
+
 def report_of(answer: OrderAnswer, instance: str) -> PublishReport:
     return PublishReport(
         ResultCode(answer.code),
@@ -184,9 +232,20 @@
         return False
 
     def on_request(self, link: Link, request: OrderRequest) -> None:
-        """Refuse an order of one who takes this daemon for control."""
-        code = int(ResultCode.NOT_LEADER)
-        link.send(OrderAnswer(request.request_id, code))
+        """Carry an order for a control instance that reaches no leader.
+
+        Others take this daemon for control, and hear that it is not.
+        """
+
+        def reply(report: PublishReport) -> None:
+            link.send(answer_of(request, report))
+
+        if request.relayed:
+            give_up_at = self.carrier.now() + RELAY_SECONDS
+            self.carrier.carry(order_of(request), give_up_at, reply)
+        else:
+            code = ResultCode.NOT_LEADER
+            reply(PublishReport(code, self.carrier.instance))
 
     def place(self) -> Address | None:
         """Return the leader, else an instance that is up."""
--- a/cyclamenlift/events/desk.py
+++ b/cyclamenlift/events/desk.py
@@ -6,6 +6,8 @@
 
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.streams import Address
+from cyclamenlift.events.carrying import answer_of
+from cyclamenlift.events.carrying import order_of
 from cyclamenlift.events.carrying import OrderCarrier
 from cyclamenlift.events.commands import Change
 from cyclamenlift.events.commands import failed_report
@@ -22,7 +24,6 @@
 from cyclamenlift.events.queries import show
 from cyclamenlift.events.reports import DocumentReport
 from cyclamenlift.events.reports import PublishReport
-from cyclamenlift.wire.gen.protocol.ttypes import OrderAnswer
 from cyclamenlift.wire.gen.protocol.ttypes import OrderRequest
 from cyclamenlift.wire.tasks import Link
 from cyclamenlift.wire.tasks import PeerNetwork
@@ -170,7 +171,7 @@
         order = order_of(request)
 
         def reply(report: PublishReport) -> None:
-            link.send(self.answer(request, report))
+            link.send(answer_of(request, report, self.place()))
 
         known = self.known(order.change)
         if known is not None:
@@ -180,19 +181,6 @@
         else:
             reply(not_leader_report(self.context))
 
-    def answer(
-        self, request: OrderRequest, report: PublishReport
-    ) -> OrderAnswer:
-        place = self.place()
-        return OrderAnswer(
-            request_id=request.request_id,
-            code=int(report.code),
-            version=report.version,
-            current_version=report.current_version,
-            detail=report.summary(),
-            leader_address=str(place) if place else '',
-        )
-
     def on_leader(self, leader: str) -> None:
         """Go on with what waited for a leader."""
         if leader == self.context.instance:
@@ -203,13 +191,3 @@
         place = self.place()
         if place is not None:
             self.carrier.note_leader(place)
-
-
-def order_of(request: OrderRequest) -> Order:
-    """Return the order of a message."""
-    change = Change(
-        change_id=request.change_id or '',
-        base_version=request.base_version or 0,
-        chosen_version=request.chosen_version or 0,
-    )
-    return Order(request.kind or '', change, request.body or b'')
--- a/cyclamenlift/ledger/errands.py
+++ b/cyclamenlift/ledger/errands.py
@@ -51,6 +51,7 @@
     hinted: Address | None = None
     timer: Timer | None = None
     was_taken: bool = False
+    began_at: float = 0.0
 
     def maybe_taken(self) -> bool:
         """Tell whether a leader may have put it into the log."""
@@ -97,7 +98,12 @@
         """Number a message and ask the first instance."""
         message.request_id = next(self.numbers)
         errand = Errand(
-            message, deadline, give_up_at, done, was_taken=was_taken
+            message,
+            deadline,
+            give_up_at,
+            done,
+            was_taken=was_taken,
+            began_at=self.now(),
         )
         self.errands[message.request_id] = errand
         self.ask(errand)
--- a/cyclamenlift/runtime/control.py
+++ b/cyclamenlift/runtime/control.py
@@ -36,6 +36,7 @@
 from cyclamenlift.runtime.peers import parse_peers
 from cyclamenlift.wire.gen.protocol.ttypes import MemberRecord
 from cyclamenlift.wire.gen.protocol.ttypes import MemberRole
+from cyclamenlift.wire.gen.protocol.ttypes import MemberState
 from cyclamenlift.wire.tasks import PeerNetwork
 
 EXIT_FAILED = 1
@@ -145,6 +146,7 @@
         """Tell the others of this instance and learn of them."""
         if self.membership is None:
             return
+        self.carrier.find_relay = self.find_relay
         self.membership.subscribe(self.on_member)
         # Control instances remember while all daemons are restarted.
         self.quarantine.join(self.network, self.membership)
@@ -154,6 +156,18 @@
         self.membership.start()
         self.membership.announce(config_version=self.machine.events.version)
 
+    def find_relay(self) -> Address | None:
+        """Return any daemon that is alive, None if none is known."""
+        daemons = [
+            record
+            for record in self.membership.members()
+            if record.role != MemberRole.CONTROL
+            and record.state == MemberState.ALIVE
+        ]
+        if not daemons:
+            return None
+        return Address.parse(self.rng.choice(daemons).peer_address)
+
     def on_member(self, record: MemberRecord) -> None:
         """Tell the replica of another control instance.
 
--- a/cyclamenlift/wire/cyclamenlift.thrift
+++ b/cyclamenlift/wire/cyclamenlift.thrift
@@ -363,7 +363,9 @@
   3: string change_id,
   4: i64 base_version,
   5: i64 chosen_version,
-  6: binary body
+  6: binary body,
+  // Asks a daemon to carry it for an instance that reaches no leader.
+  7: bool relayed
 }
 
 // What became of it. With the code of an instance that does not lead, the
--- a/cyclamenlift/wire/gen/protocol/ttypes.py
+++ b/cyclamenlift/wire/gen/protocol/ttypes.py
@@ -3460,17 +3460,19 @@
      - base_version
      - chosen_version
      - body
+     - relayed
 
     """
 
 
-    def __init__(self, request_id=None, kind=None, change_id=None, base_version=None, chosen_version=None, body=None,):
+    def __init__(self, request_id=None, kind=None, change_id=None, base_version=None, chosen_version=None, body=None, relayed=None,):
         self.request_id = request_id
         self.kind = kind
         self.change_id = change_id
         self.base_version = base_version
         self.chosen_version = chosen_version
         self.body = body
+        self.relayed = relayed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3511,6 +3513,11 @@
                     self.body = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.relayed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3545,6 +3552,10 @@
             oprot.writeFieldBegin('body', TType.STRING, 6)
             oprot.writeBinary(self.body)
             oprot.writeFieldEnd()
+        if self.relayed is not None:
+            oprot.writeFieldBegin('relayed', TType.BOOL, 7)
+            oprot.writeBool(self.relayed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5017,6 +5028,7 @@
     (4, TType.I64, 'base_version', None, None, ),  # 4
     (5, TType.I64, 'chosen_version', None, None, ),  # 5
     (6, TType.STRING, 'body', 'BINARY', None, ),  # 6
+    (7, TType.BOOL, 'relayed', None, None, ),  # 7
 )
 all_structs.append(OrderAnswer)
 OrderAnswer.thrift_spec = (
--- a/tests/events/test_carrying.py
+++ b/tests/events/test_carrying.py
@@ -189,6 +189,41 @@
     assert (answer.request_id, answer.code) == (7, ResultCode.NOT_LEADER)
 
 
+# Guards against callers of an instance that is cut off from the others: it
+# refused them for as long as the cut lasted, though daemons reach both sides.
+def test_an_instance_that_finds_no_leader_asks_a_daemon_to_carry():
+    bed = CarrierBed()
+    relay = Address('127.0.0.1', 77)
+    bed.carrier.find_relay = lambda: relay
+    bed.take()
+    assert bed.places != [relay]
+    bed.refuse()
+    assert bed.places[-1] == relay
+    assert bed.network.sent[-1][1].relayed
+    bed.accept()
+    assert bed.codes == [ResultCode.CHANGE_ACCEPTED]
+    assert bed.carrier.finder.leader is None
+
+
+def test_a_named_leader_is_asked_before_a_daemon():
+    bed = CarrierBed()
+    bed.carrier.find_relay = lambda: Address('127.0.0.1', 77)
+    bed.take()
+    leader = next(a for a in CONTROL if a != bed.places[0])
+    bed.refuse(leader)
+    assert bed.places[-1] == leader
+    assert not bed.network.sent[-1][1].relayed
+
+
+def test_a_daemon_carries_for_a_control_instance_and_answers_it():
+    bed = CarrierBed()
+    request = OrderRequest(7, 'whole', 'x', 1, 2, b'', relayed=True)
+    bed.network.deliver(CONTROL[0], request)
+    bed.accept()
+    (answer,) = bed.network.links[CONTROL[0]].sent
+    assert (answer.request_id, answer.code) == (7, ResultCode.CHANGE_ACCEPTED)
+
+
 def test_a_seed_that_is_a_daemon_is_not_asked_even_if_it_is_the_only_one():
     bed = CarrierBed()
     finder = bed.carrier.finder
