Keep in mind that others may have taken an order when this one leads

Found while reading the diff. What an instance carried when it was elected began anew as an order that nobody had, so one that had been sent to the old leader could be answered 503 once this one lost its place as well. The test failed before (5004 where 5005 is right).

--- a/cyclamenlift/events/desk.py
+++ b/cyclamenlift/events/desk.py
@@ -44,9 +44,11 @@
         order: Order,
         give_up_at: float,
         done: OrderDone,
+        was_taken: bool,
     ):
         self.carrier = carrier
         self.order = order
+        self.was_taken = was_taken
         self.give_up_at = give_up_at
         self.done = done
         self.over = False
@@ -61,8 +63,11 @@
         if report.code not in OPEN_CODES:
             self.done(report)
             return
-        was_taken = report.code == ResultCode.CHANGE_UNKNOWN
-        self.carrier.carry(self.order, self.give_up_at, self.done, was_taken)
+        if report.code == ResultCode.CHANGE_UNKNOWN:
+            self.was_taken = True
+        self.carrier.carry(
+            self.order, self.give_up_at, self.done, self.was_taken
+        )
 
     def give_up(self) -> None:
         self.over = True
@@ -123,18 +128,26 @@
         self.see_through(order, give_up_at, done)
 
     def see_through(
-        self, order: Order, give_up_at: float, done: OrderDone
+        self,
+        order: Order,
+        give_up_at: float,
+        done: OrderDone,
+        was_taken: bool = False,
     ) -> None:
-        """Answer from the log, carry the order out, or have it carried."""
+        """Answer from the log, carry the order out, or have it carried.
 
+        ``was_taken`` says that it may be in the log already.
+        """
         known = self.known(order.change)
         if known is not None:
             done(known)
         elif self.context.leads():
-            wait = OutcomeWait(self.carrier, order, give_up_at, done)
+            wait = OutcomeWait(
+                self.carrier, order, give_up_at, done, was_taken
+            )
             self.carry_out(order, wait.take)
         else:
-            self.carrier.carry(order, give_up_at, done)
+            self.carrier.carry(order, give_up_at, done, was_taken)
 
     def carry_out(self, order: Order, done: OrderDone) -> None:
         """Carry an order out as the leader, once for all who wait."""
@@ -185,8 +198,12 @@
         """Go on with what waited for a leader."""
         if leader == self.context.instance:
             for errand in self.carrier.take_back():
-                order = order_of(errand.message)
-                self.see_through(order, errand.give_up_at, errand.done)
+                self.see_through(
+                    order_of(errand.message),
+                    errand.give_up_at,
+                    errand.done,
+                    errand.maybe_taken(),
+                )
             return
         place = self.place()
         if place is not None:
--- a/tests/events/test_desk.py
+++ b/tests/events/test_desk.py
@@ -182,6 +182,19 @@
     assert bed.codes == [ResultCode.CHANGE_UNKNOWN]
 
 
+# The same for one that was sent to another instance before this one led.
+def test_an_order_that_others_may_have_taken_is_never_said_not_to_be():
+    bed = DeskBed(leader='')
+    bed.take()
+    bed.context.replica.failing = ResultCode.NOT_LEADER
+    bed.context.replica.elect('a')
+    bed.context.replica.elect('')
+    while not bed.reports:
+        bed.refuse_all()
+        bed.pass_time(0.05)
+    assert bed.codes == [ResultCode.CHANGE_UNKNOWN]
+
+
 # Guards against an operator who hears nothing while a commit hangs.
 def test_an_order_that_is_not_decided_is_answered_within_the_patience():
     bed = DeskBed()
