Give the door of a daemon a module of its own

carrying.py held the way to the leader and the daemon's side of taking orders. No change of behaviour; the tests pass unchanged but for where a name is imported from.

--- a/cyclamenlift/events/carrying.py
+++ b/cyclamenlift/events/carrying.py
@@ -9,12 +9,9 @@
 from cyclamenlift.core.tasks import Root
 from cyclamenlift.events.commands import Change
 from cyclamenlift.events.commands import SHOWN_ID
-from cyclamenlift.events.orders import log_taken
-from cyclamenlift.events.orders import MOST_CARRIED_BYTES
 from cyclamenlift.events.orders import OPEN_CODES
 from cyclamenlift.events.orders import Order
 from cyclamenlift.events.orders import OrderDone
-from cyclamenlift.events.orders import PATIENCE_SECONDS
 from cyclamenlift.events.reports import PublishReport
 from cyclamenlift.ledger.errands import Errand
 from cyclamenlift.ledger.errands import LeaderErrands
@@ -29,8 +26,6 @@
 MOST_CARRIED = 64
 # Of so many questions without a hint one goes to a control instance.
 RELAY_EACH = 2
-# How long a daemon tries for another instance, in seconds.
-RELAY_SECONDS = 0.4
 # What decides an order. A code of a later release decides nothing here.
 FINAL_CODES = frozenset(ResultCode) - set(OPEN_CODES)
 LOG = structlog.get_logger('orders')
@@ -208,46 +203,3 @@
         answer.current_version or 0,
         answer.detail or '',
     )
-
-
-class OrderDoor:
-    """Takes orders on a daemon, and carries all of them."""
-
-    def __init__(self, carrier: OrderCarrier):
-        self.carrier = carrier
-        carrier.network.subscribe(OrderRequest, self.on_request)
-
-    def take(self, order: Order, remote: Address, done: OrderDone) -> None:
-        """See an order through."""
-        log_taken(order, remote, leads=False)
-        give_up_at = self.carrier.now() + PATIENCE_SECONDS
-        self.carrier.carry(order, give_up_at, done)
-
-    def takes(self, body_length: int | None) -> bool:
-        """Tell whether an order of this size is taken."""
-        return body_length is not None and body_length <= MOST_CARRIED_BYTES
-
-    def read(self, _done) -> bool:
-        """Leave reads to control instances: they hold the documents."""
-        return False
-
-    def on_request(self, link: Link, request: OrderRequest) -> None:
-        """Carry an order for a control instance that reaches no leader.
-
-        Others take this daemon for control, and hear that it is not.
-        """
-
-        def reply(report: PublishReport) -> None:
-            link.send(answer_of(request, report))
-
-        if request.relayed:
-            give_up_at = self.carrier.now() + RELAY_SECONDS
-            self.carrier.carry(order_of(request), give_up_at, reply)
-        else:
-            code = ResultCode.NOT_LEADER
-            reply(PublishReport(code, self.carrier.instance))
-
-    def place(self) -> Address | None:
-        """Return the leader, else an instance that is up."""
-        network = self.carrier.network
-        return self.carrier.finder.choose(None, network.is_up)
--- a/cyclamenlift/runtime/daemon.py
+++ b/cyclamenlift/runtime/daemon.py
@@ -19,7 +19,7 @@
 from cyclamenlift.core.streams import Address
 from cyclamenlift.core.tasks import build_root
 from cyclamenlift.events.carrying import OrderCarrier
-from cyclamenlift.events.carrying import OrderDoor
+from cyclamenlift.events.door import OrderDoor
 from cyclamenlift.events.tasks import ConfigFollower
 from cyclamenlift.gate.health import HealthCheck
 from cyclamenlift.gate.tasks import Gate
--- a/tests/events/test_carrying.py
+++ b/tests/events/test_carrying.py
@@ -8,7 +8,7 @@
 from cyclamenlift.core.streams import Address
 from cyclamenlift.events.carrying import MOST_CARRIED
 from cyclamenlift.events.carrying import OrderCarrier
-from cyclamenlift.events.carrying import OrderDoor
+from cyclamenlift.events.door import OrderDoor
 from cyclamenlift.events.orders import MOST_CARRIED_BYTES
 from cyclamenlift.events.orders import order_from
 from cyclamenlift.events.orders import PATIENCE_SECONDS
