Send callers from an instance that finds no leader to a daemon

Now the caller is named a daemon that was alive last (307) in place of 503 or 504: an order may be sent again anywhere as it is. The test with processes failed before (504).

--- a/cyclamenlift/events/desk.py
+++ b/cyclamenlift/events/desk.py
@@ -119,6 +119,10 @@
         """Return where the leader is, None while there is none."""
         return self.context.replica.address_of(self.context.leader_hint())
 
+    def elsewhere(self) -> Address | None:
+        """Return a daemon that is alive: this instance may be cut off."""
+        return self.carrier.find_relay()
+
     # -- commands ---------------------------------------------------------
 
     def take(self, order: Order, remote: Address, done: OrderDone) -> None:
--- a/cyclamenlift/events/door.py
+++ b/cyclamenlift/events/door.py
@@ -55,6 +55,10 @@
             code = ResultCode.NOT_LEADER
             reply(PublishReport(code, self.carrier.instance))
 
+    def elsewhere(self) -> Address | None:
+        """Return nobody: callers have other daemons to go to."""
+        return None
+
     def place(self) -> Address | None:
         """Return the leader, else an instance that is up."""
         network = self.carrier.network
--- a/cyclamenlift/events/orders.py
+++ b/cyclamenlift/events/orders.py
@@ -78,6 +78,9 @@
     def place(self) -> Address | None:
         """Return where the leader is or, unless known, who may know."""
 
+    def elsewhere(self) -> Address | None:
+        """Return who may take an order that found no leader from here."""
+
 
 def log_taken(order: Order, remote: Address, leads: bool) -> None:
     """Tell that an order arrived here from its operator."""
--- a/cyclamenlift/platform/operators.py
+++ b/cyclamenlift/platform/operators.py
@@ -5,11 +5,13 @@
 
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.problems import Problem
+from cyclamenlift.core.streams import Address
 from cyclamenlift.events.commands import invalid_report
 from cyclamenlift.events.commands import publish_document
 from cyclamenlift.events.context import ControlContext
 from cyclamenlift.events.orders import log_answered
 from cyclamenlift.events.orders import log_sent_on
+from cyclamenlift.events.orders import OPEN_CODES
 from cyclamenlift.events.orders import Order
 from cyclamenlift.events.orders import order_from
 from cyclamenlift.events.orders import ORDER_KINDS
@@ -87,7 +89,7 @@
         elif exchange.method != 'POST' or path not in ORDER_KINDS.items:
             refuse(exchange, 404, Problem(ResultCode.NOT_FOUND, path[:100]))
         elif not self.orders.takes(exchange.body_length):
-            self.send_on(exchange)
+            self.send_on(exchange, self.orders.place())
         else:
             read_whole(
                 exchange,
@@ -98,7 +100,7 @@
     def take_get(self, exchange: Exchange) -> None:
         """Answer with the newest configuration, if sure to have it."""
         if not self.orders.read(lambda report: self.give(exchange, report)):
-            self.send_on(exchange)
+            self.send_on(exchange, self.orders.place())
 
     def give(self, exchange: Exchange, report: DocumentReport) -> None:
         if not report.confirmed or not report.document:
@@ -136,15 +138,18 @@
     ) -> None:
         """Answer with what became of a change."""
         log_answered(order, report)
+        elsewhere = self.orders.elsewhere()
+        if report.code in OPEN_CODES and elsewhere is not None:
+            self.send_on(exchange, elsewhere)
+            return
         status = STATUS_OF.get(report.code, NOT_SURE)
         if status == 200:
             answer(exchange, 200, {'version': report.version})
         else:
             refuse(exchange, status, Problem(report.code, report.summary()))
 
-    def send_on(self, exchange: Exchange) -> None:
-        """Name the leader's place, or say that there is none now."""
-        place = self.orders.place()
+    def send_on(self, exchange: Exchange, place: Address | None) -> None:
+        """Name the place of another instance, or say that none is known."""
         log_sent_on(exchange.path, place)
         if place is None:
             self.refuse_unsure(exchange, 'no leader is known')
--- a/tests/events/test_desk.py
+++ b/tests/events/test_desk.py
@@ -212,3 +212,13 @@
     bed.take(BROKEN)
     assert bed.codes == [ResultCode.DOCUMENT_INVALID]
     assert bed.ask().code == ACCEPTED
+
+
+# Guards against callers who stay with an instance that is cut off from all
+# others: they are told of a daemon, which they may reach.
+def test_an_instance_that_finds_no_leader_knows_who_else_takes_orders():
+    bed = DeskBed(leader='')
+    assert bed.desk.elsewhere() is None
+    daemon = Address('127.0.0.1', 77)
+    bed.carrier.find_relay = lambda: daemon
+    assert bed.desk.elsewhere() == daemon
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -83,3 +83,21 @@
         assert fleet.ask_until(host, PATCH, order, version) < ACK_SECONDS
         version += 2
     assert version > 8
+
+
+# Guards against callers who stay with an instance that is cut off from all
+# others and are refused there for as long as the cut lasts.
+def test_an_instance_that_reaches_nobody_names_a_daemon(fleet):
+    leader = fleet.found()
+    (daemon,) = fleet.daemons
+    fleet.ask_until(daemon, PATCH, added_route(2), 1)
+    alone = next(host for host in fleet.control if host != leader)
+    for host in fleet.control:
+        if host != alone:
+            fleet.freeze(host)
+    fleet.freeze(daemon)
+    deadline = time.monotonic() + 10
+    answer = fleet.ask(alone, PATCH, added_route(4), 2, seconds=3.0)
+    while answer.status != 307 and time.monotonic() < deadline:
+        answer = fleet.ask(alone, PATCH, added_route(4), 2, seconds=3.0)
+    assert answer.location.startswith(f'http://{daemon}:')
