Give a cold target no more calls than it bears

Cause: nothing read the rate that a cold target bears. The time that its announcement gives was stored and used nowhere, the health page's field was not read. All targets came back cold, each got its usual calls, ended, came back cold and got them again.

Change: the gate counts the calls of a sliding second, exactly; it takes its target as cold until it has heard, asks a warm one again before it gets more than a cold one bears, lets what is over wait while in time and refuses the rest with the time until it may come. Entries learn that time. The document has cold_calls_per_second and cold_start_ms (omitted while unset, so documents of other deployments keep their bytes), daemons cold_burst_factor and cold_burst_slack.

Why it holds: whatever is known or not known of the target, at most the ceiling's number of calls is sent in a second after it was last known warm.

--- a/cyclamenlift/calls/call.py
+++ b/cyclamenlift/calls/call.py
@@ -36,7 +36,13 @@
 
 SERVER_ERROR = 500
 OVERLOAD_HEADER = 'cyclamenlift-overloaded'
-OVERLOAD_CODES = frozenset((ResultCode.OVERLOADED, ResultCode.QUEUE_DEADLINE))
+OVERLOAD_CODES = frozenset(
+    (
+        ResultCode.OVERLOADED,
+        ResultCode.QUEUE_DEADLINE,
+        ResultCode.TARGET_COLD,
+    )
+)
 
 
 class Call:
--- a/cyclamenlift/calls/state.py
+++ b/cyclamenlift/calls/state.py
@@ -53,6 +53,7 @@
     ResultCode.QUEUE_DEADLINE,
     ResultCode.TARGET_SLOW,
     ResultCode.REQUEST_QUARANTINED,
+    ResultCode.TARGET_COLD,
 }
 # Number of targets that may end under one call. The first may have ended
 # because of another call that it ran; that is unlikely for two.
--- a/cyclamenlift/conf/settings.py
+++ b/cyclamenlift/conf/settings.py
@@ -212,6 +212,20 @@
     retry_window_seconds: float = pydantic.Field(
         10.0, gt=0, le=600, description='window of the shared retry budget'
     )
+    cold_burst_factor: float = pydantic.Field(
+        1.0,
+        ge=1,
+        le=100,
+        description='how far the calls to a cold target may exceed the rate '
+        'that it bears, as a factor',
+    )
+    cold_burst_slack: float = pydantic.Field(
+        0.0,
+        ge=0,
+        le=10_000,
+        description='calls per second to a cold target in addition to '
+        'cold_burst_factor',
+    )
     max_depth: int = pydantic.Field(
         16, ge=1, le=64, description='maximum depth of nested calls'
     )
--- a/cyclamenlift/console/views.py
+++ b/cyclamenlift/console/views.py
@@ -7,11 +7,13 @@
 
 import pydantic
 
+from cyclamenlift.console.forms import format_value
 from cyclamenlift.console.forms import list_at
 from cyclamenlift.console.forms import text_at
 from cyclamenlift.events.reports import FieldProblem
 from cyclamenlift.models.document import EventDocument
 from cyclamenlift.models.document import ObjectiveModel
+from cyclamenlift.models.document import OMITTED_IF_UNSET
 from cyclamenlift.models.document import OperationModel
 from cyclamenlift.models.document import ServiceModel
 
@@ -39,6 +41,8 @@
     'probe_budget_per_second': 'at each target, enforced by its daemon',
     'ejection_percent': 'share of targets ejected at a time, at most',
     'slow_start_ms': 'time until a new target gets its full share',
+    'cold_start_ms': 'for targets that do not report it themselves',
+    'cold_calls_per_second': 'that a cold target bears; 0: no limit',
     'path': 'a trailing * matches every path with this prefix',
     'idempotent': 'safe to run more than once',
     'latency_ms': 'slower calls miss the objective',
@@ -151,13 +155,20 @@
         return FieldView(
             path,
             label_of(name),
-            text_at(self.value, path),
+            self.text(name, info, path),
             HINTS.get(name, ''),
             self.error_at(path),
             options_of(info.annotation),
             info.annotation in (int, float),
         )
 
+    def text(self, name: str, info, path: str) -> str:
+        """Return the text of a field, the default of an omitted one."""
+        text = text_at(self.value, path)
+        if not text and name in OMITTED_IF_UNSET:
+            return format_value(info.default)
+        return text
+
     def error_at(self, path: str) -> str:
         """Return the error of a field or of one of its list items."""
         for place, detail in self.errors.items():
--- a/cyclamenlift/core/codes.py
+++ b/cyclamenlift/core/codes.py
@@ -34,6 +34,7 @@
     TARGET_SLOW = 2014
     RULES_BEHIND = 2015
     REQUEST_QUARANTINED = 2016
+    TARGET_COLD = 2017
 
     TARGET_BROKE_OFF = 3000
     PEER_LOST = 3001
@@ -164,6 +165,11 @@
         'kept away, since targets ended while they ran this request',
         _RETRY,
     ),
+    ResultCode.TARGET_COLD: (
+        503,
+        'the target is cold and has as many calls as it bears',
+        _RETRY,
+    ),
     ResultCode.TARGET_BROKE_OFF: (
         502,
         'the target broke off',
--- a/cyclamenlift/gate/admission_control.py
+++ b/cyclamenlift/gate/admission_control.py
@@ -21,6 +21,8 @@
 # Retry-after for a call that waited in vain, in seconds: of the order of the
 # half second after which a slowdown is over.
 QUEUE_TIMEOUT_RETRY_AFTER = 0.25
+# Timers may fire slightly early.
+MIN_COLD_WAIT_SECONDS = 0.001
 
 
 class AdmissionController:
@@ -28,6 +30,8 @@
 
     def __init__(self, gate: 'Gate'):
         self.gate = gate
+        # Fires when a cold target bears another call.
+        self.cold_timer = None
 
     # -- admission -------------------------------------------------------
 
@@ -69,6 +73,7 @@
             log_hold(self.gate, call, admission.hold_seconds)
         if not call.ended:
             call.request_body()
+        self.start_when_warm()
 
     def admit(self, call: 'GateCall', now: float) -> Admission:
         """Decide on a call, by its route's objective if it has a route."""
@@ -94,6 +99,32 @@
         else:
             call.begin(now)
 
+    # -- cold targets ----------------------------------------------------
+
+    def start_when_warm(self) -> None:
+        """Start the queued calls as soon as a cold target bears them.
+
+        A target that may have become cold is asked first.
+        """
+        state = self.gate.state
+        if not state.queue or self.cold_timer is not None:
+            return
+        now = self.gate.now()
+        wait = state.cold_start.wait(now)
+        if not wait:
+            return
+        if state.cold_start.needs_report(now):
+            self.gate.pace_queries.send_query()
+        self.cold_timer = self.gate.scheduler.after(
+            max(MIN_COLD_WAIT_SECONDS, wait), self.on_cold_timer
+        )
+
+    def on_cold_timer(self) -> None:
+        """Start the queued calls that the target bears by now."""
+        self.cold_timer = None
+        gate = self.gate
+        gate.apply_dequeued(gate.state.start_queued(gate.now()))
+
     # -- refusals --------------------------------------------------------
 
     def refuse(self, call: 'GateCall', admission: Admission) -> None:
@@ -149,6 +180,8 @@
     def needs_pace_query(self, call: 'GateCall', now: float) -> bool:
         """Return whether to query the target's pace before a call begins."""
         start = call.start
+        if self.gate.state.cold_start.needs_report(now):
+            return True
         if not (self.gate.dialect.load and start.route_name):
             return False
         objective = (start.objective_left_us or 0) / MICROSECONDS
--- a/cyclamenlift/gate/announcements.py
+++ b/cyclamenlift/gate/announcements.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from cyclamenlift.gate.decision_log import log_cold
 from cyclamenlift.gate.registration import Announcement
 from cyclamenlift.gate.registration import AnnouncementOutcome
 from cyclamenlift.gate.registration import Registration
@@ -40,6 +41,8 @@
             if before and not draining:
                 gate.termination.note_replaced(before)
             self.begin_incarnation(announcement, before)
+        if not announcement.from_health_page:
+            self.note_cold(announcement.warm_up_seconds)
         if announcement.slots and announcement.slots != gate.state.slots:
             gate.set_slots(announcement.slots)
         if announcement.draining and not draining:
@@ -47,13 +50,21 @@
             gate.drain()
         return outcome
 
+    def note_cold(self, cold_seconds: float) -> None:
+        """Record how much longer the target says that it is cold."""
+        gate = self.gate
+        if gate.state.cold_start.note_announcement(cold_seconds, gate.now()):
+            log_cold(gate, cold_seconds, 'announcement')
+
     def begin_incarnation(
         self, announcement: Announcement, before: str
     ) -> None:
         """Admit calls to a target that has just been identified."""
         gate = self.gate
         self.log(announcement, AnnouncementOutcome.NEW)
-        gate.state.reset_for_incarnation(announcement.warm_up_seconds > 0.0)
+        gate.state.reset_for_incarnation(
+            announcement.warm_up_seconds > 0.0, gate.now()
+        )
         if before:
             gate.client.close_idle()
         gate.presence.note_present('announcement')
--- /dev/null
+++ b/cyclamenlift/gate/cold_start.py
@@ -0,0 +1,170 @@
+"""Limits the calls that a target gets in any second while it is cold.
+
+A target that has just started is cold for some seconds, and may become cold
+again at any time. It then bears only a few calls a second; above that it ends,
+comes back cold and ends again under the same load. All calls to a target pass
+its gate, so the limit is exact without messages. Pure logic; callers pass the
+time in.
+"""
+
+import collections
+from collections.abc import Hashable
+import dataclasses
+import math
+
+WINDOW_SECONDS = 1.0
+# Share of the calls that a cold target bears which it is given: calls reach it
+# up to some milliseconds after they were sent, so those of two windows may
+# meet in one second.
+USED_SHARE = 0.8
+NEVER = -math.inf
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdRate:
+    """What a target of a service bears while it is cold.
+
+    ``calls_per_second`` is the declared rate, 0 for no limit. It may be
+    exceeded by the factor ``burst_factor`` and ``burst_slack`` further calls
+    in a second. ``cold_seconds`` is how long a target that doesn't say so
+    itself is taken to be cold after its start.
+    """
+
+    calls_per_second: float = 0.0
+    cold_seconds: float = 0.0
+    burst_factor: float = 1.0
+    burst_slack: float = 0.0
+
+    @property
+    def max_calls(self) -> int:
+        """The most calls that are sent in any second, 0 for no limit.
+
+        >>> ColdRate(8.5, 3.0, 1.5, 8.0).max_calls, ColdRate().max_calls
+        (16, 0)
+        """
+        if not self.calls_per_second:
+            return 0
+        most = self.calls_per_second * self.burst_factor + self.burst_slack
+        return max(1, int(USED_SHARE * most))
+
+
+NO_LIMIT = ColdRate()
+
+
+class ColdStartLimit:
+    """Counts the calls to a target that is, or may have become, cold.
+
+    Only calls sent since the target last said that it is warm can have reached
+    it cold. Calls that have a slot but were not sent yet count as well. A
+    target that is taken to be warm also gets at most ``rate.max_calls`` until
+    it says so again, so that one that has just become cold gets no more than
+    it bears before that is known.
+    """
+
+    def __init__(self) -> None:
+        self.rate = NO_LIMIT
+        # Until something tells, a target is taken to be cold.
+        self.cold_until = math.inf
+        self.unknown_since: float | None = None
+        self.page_tells = False
+        # Whether the target said last that it is cold, None before it has.
+        self.told_cold: bool | None = None
+        self.warm_at = NEVER
+        self.sent: collections.deque[float] = collections.deque()
+        self.promised: set[Hashable] = set()
+
+    # -- what is known of the target --------------------------------------
+
+    def begin_incarnation(self, now: float) -> None:
+        """Forget what is known, since another target has started."""
+        self.cold_until = math.inf
+        self.unknown_since = now
+        self.page_tells = False
+        self.told_cold = None
+        self.warm_at = NEVER
+        self.sent.clear()
+
+    def note_page(
+        self, cold_seconds: float, asked_at: float, now: float
+    ) -> bool:
+        """Record how much longer the target is cold by its health page.
+
+        The page was asked for at ``asked_at``: a warm target was warm then.
+        Returns whether the target told something else before.
+        """
+        self.page_tells = True
+        return self.note(cold_seconds, asked_at, now)
+
+    def note_announcement(self, cold_seconds: float, now: float) -> bool:
+        """Record how much longer the target is cold by its announcement.
+
+        An announcement may be delayed for seconds, so the page goes first.
+        Returns whether the target told something else before.
+        """
+        if self.page_tells:
+            return False
+        return self.note(cold_seconds, now, now)
+
+    def note(self, cold_seconds: float, asked_at: float, now: float) -> bool:
+        self.cold_until = now + cold_seconds
+        cold = cold_seconds > 0.0
+        if not cold:
+            self.warm_at = max(self.warm_at, asked_at)
+        changed = cold != self.told_cold
+        self.told_cold = cold
+        return changed
+
+    def is_cold(self, now: float) -> bool:
+        """Return whether the target is cold, or not known to be warm."""
+        if self.cold_until < math.inf:
+            return now < self.cold_until
+        if self.unknown_since is None:
+            return True
+        return now < self.unknown_since + self.rate.cold_seconds
+
+    # -- calls -------------------------------------------------------------
+
+    def promise(self, key: Hashable) -> None:
+        """Count a call that has a slot and will be sent."""
+        if self.rate.max_calls:
+            self.promised.add(key)
+
+    def withdraw(self, key: Hashable) -> None:
+        """Stop counting a call that was not sent."""
+        self.promised.discard(key)
+
+    def note_sent(self, key: Hashable, now: float) -> None:
+        """Count a call that is being sent to the target."""
+        self.promised.discard(key)
+        if self.rate.max_calls:
+            self.sent.append(now)
+
+    def wait(self, now: float, ahead: int = 0) -> float:
+        """Return the seconds until a call may be sent behind ``ahead`` others.
+
+        0 if it may be sent now.
+        """
+        most = self.rate.max_calls
+        if not most:
+            return 0.0
+        self.forget_old(now)
+        excess = len(self.sent) + len(self.promised) + ahead + 1 - most
+        if excess <= 0:
+            return 0.0
+        if not self.sent:
+            return WINDOW_SECONDS
+        # Each call that is sent as an old one stops counting does so itself a
+        # window later.
+        rounds, index = divmod(excess - 1, len(self.sent))
+        freed_at = self.sent[index] + WINDOW_SECONDS * (rounds + 1)
+        return max(0.0, freed_at - now)
+
+    def needs_report(self, now: float) -> bool:
+        """Return whether a warm target must say again that it is warm."""
+        return not self.is_cold(now) and self.wait(now) > 0.0
+
+    def forget_old(self, now: float) -> None:
+        """Forget calls that no longer count."""
+        oldest = max(now - WINDOW_SECONDS, self.warm_at)
+        while self.sent and self.sent[0] <= oldest:
+            self.sent.popleft()
--- a/cyclamenlift/gate/decision_log.py
+++ b/cyclamenlift/gate/decision_log.py
@@ -35,6 +35,19 @@
     )
 
 
+def log_cold(gate: 'Gate', cold_seconds: float, source: str) -> None:
+    """Log that the target has become cold or warm, and what told so."""
+    LOG.info(
+        'target_cold' if cold_seconds > 0.0 else 'target_warm',
+        incarnation=gate.registration.incarnation,
+        source=source,
+        cold_ms=int(cold_seconds * MILLISECONDS),
+        max_calls=gate.state.cold_start.rate.max_calls,
+        sent=len(gate.state.cold_start.sent),
+        waiting=len(gate.state.queue),
+    )
+
+
 def log_unknown_outcome(
     gate: 'Gate', call: 'GateCall', code: ResultCode, detail: str
 ) -> None:
--- a/cyclamenlift/gate/gate_call.py
+++ b/cyclamenlift/gate/gate_call.py
@@ -109,6 +109,7 @@
         if self.gate.suspects.refuse_suspect(self):
             return
         self.is_buffering = False
+        self.gate.state.cold_start.note_sent(self.key, now)
         self.started_at = now
         self.mark = self.gate.state.occupancy.mark(now)
         self.pace_at_start = self.gate.state.performance.pace.pace_at_start(
--- a/cyclamenlift/gate/health.py
+++ b/cyclamenlift/gate/health.py
@@ -9,6 +9,8 @@
 import structlog
 
 from cyclamenlift.gate.registration import Announcement
+from cyclamenlift.gate.registration import AnnouncementOutcome
+from cyclamenlift.http.dialects import parse_cold_seconds
 from cyclamenlift.http.dialects import parse_load
 from cyclamenlift.http.headers import find_header
 from cyclamenlift.http.target import TargetRequest
@@ -27,6 +29,8 @@
 # queries the pace before a call begins, so a later figure only serves to
 # inform entries.
 MAX_LOAD_AGE_PERIODS = 6.0
+# Characters of an unreadable header that are logged.
+MAX_LOGGED_VALUE = 40
 GOOD_STATUS = range(200, 400)
 
 
@@ -151,35 +155,55 @@
 
     def on_head(self, status, headers, _length) -> None:
         self.status = status
+        self.note_cold(headers)
         self.gate.note_answer_head(headers)
-        self.learn_incarnation(headers)
+        if self.learn_incarnation(headers):
+            self.note_cold(headers)
 
-    def learn_incarnation(self, headers) -> None:
+    def note_cold(self, headers) -> None:
+        """Record how much longer the known target is cold."""
+        dialect = self.gate.dialect
+        if not dialect.cold_ms:
+            return
+        name = find_header(headers, dialect.incarnation)
+        if not name or name != self.gate.registration.incarnation:
+            return
+        # A page without the field is that of a warm target.
+        text = find_header(headers, dialect.cold_ms) or '0'
+        cold_seconds = parse_cold_seconds(text)
+        if cold_seconds is None:
+            LOG.warning('cold_time_unreadable', value=text[:MAX_LOGGED_VALUE])
+            return
+        self.gate.note_cold_page(cold_seconds, self.request_sent_at)
+
+    def learn_incarnation(self, headers) -> bool:
         """Learn the target's incarnation from its health page.
 
         This way a daemon that starts beside a running target need not wait for
-        the target's next announcement.
+        the target's next announcement. Returns whether it is another one than
+        was known.
         """
         dialect = self.gate.dialect
         if not dialect.incarnation:
-            return
+            return False
         name = find_header(headers, dialect.incarnation)
         load = parse_load(find_header(headers, dialect.load))
         registration = self.gate.registration
         if not name or load is None or name == registration.incarnation:
             if name and name == registration.incarnation:
                 registration.doubted = False
-            return
+            return False
         if self.status not in GOOD_STATUS:
             # It may be departing, which only its announcement tells.
-            return
-        self.gate.announce(
+            return False
+        outcome = self.gate.announce(
             Announcement(
                 incarnation=name,
                 service=self.gate.service,
                 slots=load.slots,
             )
         )
+        return outcome is AnnouncementOutcome.NEW
 
     def on_body(self, _data: bytes) -> None:
         """Ignore the content of the page: only its status counts."""
--- a/cyclamenlift/gate/registration.py
+++ b/cyclamenlift/gate/registration.py
@@ -80,7 +80,6 @@
     ) -> None:
         self.unix_ms = unix_ms
         self.current: Announcement | None = None
-        self.warm_deadline = 0.0
         self.left = False
         self.doubted = False
         self.ended: collections.OrderedDict[str, EndedIncarnation] = (
@@ -157,7 +156,7 @@
             announcement = dataclasses.replace(
                 announcement, born_ms=current.born_ms
             )
-        self.note(announcement, now)
+        self.current = announcement
         return AnnouncementOutcome.UPDATED
 
     def replace(
@@ -170,12 +169,8 @@
             self.ended.pop(announcement.incarnation, None)
         self.left = False
         self.doubted = False
-        self.note(announcement, now)
-        return AnnouncementOutcome.NEW
-
-    def note(self, announcement: Announcement, now: float) -> None:
         self.current = announcement
-        self.warm_deadline = now + announcement.warm_up_seconds
+        return AnnouncementOutcome.NEW
 
     def mark_ended(self, incarnation: str, born_ms: int, left: bool) -> None:
         """Remember that an incarnation has ended."""
--- a/cyclamenlift/gate/state.py
+++ b/cyclamenlift/gate/state.py
@@ -9,6 +9,7 @@
 from collections.abc import Hashable
 import dataclasses
 import enum
+import math
 import operator
 
 from cyclamenlift.core.clock import MILLISECONDS
@@ -20,6 +21,7 @@
 from cyclamenlift.gate.admission import RecentUrgencies
 from cyclamenlift.gate.admission import seconds_until_slot
 from cyclamenlift.gate.admission import usable_slots
+from cyclamenlift.gate.cold_start import ColdStartLimit
 from cyclamenlift.gate.estimates import ErrorShare
 from cyclamenlift.gate.estimates import ServiceTime
 from cyclamenlift.gate.occupancy import Occupancy
@@ -93,6 +95,7 @@
         self.rules = DEFAULT_RULES
         self.order_of = operator.attrgetter('order')
         self.occupancy = Occupancy()
+        self.cold_start = ColdStartLimit()
         self.target_state = TargetState.STARTING
         self.service_time = ServiceTime()
         self.errors = ErrorShare()
@@ -106,11 +109,14 @@
             return self.refuse(ResultCode.DRAINING)
         if now >= deadline:
             return self.refuse(ResultCode.DEADLINE_NOT_RUN)
-        if len(self.running) < self.slots and not self.queue:
+        cold_wait = self.cold_start.wait(now, len(self.queue))
+        if len(self.running) < self.slots and not (self.queue or cold_wait):
             self.start(key, now)
             return Admission(Verdict.START)
         if len(self.queue) >= self.queue_limit:
             return self.refuse(ResultCode.OVERLOADED)
+        if cold_wait and now + cold_wait + self.service_time.mean > deadline:
+            return self.refuse_until(ResultCode.TARGET_COLD, cold_wait)
         if now + self.mean_queue_wait() + self.service_time.mean > deadline:
             return self.refuse(ResultCode.QUEUE_DEADLINE)
         self.queue[key] = AdmissionRequest(key, deadline)
@@ -139,10 +145,13 @@
             threshold = self.crowded_slots()
             retry_after = self.wait_for_slot(0, threshold, guess)
             return self.refuse_until(ResultCode.QUEUE_DEADLINE, retry_after)
-        if not best.held and not ahead and len(self.running) < limit:
+        cold_wait = self.cold_start.wait(now, ahead)
+        may_start = not (best.held or ahead or cold_wait)
+        if may_start and len(self.running) < limit:
             self.start(request.key, now, guess)
             return Admission(Verdict.START)
-        wait = max(best.held, self.wait_for_slot(ahead, limit, guess))
+        slot_wait = max(best.held, self.wait_for_slot(ahead, limit, guess))
+        wait = max(slot_wait, cold_wait)
         latest = (
             request.useful_deadline - guess - self.rules.wait_spreads * spread
         )
@@ -151,7 +160,10 @@
         if len(self.queue) >= max(self.queue_limit, self.slots):
             return self.refuse_until(ResultCode.OVERLOADED, wait)
         if now + wait > latest:
-            return self.refuse_until(ResultCode.QUEUE_DEADLINE, wait)
+            code = ResultCode.QUEUE_DEADLINE
+            if cold_wait > slot_wait:
+                code = ResultCode.TARGET_COLD
+            return self.refuse_until(code, wait)
         self.queue[request.key] = request
         return Admission(
             Verdict.QUEUED, latest_start=latest, hold_seconds=best.held
@@ -170,6 +182,7 @@
             self.start(request.key, now, best.seconds)
             return Admission(Verdict.START)
         self.running.discard(request.key)
+        self.cold_start.withdraw(request.key)
         self.hold_times.pop(request.key, None)
         self.note_occupancy(now)
         self.queue[request.key] = request
@@ -204,6 +217,7 @@
         off and its duration is meaningless.
         """
         self.running.discard(key)
+        self.cold_start.withdraw(key)
         self.hold_times.pop(key, None)
         self.note_occupancy(now)
         if seconds is not None:
@@ -218,6 +232,8 @@
         for key in sorted(self.queue, key=self.order_in_queue):
             if len(self.running) >= self.concurrency_limit:
                 break
+            if self.cold_start.wait(now):
+                break
             request = self.queue[key]
             if now >= request.deadline:
                 del self.queue[key]
@@ -235,6 +251,7 @@
     def start(self, key: Hashable, now: float, seconds: float = 0.0) -> None:
         """Give a call a slot that it should hold for ``seconds``."""
         self.running.add(key)
+        self.cold_start.promise(key)
         self.hold_times[key] = seconds
         self.note_occupancy(now)
 
@@ -266,7 +283,7 @@
         self.queue.clear()
         return waiting
 
-    def reset_for_incarnation(self, cold: bool) -> None:
+    def reset_for_incarnation(self, cold: bool, now: float) -> None:
         """Reset for a new incarnation of the target.
 
         What the previous incarnation reported no longer counts. A cold one
@@ -274,6 +291,7 @@
         """
         self.target_state = TargetState.STARTING
         self.performance.pace.forget()
+        self.cold_start.begin_incarnation(now)
         self.untracked_calls = 0
         if cold:
             self.errors = ErrorShare()
@@ -381,6 +399,12 @@
         done = now + best.seconds + self.rules.crowded_spreads * spread
         return done > request.useful_deadline
 
+    def cold_wait(self, now: float) -> float:
+        """Return the seconds until a cold target may get another call."""
+        if not self.cold_start.is_cold(now):
+            return 0.0
+        return self.cold_start.wait(now, len(self.queue))
+
     def mean_queue_wait(self) -> float:
         """Return the expected queueing time by recent service times."""
         ahead = len(self.queue) + 1
@@ -406,4 +430,5 @@
             spell_left_ms=int(
                 self.performance.pace.slowdown_left(now) * MILLISECONDS
             ),
+            cold_wait_ms=math.ceil(self.cold_wait(now) * MILLISECONDS),
         )
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -13,6 +13,9 @@
 from cyclamenlift.gate.admission_control import AdmissionController
 from cyclamenlift.gate.announcements import Announcements
 from cyclamenlift.gate.body_transfers import BodyTransfers
+from cyclamenlift.gate.cold_start import ColdRate
+from cyclamenlift.gate.cold_start import NO_LIMIT
+from cyclamenlift.gate.decision_log import log_cold
 from cyclamenlift.gate.gate_call import GateCall
 from cyclamenlift.gate.lag_tracker import LagTracker
 from cyclamenlift.gate.pace_notifier import PaceNotifier
@@ -80,6 +83,9 @@
         self.target_host = ''
         # Capacity of this instance's link in bytes per second, 0 if unknown.
         self.link_rate = 0.0
+        # How far calls to a cold target may exceed the rate that it bears.
+        self.cold_burst_factor = 1.0
+        self.cold_burst_slack = 0.0
         self.budget = ProbeBudget()
         self.calls: dict[Hashable, GateCall] = {}
         self.calls_by_trace_id: dict[str, GateCall] = {}
@@ -114,9 +120,16 @@
         """
         self.rule = rules.services.get(self.service)
         if self.rule is None:
+            self.state.cold_start.rate = NO_LIMIT
             self.budget.set_rate(0.0, self.now())
             return
         self.state.queue_limit = self.rule.queue_limit
+        self.state.cold_start.rate = ColdRate(
+            self.rule.cold_calls_per_second,
+            self.rule.cold_seconds,
+            self.cold_burst_factor,
+            self.cold_burst_slack,
+        )
         self.budget.set_rate(self.rule.probes_per_second, self.now())
 
     def drain(self) -> None:
@@ -186,6 +199,12 @@
                     self.apply_dequeued(self.state.start_queued(now))
                 self.pace_queries.resume_all()
 
+    def note_cold_page(self, cold_seconds: float, asked_at: float) -> None:
+        """Record how much longer the target is cold by its health page."""
+        cold_start = self.state.cold_start
+        if cold_start.note_page(cold_seconds, asked_at, self.now()):
+            log_cold(self, cold_seconds, 'page')
+
     def notify_pace_change(self, now: float) -> None:
         """Notify entries of a pace change and refuse calls it makes late."""
         if self.pace_notifier.is_due(self.state.pace_percent(now)):
@@ -391,6 +410,7 @@
             call = self.calls.get(key)
             if call is not None:
                 call.begin(self.now())
+        self.admission_control.start_when_warm()
 
     def check_idle(self) -> None:
         if self.is_idle():
--- a/cyclamenlift/http/dialects.py
+++ b/cyclamenlift/http/dialects.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 
+from cyclamenlift.core.clock import MILLISECONDS
 from cyclamenlift.core.registry import Registry
 
 
@@ -23,7 +24,8 @@
     ``required_incarnation`` is the only incarnation of the target that may run
     the call, ``incarnation`` the one that responds. ``proof`` is present in
     every response made by a target; ``not_run`` states that the target
-    didn't run the call; ``load`` holds the load that the target reports.
+    didn't run the call; ``load`` holds the load that the target reports and
+    ``cold_ms``, on its health page, how much longer it is cold.
     ``call_id_required`` rejects requests without a call ID.
     ``fractional_retry`` writes ``Retry-After`` with fractions.
     """
@@ -38,6 +40,7 @@
     proof: str = ''
     not_run: str = ''
     load: str = ''
+    cold_ms: str = ''
     call_id_required: bool = False
     call_id_repeated: bool = False
     fractional_retry: bool = False
@@ -69,6 +72,18 @@
     pace_percent: int = 0
 
 
+def parse_cold_seconds(text: str | None) -> float | None:
+    """Parse how much longer a target is cold; None if invalid.
+
+    >>> parse_cold_seconds('1500'), parse_cold_seconds('soon')
+    (1.5, None)
+    """
+    number = (text or '').strip()
+    if not (number.isascii() and number.isdigit()):
+        return None
+    return int(number) / MILLISECONDS
+
+
 def parse_load(text: str | None) -> TargetLoad | None:
     """Parse running, waiting, slots and an optional pace; None if invalid.
 
--- a/cyclamenlift/models/document.py
+++ b/cyclamenlift/models/document.py
@@ -27,6 +27,9 @@
 # text. The maximum of 10,000 routes takes 4.1 MB at 410 bytes each, and twice
 # that with long names.
 MAX_CANONICAL_BYTES = 8 * 1024 * 1024
+# Fields of services that are omitted while they have no effect, so that
+# instances of releases without them can read the document.
+OMITTED_IF_UNSET = ('cold_start_ms', 'cold_calls_per_second')
 NAME_PATTERN = r'^[a-z0-9][a-z0-9.-]{0,62}$'
 METHOD_PATTERN = r'^[A-Z]{3,10}$'
 
@@ -166,6 +169,19 @@
         le=60_000,
         description='maximum connections per target; 0: no limit',
     )
+    cold_start_ms: int = pydantic.Field(
+        0,
+        ge=0,
+        le=600_000,
+        description='how long a target is cold after its start if it does not '
+        'report it',
+    )
+    cold_calls_per_second: float = pydantic.Field(
+        0.0,
+        ge=0,
+        le=1_000_000,
+        description='calls per second that a cold target bears; 0: no limit',
+    )
 
 
 class EventDocument(StrictModel):
@@ -265,6 +281,10 @@
 def document_to_bytes(document: EventDocument) -> bytes:
     """Serialize a document to its canonical form: JSON with sorted keys."""
     value = document.model_dump(mode='json')
+    for service in value['services']:
+        for name in OMITTED_IF_UNSET:
+            if not service[name]:
+                del service[name]
     return json.dumps(value, sort_keys=True, separators=(',', ':')).encode()
 
 
--- a/cyclamenlift/models/rules.py
+++ b/cyclamenlift/models/rules.py
@@ -52,6 +52,8 @@
     objective_share: float
     health_path: str = ''
     max_connections: int = 0
+    cold_seconds: float = 0.0
+    cold_calls_per_second: float = 0.0
 
     def is_idempotent(self, method: str, path: str) -> bool:
         """Whether it is safe to run a call more than once."""
@@ -200,6 +202,16 @@
     )
 
 
+def slow_start_seconds(service: ServiceModel) -> float:
+    """Return the ramp-up time of a new target at entries.
+
+    None is needed where gates limit the calls to targets that are cold.
+    """
+    if service.cold_calls_per_second:
+        return 0.0
+    return service.slow_start_ms / MILLISECONDS
+
+
 def rule_from_service(service: ServiceModel) -> ServiceRule:
     """Convert a service to a rule."""
     return ServiceRule(
@@ -215,7 +227,7 @@
         queue_limit=service.queue_limit,
         probes_per_second=service.probe_budget_per_second,
         ejection_share=service.ejection_percent / 100.0,
-        slow_start_seconds=service.slow_start_ms / MILLISECONDS,
+        slow_start_seconds=slow_start_seconds(service),
         max_body_bytes=service.max_body_bytes,
         whole_answer_bytes=service.whole_answer_bytes,
         operations=tuple(
@@ -226,4 +238,6 @@
         objective_share=service.objective.percent / 100.0,
         health_path=service.health_path,
         max_connections=service.max_connections,
+        cold_seconds=service.cold_start_ms / MILLISECONDS,
+        cold_calls_per_second=service.cold_calls_per_second,
     )
--- a/cyclamenlift/platform/dialect.py
+++ b/cyclamenlift/platform/dialect.py
@@ -20,6 +20,7 @@
         proof='response-stamp',
         not_run='not-executed',
         load='server-load',
+        cold_ms='cold-ms',
         call_id_required=True,
         call_id_repeated=True,
         fractional_retry=True,
--- a/cyclamenlift/platform/documents.py
+++ b/cyclamenlift/platform/documents.py
@@ -70,6 +70,8 @@
     name: str
     health_path: str = ''
     max_conns: int = 0
+    cold_start: str = '0ms'
+    cold_per_s: float = 0.0
 
 
 class WireLimits(WireModel):
@@ -155,6 +157,8 @@
         'policy': 'expected_finish',
         'health_path': service.health_path,
         'max_connections': service.max_conns,
+        'cold_start_ms': to_milliseconds(service.cold_start),
+        'cold_calls_per_second': service.cold_per_s,
     }
 
 
--- a/cyclamenlift/platform/settings.py
+++ b/cyclamenlift/platform/settings.py
@@ -125,6 +125,8 @@
         'retry_slack': bounds.get('budget_slack', '0'),
         'retry_window_seconds': to_seconds(bounds.get('budget_window', '10s')),
         'farewell_seconds': min(READINESS_SECONDS, grace / 2),
+        'cold_burst_factor': bounds.get('cold_over', '1'),
+        'cold_burst_slack': bounds.get('cold_slack', '0'),
     }
 
 
--- a/cyclamenlift/runtime/daemon.py
+++ b/cyclamenlift/runtime/daemon.py
@@ -184,6 +184,8 @@
             self.dialect,
         )
         gate.link_rate = settings.link_mbps * BYTES_OF_MEGABIT
+        gate.cold_burst_factor = settings.cold_burst_factor
+        gate.cold_burst_slack = settings.cold_burst_slack
         gate.target_host = client.address.host
         gate.quarantine = self.quarantine
         gate.termination.watch(client)
--- a/cyclamenlift/wire/cyclamenlift.thrift
+++ b/cyclamenlift/wire/cyclamenlift.thrift
@@ -56,7 +56,9 @@
   // bodies; 0: none outstanding, or the rate of the link is unknown.
   9: i32 body_wait_ms,
   // Expected remainder of a slow period; 0: none, or unknown.
-  10: i32 spell_left_ms
+  10: i32 spell_left_ms,
+  // Time until a cold target may get another call; 0: now.
+  11: i32 cold_wait_ms
 }
 
 // Entry to gate. Includes a body that fits entirely (body_complete).
--- a/cyclamenlift/wire/gen/protocol/ttypes.py
+++ b/cyclamenlift/wire/gen/protocol/ttypes.py
@@ -237,11 +237,12 @@
      - lag_ms
      - body_wait_ms
      - spell_left_ms
+     - cold_wait_ms
 
     """
 
 
-    def __init__(self, in_flight=None, queued=None, slots=None, latency_us=None, error_permille=None, state=None, pace_percent=None, lag_ms=None, body_wait_ms=None, spell_left_ms=None,):
+    def __init__(self, in_flight=None, queued=None, slots=None, latency_us=None, error_permille=None, state=None, pace_percent=None, lag_ms=None, body_wait_ms=None, spell_left_ms=None, cold_wait_ms=None,):
         self.in_flight = in_flight
         self.queued = queued
         self.slots = slots
@@ -252,6 +253,7 @@
         self.lag_ms = lag_ms
         self.body_wait_ms = body_wait_ms
         self.spell_left_ms = spell_left_ms
+        self.cold_wait_ms = cold_wait_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -312,6 +314,11 @@
                     self.spell_left_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.cold_wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -362,6 +369,10 @@
             oprot.writeFieldBegin('spell_left_ms', TType.I32, 10)
             oprot.writeI32(self.spell_left_ms)
             oprot.writeFieldEnd()
+        if self.cold_wait_ms is not None:
+            oprot.writeFieldBegin('cold_wait_ms', TType.I32, 11)
+            oprot.writeI32(self.cold_wait_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3235,10 +3246,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.fingerprints = []
-                    (_etype903, _size900) = iprot.readListBegin()
-                    for _i904 in range(_size900):
-                        _elem905 = iprot.readBinary()
-                        self.fingerprints.append(_elem905)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readBinary()
+                        self.fingerprints.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3255,10 +3266,10 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.ran_ms = []
-                    (_etype903, _size900) = iprot.readListBegin()
-                    for _i904 in range(_size900):
-                        _elem905 = iprot.readI32()
-                        self.ran_ms.append(_elem905)
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = iprot.readI32()
+                        self.ran_ms.append(_elem46)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3283,8 +3294,8 @@
         if self.fingerprints is not None:
             oprot.writeFieldBegin('fingerprints', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.fingerprints))
-            for iter907 in self.fingerprints:
-                oprot.writeBinary(iter907)
+            for iter47 in self.fingerprints:
+                oprot.writeBinary(iter47)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -3298,8 +3309,8 @@
         if self.ran_ms is not None:
             oprot.writeFieldBegin('ran_ms', TType.LIST, 6)
             oprot.writeListBegin(TType.I32, len(self.ran_ms))
-            for iter907 in self.ran_ms:
-                oprot.writeI32(iter907)
+            for iter48 in self.ran_ms:
+                oprot.writeI32(iter48)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3343,10 +3354,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.known = []
-                    (_etype911, _size908) = iprot.readListBegin()
-                    for _i912 in range(_size908):
-                        _elem913 = iprot.readI64()
-                        self.known.append(_elem913)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readI64()
+                        self.known.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3363,8 +3374,8 @@
         if self.known is not None:
             oprot.writeFieldBegin('known', TType.LIST, 1)
             oprot.writeListBegin(TType.I64, len(self.known))
-            for iter915 in self.known:
-                oprot.writeI64(iter915)
+            for iter55 in self.known:
+                oprot.writeI64(iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3408,11 +3419,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype919, _size916) = iprot.readListBegin()
-                    for _i920 in range(_size916):
-                        _elem921 = EndReport()
-                        _elem921.read(iprot)
-                        self.reports.append(_elem921)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = EndReport()
+                        _elem61.read(iprot)
+                        self.reports.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3429,8 +3440,8 @@
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter923 in self.reports:
-                iter923.write(oprot)
+            for iter62 in self.reports:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4328,11 +4339,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = MemberRecord()
-                        _elem40.read(iprot)
-                        self.records.append(_elem40)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = MemberRecord()
+                        _elem68.read(iprot)
+                        self.records.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4354,11 +4365,11 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype927, _size924) = iprot.readListBegin()
-                    for _i928 in range(_size924):
-                        _elem929 = EndReport()
-                        _elem929.read(iprot)
-                        self.ends.append(_elem929)
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = EndReport()
+                        _elem74.read(iprot)
+                        self.ends.append(_elem74)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4408,8 +4419,8 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter41 in self.records:
-                iter41.write(oprot)
+            for iter75 in self.records:
+                iter75.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_version is not None:
@@ -4427,8 +4438,8 @@
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter931 in self.ends:
-                iter931.write(oprot)
+            for iter76 in self.ends:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ends_digest is not None:
@@ -4752,6 +4763,7 @@
     (8, TType.I32, 'lag_ms', None, None, ),  # 8
     (9, TType.I32, 'body_wait_ms', None, None, ),  # 9
     (10, TType.I32, 'spell_left_ms', None, None, ),  # 10
+    (11, TType.I32, 'cold_wait_ms', None, None, ),  # 11
 )
 all_structs.append(CallStart)
 CallStart.thrift_spec = (
--- a/tests/runtime/builders.py
+++ b/tests/runtime/builders.py
@@ -431,6 +431,7 @@
         proof='x-proof',
         not_run='x-not-run',
         load='x-load',
+        cold_ms='x-cold',
         call_id_repeated=True,
     )
 
--- a/tools/mutants_calls.py
+++ b/tools/mutants_calls.py
@@ -29,6 +29,20 @@
         'return True',
         PATH_TESTS,
     ),
+    Mutant(
+        'a cold target gets the calls of two windows in one second',
+        'cyclamenlift/gate/cold_start.py',
+        'oldest = max(now - WINDOW_SECONDS, self.warm_at)',
+        'oldest = max(float(int(now)), self.warm_at)',
+        'tests/gate/test_cold_targets.py',
+    ),
+    Mutant(
+        'a gate does not ask whether its target has become cold',
+        'cyclamenlift/gate/cold_start.py',
+        'return not self.is_cold(now) and self.wait(now) > 0.0',
+        'return False',
+        'tests/gate/test_cold_targets.py',
+    ),
     Mutant(
         'the target client says unsent for everything',
         'cyclamenlift/gate/gate_call.py',
