--- a/cyclamenlift/calls/call.py
+++ b/cyclamenlift/calls/call.py
@@ -165,6 +165,8 @@
         if code == ResultCode.TARGET_SLOW:
             # Its current pace is known now; it may still be the best choice.
             self.tries.tried.discard(attempt.instance)
+        if code == ResultCode.EVACUATED:
+            self.tries.skip_data_centre_of(attempt.instance)
         draining = code == ResultCode.DRAINING
         outcome = (
             Outcome.REFUSED_DRAINING if draining else Outcome.REFUSED_OVERLOAD
--- a/cyclamenlift/calls/state.py
+++ b/cyclamenlift/calls/state.py
@@ -54,6 +54,7 @@
     ResultCode.TARGET_SLOW,
     ResultCode.REQUEST_QUARANTINED,
     ResultCode.TARGET_COLD,
+    ResultCode.EVACUATED,
 }
 # Number of targets that may end under one call. The first may have ended
 # because of another call that it ran; that is unlikely for two.
@@ -61,6 +62,9 @@
 # Number of gates that one call may ask, regardless of its tries: enough to
 # find the one with free slots among a few dozen, at about a millisecond each.
 MAX_GATES_ASKED = 8
+# Retry delay in milliseconds while all targets of a service are evacuated: an
+# evacuation usually lasts for minutes.
+EVACUATED_RETRY_AFTER_MS = 1000
 
 
 @dataclasses.dataclass(slots=True)
@@ -150,6 +154,11 @@
             self.ended_targets += 1
         self.last_code = ending.code
 
+    def note_evacuated(self) -> None:
+        """Record that only targets in evacuated data centres are left."""
+        self.last_code = ResultCode.EVACUATED
+        self.retry_after_ms = EVACUATED_RETRY_AFTER_MS
+
     def mark_quarantined(self, retry_after_ms: int) -> None:
         """Mark the call as quarantined, so that no other target is tried.
 
--- a/cyclamenlift/calls/tries.py
+++ b/cyclamenlift/calls/tries.py
@@ -72,6 +72,7 @@
         choice = self.choose(now, excluded, assessment.status)
         if choice is None or (hedge and choice.hot and not rescue):
             if not self.open:
+                self.note_evacuation()
                 call.respond_failed()
             return
         link = self.calls.link_to(choice)
@@ -127,6 +128,18 @@
             self.hedge_timer.cancel()
         self.call = None
 
+    def note_evacuation(self) -> None:
+        """Tell the caller if no target is left because of an evacuation."""
+        state = self.call.state
+        if not state.gates_asked and self.calls.routing.is_evacuated(
+            self.service
+        ):
+            state.note_evacuated()
+
+    def skip_data_centre_of(self, instance: str) -> None:
+        """Try no other target in the data centre of an instance."""
+        self.tried |= self.calls.routing.targets_beside(self.service, instance)
+
     def refuse_quarantined(self, wait: float) -> None:
         """End a quarantined call, which must not be sent to a target."""
         call = self.call
--- a/cyclamenlift/cli/status.py
+++ b/cyclamenlift/cli/status.py
@@ -78,8 +78,10 @@
     """Describe the state of an instance, with repairs in progress."""
     replica = value.get('replica')
     if not isinstance(replica, dict):
-        return str(value.get('state') or '')
+        notes = [str(value.get('state') or ''), *evacuation_notes(value)]
+        return '; '.join(note for note in notes if note)
     parts = [f'{replica.get("role")}, term {replica.get("term")}']
+    parts.extend(evacuation_notes(value))
     if not replica.get('established'):
         parts.append('not established')
     if replica.get('role') == 'leader':
@@ -91,6 +93,12 @@
     return '; '.join(parts)
 
 
+def evacuation_notes(value: dict) -> list[str]:
+    """Return a note on the evacuated data centres, if there are any."""
+    names = value.get('evacuated') or ()
+    return [f'evacuated: {", ".join(names)}'] if names else []
+
+
 def pending_repair(item: dict) -> str:
     """Return what is missing before another disk may be lost, or ''."""
     if not item.get('counts'):
--- a/cyclamenlift/conf/settings.py
+++ b/cyclamenlift/conf/settings.py
@@ -255,6 +255,11 @@
         False,
         description='create a new cluster; all listed peers must take part',
     )
+    data_centres: NameList = pydantic.Field(
+        (),
+        description='all data centres, which may be evacuated; those of known '
+        'members need not be listed',
+    )
     wanted_voters: int = pydantic.Field(
         0,
         ge=0,
--- a/cyclamenlift/core/codes.py
+++ b/cyclamenlift/core/codes.py
@@ -35,6 +35,7 @@
     RULES_BEHIND = 2015
     REQUEST_QUARANTINED = 2016
     TARGET_COLD = 2017
+    EVACUATED = 2018
 
     TARGET_BROKE_OFF = 3000
     PEER_LOST = 3001
@@ -70,6 +71,8 @@
     CHANGE_UNKNOWN = 5005
     STORAGE_REPLACED = 5006
     STORAGE_REFUSED = 5007
+    EVACUATION_REFUSED = 5008
+    DATA_CENTRE_UNKNOWN = 5009
 
     SETTING_INVALID = 6000
     SETTING_MISSING = 6001
@@ -170,6 +173,11 @@
         'the target is cold and has as many calls as it bears',
         _RETRY,
     ),
+    ResultCode.EVACUATED: (
+        503,
+        'the only targets left are in an evacuated data centre',
+        _RETRY,
+    ),
     ResultCode.TARGET_BROKE_OFF: (
         502,
         'the target broke off',
@@ -290,6 +298,16 @@
         'the storage can not be replaced now',
         'Look at the status of the control instances.',
     ),
+    ResultCode.EVACUATION_REFUSED: (
+        409,
+        'the data centre can not be evacuated, or taken back, now',
+        'Correct what is named, then order it again.',
+    ),
+    ResultCode.DATA_CENTRE_UNKNOWN: (
+        404,
+        'no data centre of this name is known',
+        'Check the name; nothing was changed.',
+    ),
     ResultCode.SETTING_INVALID: (0, 'a setting is wrong', 'Correct it.'),
     ResultCode.SETTING_MISSING: (0, 'a setting is missing', 'Give it.'),
     ResultCode.DOCUMENT_UNREADABLE: (
--- a/cyclamenlift/core/metrics.py
+++ b/cyclamenlift/core/metrics.py
@@ -143,6 +143,12 @@
         '{request}',
         'requests that are kept from targets now',
     ),
+    MetricInfo(
+        'cyclamenlift.evacuated',
+        MetricKind.GAUGE,
+        '{data_centre}',
+        'data centres to whose targets this instance sends nothing',
+    ),
     MetricInfo(
         'cyclamenlift.config.version',
         MetricKind.GAUGE,
--- a/cyclamenlift/events/orders.py
+++ b/cyclamenlift/events/orders.py
@@ -42,7 +42,11 @@
 
 
 def order_from(
-    kind: str, base_version: int, chosen_version: int, body: bytes
+    kind: str,
+    base_version: int,
+    chosen_version: int,
+    body: bytes,
+    operator_name: str = '',
 ) -> Order:
     """Return an order whose change id is derived from its content.
 
@@ -52,6 +56,7 @@
     change = Change(
         change_id=digest.hexdigest(),
         base_version=base_version,
+        operator_name=operator_name,
         chosen_version=chosen_version,
     )
     return Order(kind, change, body)
--- a/cyclamenlift/events/queries.py
+++ b/cyclamenlift/events/queries.py
@@ -9,6 +9,7 @@
 from cyclamenlift.events.context import ControlContext
 from cyclamenlift.events.reports import ControlReport
 from cyclamenlift.events.reports import DocumentReport
+from cyclamenlift.events.reports import EvacuationReport
 from cyclamenlift.events.reports import HistoryReport
 
 HISTORY_LIMIT = 200
@@ -61,9 +62,38 @@
         claims=len(context.ledger),
         ledger_time_ms=context.ledger.time_ms,
         replica=context.replica.status(),
+        evacuated=evacuated_names(context),
     )
 
 
+def evacuations(
+    context: ControlContext,
+    _number: int,
+    done: Callable[[EvacuationReport], None],
+) -> None:
+    """Report the evacuated data centres."""
+
+    def finish(confirmed: bool) -> None:
+        report = EvacuationReport(
+            ResultCode.ANSWERED,
+            context.instance,
+            context.evacuations.revision,
+            confirmed,
+            tuple(context.evacuations.evacuated()),
+            tuple(sorted(context.find_data_centres())),
+            context.leader_hint(),
+        )
+        done(report)
+
+    confirm(context, finish)
+
+
+def evacuated_names(context: ControlContext) -> tuple[str, ...]:
+    """Return the names of the evacuated data centres."""
+    records = context.evacuations.evacuated()
+    return tuple(record.data_centre for record in records)
+
+
 def confirm(context: ControlContext, done: Callable[[bool], None]) -> None:
     """Confirm leadership by a majority read; ``done`` gets the result.
 
--- a/cyclamenlift/events/reports.py
+++ b/cyclamenlift/events/reports.py
@@ -9,6 +9,7 @@
 import pydantic_core
 
 from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.events.evacuations import EvacuationRecord
 from cyclamenlift.events.state import VersionRecord
 from cyclamenlift.replication.queries import ReplicaStatus
 
@@ -62,6 +63,19 @@
     leader: str = ''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvacuationReport:
+    """The evacuated data centres and the revision of this state."""
+
+    code: ResultCode
+    instance: str
+    revision: int
+    confirmed: bool
+    evacuated: tuple[EvacuationRecord, ...]
+    data_centres: tuple[str, ...]
+    leader: str = ''
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HistoryReport:
     """The version records, newest first."""
@@ -87,6 +101,7 @@
     claims: int
     ledger_time_ms: int
     replica: ReplicaStatus
+    evacuated: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cyclamenlift/events/request_models.py
+++ b/cyclamenlift/events/request_models.py
@@ -27,6 +27,17 @@
     operator_name: Annotated[str, pydantic.Field(max_length=128)] = ''
 
 
+class EvacuationChange(pydantic.BaseModel):
+    """A request to evacuate a data centre or to take it back."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+    data_centre: Annotated[str, pydantic.Field(min_length=1, max_length=63)]
+    evacuated: bool
+    base_revision: Annotated[int, pydantic.Field(ge=0, lt=2**62)]
+    operator_name: Annotated[str, pydantic.Field(max_length=128)] = ''
+
+
 class StorageReplacement(pydantic.BaseModel):
     """A request to accept a new storage in place of a lost one."""
 
--- a/cyclamenlift/events/server.py
+++ b/cyclamenlift/events/server.py
@@ -1,6 +1,7 @@
 """Serves documents to daemons from a control instance."""
 
 import collections
+from collections.abc import Callable
 import random
 
 from returns.result import Success
@@ -14,6 +15,7 @@
 from cyclamenlift.models.lines import lines_from_canonical
 from cyclamenlift.wire.gen.protocol.ttypes import DocumentAnswer
 from cyclamenlift.wire.gen.protocol.ttypes import DocumentRequest
+from cyclamenlift.wire.gen.protocol.ttypes import EvacuationState
 from cyclamenlift.wire.tasks import Link
 from cyclamenlift.wire.tasks import PeerNetwork
 
@@ -51,6 +53,8 @@
         names_leader: bool = False,
     ):
         self.names_leader = names_leader
+        # Returns the evacuated data centres, None if there never were any.
+        self.evacuations: Callable[[], EvacuationState | None] = lambda: None
         self.replica = replica
         self.store = store
         self.instance = instance
@@ -121,6 +125,7 @@
     ) -> DocumentAnswer:
         history = self.current_history()
         answer = version_answer(history.version, request, committed)
+        answer.evacuations = self.evacuations()
         if needs_document(history, request):
             if request.takes_changes:
                 answer.changes = history.since(request.known_version or 0)
@@ -156,6 +161,7 @@
             return self.answer(DocumentRequest(0, 0), False)
         history = self.current_history()
         answer = version_answer(history.version, DocumentRequest(0, 0), False)
+        answer.evacuations = self.evacuations()
         last = history.last()
         if packed_size(last) <= MAX_PUSHED_BYTES:
             answer.changes = last
--- a/cyclamenlift/events/tasks.py
+++ b/cyclamenlift/events/tasks.py
@@ -22,6 +22,7 @@
 from cyclamenlift.events.document_answers import needs_document
 from cyclamenlift.events.document_answers import version_answer
 from cyclamenlift.events.document_pulling import DocumentPuller
+from cyclamenlift.events.evacuation_following import EvacuationFollower
 from cyclamenlift.events.version_lag import VersionLag
 from cyclamenlift.models.lines import canonical_from_lines
 from cyclamenlift.models.rules import EventRules
@@ -76,6 +77,7 @@
         self.hooks: list[Callable[[EventRules], None]] = []
         # Called with the leader's address each time it is reported.
         self.leader_hooks: list[Callable[[Address], None]] = []
+        self.evacuations = EvacuationFollower(root.scheduler.clock.unix_ms)
         self.puller = DocumentPuller(self)
         self.link_budget = LinkBudget()
         self.lag = VersionLag()
@@ -238,6 +240,9 @@
     def on_answer(self, link: Link, answer: DocumentAnswer) -> None:
         """Handle an answer from a control instance or a peer."""
         from_control = link.address in self.control
+        self.evacuations.note(
+            answer.evacuations, str(link.address or link.stream.remote)
+        )
         offer = Offer(
             source=str(link.address or link.stream.remote),
             version=answer.version or 0,
@@ -297,6 +302,7 @@
         history = self.adoption.history
         # Only the leader can confirm that nothing newer is committed.
         answer = version_answer(history.version, request, committed=False)
+        answer.evacuations = self.evacuations.view.state
         if needs_document(history, request):
             self.add_document(answer, request)
         link.send(answer)
--- a/cyclamenlift/gate/admission_control.py
+++ b/cyclamenlift/gate/admission_control.py
@@ -51,6 +51,9 @@
 
     def decide(self, call: 'GateCall', now: float) -> None:
         """Start a call, queue it or refuse it."""
+        if self.gate.evacuated:
+            self.refuse(call, Admission(Verdict.REFUSED, ResultCode.EVACUATED))
+            return
         if self.gate.presence.absent:
             gone = Admission(Verdict.REFUSED, ResultCode.TARGET_UNREACHABLE)
             self.refuse(call, gone)
--- a/cyclamenlift/gate/cold_start.py
+++ b/cyclamenlift/gate/cold_start.py
@@ -16,7 +16,7 @@
 # Share of the calls that a cold target bears which it is given: calls reach it
 # up to some milliseconds after they were sent, so those of two windows may
 # meet in one second.
-USED_SHARE = 0.8
+USED_SHARE = 0.9
 NEVER = -math.inf
 
 
@@ -40,7 +40,7 @@
         """The most calls that are sent in any second, 0 for no limit.
 
         >>> ColdRate(8.5, 3.0, 1.5, 8.0).max_calls, ColdRate().max_calls
-        (16, 0)
+        (18, 0)
         """
         if not self.calls_per_second:
             return 0
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -94,6 +94,9 @@
         self.state_hooks: list[Callable[[TargetState], None]] = []
         self.slots_hooks: list[Callable[[int], None]] = []
         self.refused = 0
+        # Whether nothing may be sent to the target, as its data centre is
+        # evacuated.
+        self.evacuated = False
         self.pace_queries = PaceQueries(scheduler)
         self.termination = TerminationDetector(self)
         self.presence = Presence(self)
@@ -142,6 +145,22 @@
         self.admission_control.refuse_waiting_calls(ResultCode.DRAINING)
         self.run_state_hooks()
 
+    def set_evacuated(self, evacuated: bool) -> None:
+        """Begin or end the evacuation of the target's data centre.
+
+        Calls that were not sent yet are refused; those that run go on.
+        """
+        if evacuated == self.evacuated:
+            return
+        self.evacuated = evacuated
+        LOG.info(
+            'gate_evacuated' if evacuated else 'gate_taken_back',
+            running=len(self.state.running),
+            waiting=len(self.calls) - len(self.state.running),
+        )
+        if evacuated:
+            self.admission_control.refuse_waiting_calls(ResultCode.EVACUATED)
+
     def set_target_state(self, state: TargetState) -> None:
         """Set the target's state after start-up or a health check."""
         before = self.state.target_state
@@ -309,6 +328,9 @@
             call.send_refused(ResultCode.NO_TARGET, 'ends not known yet')
             return
         self.pace_notifier.note_call(link, now)
+        if self.evacuated:
+            call.send_refused(ResultCode.EVACUATED)
+            return
         if self.presence.absent:
             call.send_refused(ResultCode.TARGET_UNREACHABLE, 'nobody listens')
             return
--- a/cyclamenlift/membership/packet_handlers.py
+++ b/cyclamenlift/membership/packet_handlers.py
@@ -36,6 +36,8 @@
         self.sender_is_new = self.state.table.get(packet.sender) is None
         urgent, any_new = self.merge_records(packet, now)
         self.note_sender(packet)
+        if packet.evacuations is not None:
+            self.state.evacuations[packet.sender] = packet.evacuations
         self.state.ends.extend(packet.ends or ())
         self.compare(packet)
         handle = HANDLERS.get(GossipKind(packet.kind).name)
--- a/cyclamenlift/membership/packets.py
+++ b/cyclamenlift/membership/packets.py
@@ -16,13 +16,16 @@
 from cyclamenlift.membership.table import Entry
 from cyclamenlift.membership.table import MemberTable
 from cyclamenlift.wire.codec import encode_packet
+from cyclamenlift.wire.gen.protocol.ttypes import EvacuationState
 from cyclamenlift.wire.gen.protocol.ttypes import GossipKind
 from cyclamenlift.wire.gen.protocol.ttypes import GossipPacket
 from cyclamenlift.wire.gen.protocol.ttypes import MemberRecord
 
 MAX_PACKET_BYTES = 1_400
 # Upper bound of the size of a packet without its strings and records.
-FIXED_BYTES = 80
+FIXED_BYTES = 104
+# The same of a name in a list.
+NAME_BYTES = 2
 # Piggybacked records of a packet, normally and during a table transfer.
 PIGGYBACK_BYTES = 500
 TRANSFER_PIGGYBACK_BYTES = 130
@@ -91,6 +94,8 @@
         # Digest of the ended targets known here; None if this instance doesn't
         # track them, in which case peers don't compare it.
         self.ends_digest: int | None = None
+        # The evacuated data centres; None if there never were any.
+        self.evacuations: EvacuationState | None = None
 
     def set_transfer_mode(self, in_progress: bool) -> None:
         """Shrink piggybacking during a transfer to save bytes for answers."""
@@ -114,6 +119,7 @@
             members_digest=self.table.digest,
             sender_address=self.address,
             ends_digest=self.ends_digest,
+            evacuations=self.evacuations,
         )
 
     def overhead(self, packet: GossipPacket) -> int:
@@ -125,7 +131,10 @@
             packet.subject_address,
             packet.sender_address,
         )
-        return FIXED_BYTES + sum(len(text.encode()) for text in strings)
+        names = packet.evacuations.data_centres if packet.evacuations else ()
+        evacuations = sum(len(name.encode()) + NAME_BYTES for name in names)
+        texts = sum(len(text.encode()) for text in strings)
+        return FIXED_BYTES + texts + evacuations
 
     def add(
         self, packet: GossipPacket, records: Iterable[MemberRecord], limit: int
--- a/cyclamenlift/membership/state.py
+++ b/cyclamenlift/membership/state.py
@@ -30,6 +30,7 @@
 from cyclamenlift.membership.records import same_announcement
 from cyclamenlift.membership.settings import MembershipSettings
 from cyclamenlift.wire.gen.protocol.ttypes import EndReport
+from cyclamenlift.wire.gen.protocol.ttypes import EvacuationState
 from cyclamenlift.wire.gen.protocol.ttypes import GossipKind
 from cyclamenlift.wire.gen.protocol.ttypes import GossipPacket
 from cyclamenlift.wire.gen.protocol.ttypes import MemberRecord
@@ -99,6 +100,8 @@
         self.versions: list[VersionReport] = []
         self.ends: list[EndReport] = []
         self.digests: list[EndsDigest] = []
+        # Received states of evacuations, by sender.
+        self.evacuations: dict[str, EvacuationState] = {}
         self.left = False
         self.joined = not seeds
         self.introductions = Introductions(now)
@@ -306,6 +309,20 @@
             )
         return result
 
+    def push_evacuations(self, fanout: int, now: float) -> list[Outgoing]:
+        """Send the evacuated data centres to some members at once.
+
+        Every packet carries them.
+        """
+        result = []
+        for member in self.sample_nearby(fanout):
+            packet = self.packet_builder.new_packet(GossipKind.SYNC, 0)
+            address = member.gossip_address
+            result.append(
+                self.packet_builder.finish(address, packet, [], now, False)
+            )
+        return result
+
     def announce(
         self,
         target_state: TargetState | None,
--- a/cyclamenlift/membership/tasks.py
+++ b/cyclamenlift/membership/tasks.py
@@ -19,6 +19,7 @@
 from cyclamenlift.wire.codec import decode_packet
 from cyclamenlift.wire.codec import FrameError
 from cyclamenlift.wire.gen.protocol.ttypes import EndReport
+from cyclamenlift.wire.gen.protocol.ttypes import EvacuationState
 from cyclamenlift.wire.gen.protocol.ttypes import GossipPacket
 from cyclamenlift.wire.gen.protocol.ttypes import MemberRecord
 from cyclamenlift.wire.gen.protocol.ttypes import TargetState
@@ -31,6 +32,7 @@
 VersionHook = Callable[[int, str], None]
 EndHook = Callable[[EndReport], object]
 DigestHook = Callable[[EndsDigest], None]
+EvacuationsHook = Callable[[EvacuationState, str], None]
 
 
 class Membership(BaseComponent):
@@ -53,6 +55,7 @@
         self.version_hooks: list[VersionHook] = []
         self.end_hooks: list[EndHook] = []
         self.digest_hooks: list[DigestHook] = []
+        self.evacuation_hooks: list[EvacuationsHook] = []
 
     # -- queries ----------------------------------------------------------
 
@@ -95,6 +98,10 @@
         self.end_hooks.append(on_end)
         self.digest_hooks.append(on_digest)
 
+    def subscribe_evacuations(self, hook: EvacuationsHook) -> None:
+        """Call ``hook(state, sender)`` with the states in packets."""
+        self.evacuation_hooks.append(hook)
+
     def start(self) -> Address:
         """Bind the socket, join through the seeds and return the address.
 
@@ -159,6 +166,16 @@
             now = self.loop.scheduler.clock.now()
             self.dispatch(self.state.push_ends(report, fanout, now, own))
 
+    def spread_evacuations(self, state: EvacuationState, fanout: int) -> None:
+        """Send the evacuated data centres in all packets from now on.
+
+        Some members are sent a packet at once.
+        """
+        if self.state is not None:
+            self.state.packet_builder.evacuations = state
+            now = self.loop.scheduler.clock.now()
+            self.dispatch(self.state.push_evacuations(fanout, now))
+
     def set_ends_digest(self, digest: int) -> None:
         """Set the digest of ended targets that packets carry."""
         if self.state is not None:
@@ -242,6 +259,16 @@
             for hook in self.version_hooks:
                 hook(seen.version, seen.peer_address)
         self.notify_ends()
+        self.notify_evacuations()
+
+    def notify_evacuations(self) -> None:
+        """Notify subscribers of the states in received packets."""
+        if not self.state.evacuations:
+            return
+        received, self.state.evacuations = self.state.evacuations, {}
+        for sender, state in received.items():
+            for hook in self.evacuation_hooks:
+                hook(state, sender)
 
     def notify_ends(self) -> None:
         """Notify subscribers of ended targets and of peers' digests."""
--- a/cyclamenlift/platform/operators.py
+++ b/cyclamenlift/platform/operators.py
@@ -1,4 +1,6 @@
-"""HTTP interface for operators: changes and reads of the configuration."""
+"""HTTP interface for operators: configurations and evacuations."""
+
+from collections.abc import Callable
 
 from returns.result import Failure
 import structlog
@@ -9,6 +11,9 @@
 from cyclamenlift.events.commands import invalid_report
 from cyclamenlift.events.commands import publish_document
 from cyclamenlift.events.context import ControlContext
+from cyclamenlift.events.evacuation_orders import EVACUATE
+from cyclamenlift.events.evacuation_orders import EvacuationRequest
+from cyclamenlift.events.evacuation_orders import TAKE_BACK
 from cyclamenlift.events.orders import log_answered
 from cyclamenlift.events.orders import log_redirected
 from cyclamenlift.events.orders import Order
@@ -34,6 +39,8 @@
 REPLACE_PATH = '/v1/Config.Replace'
 PATCH_PATH = '/v1/Config.Patch'
 GET_PATH = '/v1/Config.Get'
+EVACUATE_PATH = '/v1/Evacuate.Start/'
+TAKE_BACK_PATH = '/v1/Evacuate.Finish/'
 # A request with 1,400 routes takes 219 KB, so the maximum of 10,000 routes is
 # estimated at 1.6 MB; routes with several services need more.
 MAX_CHANGE_BYTES = 4 * 1024 * 1024
@@ -44,6 +51,8 @@
     ResultCode.CHANGE_ID_REUSED: 409,
     ResultCode.BAD_REQUEST: 400,
     ResultCode.CHANGE_UNKNOWN: 504,
+    ResultCode.EVACUATION_REFUSED: 409,
+    ResultCode.DATA_CENTRE_UNKNOWN: 404,
 }
 UNAVAILABLE = 503
 LOG = structlog.get_logger('operators')
@@ -77,15 +86,26 @@
     reads are redirected to the same port of the leader's host.
     """
 
-    def __init__(self, orders: OrderHandler, port: int):
+    def __init__(
+        self,
+        orders: OrderHandler,
+        port: int,
+        evacuation_revision: Callable[[], int],
+    ):
         self.orders = orders
         self.port = port
+        self.evacuation_revision = evacuation_revision
 
     def handle(self, exchange: Exchange) -> None:
         """Handle a request from an operator."""
         path = exchange.path.partition('?')[0]
         if (exchange.method, path) == ('GET', GET_PATH):
             self.on_get(exchange)
+        elif exchange.method == 'POST' and path.startswith(EVACUATE_PATH):
+            self.on_evacuation(exchange, EVACUATE, path[len(EVACUATE_PATH) :])
+        elif exchange.method == 'POST' and path.startswith(TAKE_BACK_PATH):
+            name = path[len(TAKE_BACK_PATH) :]
+            self.on_evacuation(exchange, TAKE_BACK, name)
         elif exchange.method != 'POST' or path not in ORDER_KINDS.items:
             reject(exchange, 404, Problem(ResultCode.NOT_FOUND, path[:100]))
         elif not self.orders.accepts_size(exchange.body_length):
@@ -109,6 +129,20 @@
         source = document_from_bytes(report.document.encode()).source
         exchange.respond(200, [JSON_TYPE], source.encode())
 
+    def on_evacuation(
+        self, exchange: Exchange, kind: str, data_centre: str
+    ) -> None:
+        """Handle an order for a data centre; it has no body."""
+        request = EvacuationRequest(
+            self.orders,
+            kind,
+            data_centre,
+            exchange.remote,
+            lambda: not exchange.done,
+            lambda order, report: self.finish(exchange, order, report),
+        )
+        request.send(self.evacuation_revision())
+
     def on_change(self, exchange: Exchange, path: str, body: bytes) -> None:
         base = exchange.header(BASE_VERSION_FIELD) or ''
         version = read_version(body)
--- a/cyclamenlift/platform/programs.py
+++ b/cyclamenlift/platform/programs.py
@@ -25,7 +25,7 @@
 
 EXIT_SETTINGS = 2
 EXIT_FAILED = 1
-OPERATOR_PATHS = '/v1/Config.'
+OPERATOR_PATHS = ('/v1/Config.', '/v1/Evacuate.')
 LOG = structlog.get_logger('platform')
 
 
@@ -72,7 +72,10 @@
         # Few daemons receive such requests; the others skip the import.
         from cyclamenlift.platform.operators import OperatorEndpoint
 
-        OperatorEndpoint(node.orders, address.port).handle(exchange)
+        view = node.follower.evacuations.view
+        OperatorEndpoint(
+            node.orders, address.port, lambda: view.revision
+        ).handle(exchange)
 
     listen(node.loop, str(address), handle, 'targets')
     node.start_parts()
@@ -101,7 +104,10 @@
         log_problems([started.failure()])
         return EXIT_FAILED
     address = Address.parse(fields['listen.control'])
-    endpoint = OperatorEndpoint(node.orders, address.port)
+    view = node.evacuations.view
+    endpoint = OperatorEndpoint(
+        node.orders, address.port, lambda: view.revision
+    )
     listen(node.loop, str(address), endpoint.handle, 'operators')
     watch_settings(node, fields, stamp)
     freeze_startup_objects()
--- a/cyclamenlift/platform/settings.py
+++ b/cyclamenlift/platform/settings.py
@@ -28,6 +28,8 @@
 # Maximum age of a target's load report before the target is polled, in
 # seconds: a sixth of the time that a machine stays slow (measured: 0.5 s).
 LOAD_MAX_AGE_SECONDS = 0.08
+# Fields that name a data centre each, with its region as value.
+DATA_CENTRE_PREFIX = 'zones.'
 Fields = Mapping[str, str]
 
 
@@ -141,6 +143,11 @@
             f'{seed}={internal_address(fields, seed)}' for seed in seeds
         ),
         'bootstrap': fields.get('bootstrap') == 'true',
+        'data_centres': tuple(
+            name.removeprefix(DATA_CENTRE_PREFIX)
+            for name in fields
+            if name.startswith(DATA_CENTRE_PREFIX)
+        ),
         'wanted_voters': 2 * tolerated_failures + 1,
     }
 
--- a/cyclamenlift/routing/state.py
+++ b/cyclamenlift/routing/state.py
@@ -68,6 +68,8 @@
         self.link_rate = 0.0
         self.far_kilobyte_cost = FAR_KILOBYTE_COST
         self.first_record_at: float | None = None
+        # Data centres to whose targets nothing may be sent.
+        self.evacuated: frozenset[str] = frozenset()
 
     # Updates.
 
@@ -95,6 +97,15 @@
             self.update_group(record, 0.0, False)
         self.update_probe_rates()
 
+    def set_evacuated(self, data_centres: frozenset[str], now: float) -> None:
+        """Choose no targets of these data centres from now on.
+
+        The load of those that come back into use is ramped up.
+        """
+        self.evacuated = data_centres
+        for record in self.records.values():
+            self.update_group(record, now, True)
+
     def note_member(self, record: MemberRecord, now: float) -> None:
         """Store a new or changed member record."""
         if self.first_record_at is None:
@@ -123,7 +134,8 @@
         state = self.services.get(record.service_name)
         if state is None:
             return
-        if is_allowed(record, state.group.rule):
+        evacuated = record.data_centre in self.evacuated
+        if is_allowed(record, state.group.rule) and not evacuated:
             state.group.update_candidate(record, now, ramp)
         else:
             state.group.remove(record.instance)
@@ -184,6 +196,29 @@
         picked = max(usable, key=lambda c: rendezvous_weight(c, fingerprint))
         return self.build_choice(state.group, picked, now, profile)
 
+    def is_evacuated(self, service: str) -> bool:
+        """Return whether a service has targets, but only evacuated ones."""
+        state = self.services.get(service)
+        if state is None or state.group.candidates:
+            return False
+        return any(
+            record.service_name == service
+            and record.data_centre in self.evacuated
+            for record in self.records.values()
+        )
+
+    def targets_beside(self, service: str, instance: str) -> set[str]:
+        """Return the targets in the data centre of an instance."""
+        record = self.records.get(instance)
+        state = self.services.get(service)
+        if record is None or state is None:
+            return set()
+        return {
+            c.instance
+            for c in state.group.candidates.values()
+            if c.data_centre == record.data_centre
+        }
+
     def usable(
         self, group: TargetGroup, now: float, exclude: frozenset[str]
     ) -> list[Candidate]:
--- a/cyclamenlift/runtime/call_metrics.py
+++ b/cyclamenlift/runtime/call_metrics.py
@@ -62,6 +62,7 @@
         )
         watch('cyclamenlift.members', lambda: len(members.members()))
         watch('cyclamenlift.config.version', lambda: node.follower.version)
+        watch('cyclamenlift.evacuated', lambda: len(node.routing.evacuated))
         state = node.quarantine
         watch(
             'cyclamenlift.requests.quarantined',
--- a/cyclamenlift/runtime/control.py
+++ b/cyclamenlift/runtime/control.py
@@ -20,6 +20,9 @@
 from cyclamenlift.core.tasks import build_root
 from cyclamenlift.events.context import ControlContext
 from cyclamenlift.events.control_orders import ControlOrderHandler
+from cyclamenlift.events.evacuation_following import EvacuationFollower
+from cyclamenlift.events.evacuation_following import FIRST_FANOUT
+from cyclamenlift.events.evacuations import EvacuationStore
 from cyclamenlift.events.order_forwarding import OrderForwarder
 from cyclamenlift.events.server import DocumentServer
 from cyclamenlift.http.lazy_web import LazyWebServer
@@ -37,6 +40,7 @@
 from cyclamenlift.wire.gen.protocol.ttypes import MemberRecord
 from cyclamenlift.wire.gen.protocol.ttypes import MemberRole
 from cyclamenlift.wire.gen.protocol.ttypes import MemberState
+from cyclamenlift.wire.tasks import Link
 from cyclamenlift.wire.tasks import PeerNetwork
 
 EXIT_FAILED = 1
@@ -65,6 +69,10 @@
         self.loop = build_root()
         self.register(self.loop)
         self.machine = ControlStateMachine()
+        self.evacuations = EvacuationFollower(
+            self.loop.scheduler.clock.unix_ms
+        )
+        self.machine.subscribe_evacuations(self.on_evacuations)
         self.network = self.make_network()
         self.replica = self.make_replica(peers)
         self.claims = self.make_claim_server()
@@ -75,6 +83,9 @@
             self.replica,
             self.machine.events,
             self.machine.ledger,
+            self.machine.evacuations,
+            self.find_data_centres,
+            self.find_outdated_peers,
         )
         self.forwarder = self.make_forwarder(peers)
         self.orders = ControlOrderHandler(
@@ -150,14 +161,42 @@
             return
         self.forwarder.find_relay_daemon = self.find_relay_daemon
         self.membership.subscribe(self.on_member)
+        self.evacuations.join(self.membership)
         # Control instances keep the quarantine while all daemons restart.
         self.quarantine.join(self.network, self.membership)
         self.machine.subscribe_version(
             lambda version: self.membership.announce(config_version=version)
         )
         self.membership.start()
+        self.evacuations.announce(FIRST_FANOUT)
         self.membership.announce(config_version=self.machine.events.version)
 
+    def on_evacuations(self, store: EvacuationStore) -> None:
+        """Announce the evacuations that the log has put in force."""
+        self.evacuations.note(store.wire_state(), 'log', FIRST_FANOUT)
+
+    def find_data_centres(self) -> set[str]:
+        """Return the names of all known data centres."""
+        names = {self.settings.data_centre, *self.settings.data_centres}
+        if self.membership is not None:
+            names.update(r.data_centre for r in self.membership.records())
+        return names
+
+    def find_outdated_peers(self) -> list[str]:
+        """Return the control instances that can't apply evacuations."""
+        links = self.network.outgoing.values()
+        return sorted(
+            link.hello.instance
+            for link in links
+            if self.is_peer(link)
+            and link.hello is not None
+            and not link.hello.takes_evacuations
+        )
+
+    def is_peer(self, link: Link) -> bool:
+        """Return whether a link leads to another control instance."""
+        return link.address in self.forwarder.finder.control
+
     def find_relay_daemon(self) -> Address | None:
         """Return the address of a random live daemon, None without one."""
         daemons = [
@@ -218,6 +257,7 @@
             self.rng,
             names_leader=bool(self.settings.gossip_listen),
         )
+        server.evacuations = self.machine.evacuations.wire_state
         self.machine.subscribe_version(server.push_version)
         return server
 
--- a/cyclamenlift/runtime/control_api.py
+++ b/cyclamenlift/runtime/control_api.py
@@ -12,11 +12,14 @@
 from cyclamenlift.events.commands import publish
 from cyclamenlift.events.commands import replace_storage
 from cyclamenlift.events.context import ControlContext
+from cyclamenlift.events.evacuation_orders import change_evacuation
+from cyclamenlift.events.queries import evacuations
 from cyclamenlift.events.queries import history
 from cyclamenlift.events.queries import HISTORY_LIMIT
 from cyclamenlift.events.queries import show
 from cyclamenlift.events.queries import status
 from cyclamenlift.events.reports import report_to_json
+from cyclamenlift.events.request_models import EvacuationChange
 from cyclamenlift.events.request_models import parse_request_body
 from cyclamenlift.events.request_models import Publication
 from cyclamenlift.events.request_models import StorageReplacement
@@ -48,6 +51,16 @@
         """Accept the new storage of an instance as a voter (POST)."""
         return run_command(self, StorageReplacement, replace_storage)
 
+    @expose('evacuate')
+    def evacuate(self) -> Deferred | WebResponse:
+        """Evacuate a data centre or take it back (POST)."""
+        return run_command(self, EvacuationChange, change_evacuation)
+
+    @expose('evacuations')
+    def evacuations(self) -> Deferred | WebResponse:
+        """Return the evacuated data centres."""
+        return run_query(self, 'limit', 0, evacuations)
+
     @expose('document')
     def document(self) -> Deferred | WebResponse:
         """Return a version of the document, by default the newest."""
--- a/cyclamenlift/runtime/control_metrics.py
+++ b/cyclamenlift/runtime/control_metrics.py
@@ -68,6 +68,12 @@
     '{version}',
     'version of the event document that took effect here, 0 for none',
 )
+EVACUATED = MetricInfo(
+    'cyclamenlift.control.evacuated',
+    MetricKind.GAUGE,
+    '{data_centre}',
+    'data centres that are evacuated, as this instance has applied the log',
+)
 CONTROL_METRICS = (
     COMMITS,
     TERM,
@@ -77,6 +83,7 @@
     CLAIMS_HELD,
     CLAIMS_ANSWERED,
     VERSION,
+    EVACUATED,
 )
 
 
@@ -95,6 +102,7 @@
         self.watch(CLAIMS_HELD, lambda: len(context.ledger))
         self.observe(CLAIMS_ANSWERED, self.verdicts)
         self.watch(VERSION, lambda: context.store.version)
+        self.watch(EVACUATED, lambda: len(context.evacuations.evacuated()))
 
     def status(self) -> ReplicaStatus:
         return self.context.replica.status()
--- a/cyclamenlift/runtime/daemon.py
+++ b/cyclamenlift/runtime/daemon.py
@@ -310,6 +310,8 @@
     def start_parts(self) -> None:
         """Join the cluster and start following the event document."""
         self.follower.subscribe(self.on_rules)
+        self.follower.evacuations.subscribe(self.on_evacuations)
+        self.follower.evacuations.join(self.membership)
         self.membership.subscribe(self.on_member)
         self.membership.subscribe_version(self.follower.note_version)
         self.quarantine.join(self.network, self.membership)
@@ -337,6 +339,13 @@
             self.gate.apply_rules(rules)
         self.membership.announce(config_version=rules.version)
 
+    def on_evacuations(self, data_centres: frozenset[str]) -> None:
+        """Send nothing to the targets of evacuated data centres."""
+        self.routing.set_evacuated(data_centres, self.scheduler.clock.now())
+        if self.gate is not None:
+            own = self.settings.data_centre
+            self.gate.set_evacuated(own in data_centres)
+
     def on_member(self, record: MemberRecord) -> None:
         if record.role == MemberRole.CONTROL:
             self.on_control_instance(record)
--- a/cyclamenlift/runtime/state_machine.py
+++ b/cyclamenlift/runtime/state_machine.py
@@ -10,6 +10,8 @@
 import pydantic
 
 from cyclamenlift.core.compression import decompress
+from cyclamenlift.events.evacuations import EvacuationSnapshot
+from cyclamenlift.events.evacuations import EvacuationStore
 from cyclamenlift.events.state import EventSnapshot
 from cyclamenlift.events.state import EventStore
 from cyclamenlift.ledger.messages import apply_claim
@@ -21,15 +23,20 @@
 from cyclamenlift.wire.codec import encode_struct
 from cyclamenlift.wire.codec import FrameError
 from cyclamenlift.wire.gen.protocol.ttypes import Command
+from cyclamenlift.wire.gen.protocol.ttypes import EvacuateCommand
 from cyclamenlift.wire.gen.protocol.ttypes import PublishCommand
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ControlSnapshot:
-    """The complete state that a control instance restores on a restart."""
+    """The complete state that a control instance restores on a restart.
+
+    Snapshots of releases without evacuations hold none.
+    """
 
     events: EventSnapshot
     ledger: LedgerSnapshot
+    evacuations: EvacuationSnapshot | None = None
 
 
 SNAPSHOT = pydantic.TypeAdapter(ControlSnapshot)
@@ -45,12 +52,20 @@
     def __init__(self) -> None:
         self.events = EventStore()
         self.ledger = Ledger()
+        self.evacuations = EvacuationStore()
         self.version_hooks: list[Callable[[int], None]] = []
+        self.evacuation_hooks: list[Callable[[EvacuationStore], None]] = []
 
     def subscribe_version(self, hook: Callable[[int], None]) -> None:
         """Call ``hook`` with each document version that takes effect."""
         self.version_hooks.append(hook)
 
+    def subscribe_evacuations(
+        self, hook: Callable[[EvacuationStore], None]
+    ) -> None:
+        """Call ``hook`` with the store whenever evacuations change."""
+        self.evacuation_hooks.append(hook)
+
     def apply(self, index: int, stamp_unix_ms: int, command: bytes) -> bytes:
         """Apply a committed command and return its encoded result."""
         self.ledger.advance(stamp_unix_ms)
@@ -71,6 +86,8 @@
         if decoded.claim_end is not None:
             ended = apply_claim_end(self.ledger, decoded.claim_end)
             return encode_struct(ended)
+        if decoded.evacuate is not None:
+            return self.apply_evacuate(decoded.evacuate, stamp_unix_ms)
         return b''
 
     def apply_publish(
@@ -89,6 +106,25 @@
             self.run_version_hooks()
         return outcome.to_json()
 
+    def apply_evacuate(
+        self, command: EvacuateCommand, stamp_unix_ms: int
+    ) -> bytes:
+        before = self.evacuations.revision
+        outcome = self.evacuations.change(
+            command.data_centre or '',
+            bool(command.evacuated),
+            command.base_revision or 0,
+            stamp_unix_ms,
+            command.operator_name or '',
+        )
+        if self.evacuations.revision != before:
+            self.run_evacuation_hooks()
+        return outcome.to_json()
+
+    def run_evacuation_hooks(self) -> None:
+        for hook in self.evacuation_hooks:
+            hook(self.evacuations)
+
     def run_version_hooks(self) -> None:
         for hook in self.version_hooks:
             hook(self.events.version)
@@ -97,14 +133,21 @@
         """Return the complete state as JSON of a ``ControlSnapshot``."""
         events = self.events.encode()
         ledger = self.ledger.encode()
-        return b'{"events":%b,"ledger":%b}' % (events, ledger)
+        evacuations = self.evacuations.encode()
+        return b'{"events":%b,"ledger":%b,"evacuations":%b}' % (
+            events,
+            ledger,
+            evacuations,
+        )
 
     def restore(self, data: bytes) -> None:
         """Replace the complete state; raise ValueError for invalid data."""
         state = SNAPSHOT.validate_json(data)
         self.events.restore(state.events)
         self.ledger.restore(state.ledger)
+        self.evacuations.restore(state.evacuations)
         self.run_version_hooks()
+        self.run_evacuation_hooks()
 
 
 def unpack_document(command: PublishCommand) -> bytes:
--- a/cyclamenlift/runtime/status.py
+++ b/cyclamenlift/runtime/status.py
@@ -37,6 +37,7 @@
     probes_answered: int
     probes_dropped: int
     health_requests: int
+    evacuated: tuple[str, ...]
 
 
 def daemon_status(node: 'DaemonNode') -> DaemonStatus:
@@ -64,6 +65,7 @@
         probes_answered=gate.budget.answered if gate else 0,
         probes_dropped=gate.budget.dropped if gate else 0,
         health_requests=node.health.requests_sent if gate else 0,
+        evacuated=tuple(sorted(node.routing.evacuated)),
     )
 
 
--- a/cyclamenlift/wire/cyclamenlift.thrift
+++ b/cyclamenlift/wire/cyclamenlift.thrift
@@ -31,7 +31,9 @@
   1: string instance,
   2: string data_centre,
   3: i32 wire_version,
-  4: string cluster
+  4: string cluster,
+  // The sender applies evacuations from the replicated log.
+  5: bool takes_evacuations
 }
 
 struct Header {
@@ -167,6 +169,17 @@
   2: LoadFigures load
 }
 
+// --- evacuations -----------------------------------------------------------
+
+// The data centres to whose targets nothing may be sent. Only committed
+// states are sent; the one with the highest revision holds.
+struct EvacuationState {
+  1: i64 revision,
+  2: list<string> data_centres,
+  // When the revision was made, by the clock of the leader.
+  3: i64 changed_unix_ms
+}
+
 // --- configuration -------------------------------------------------------
 
 // takes_changes: the sender accepts the changes since known_version.
@@ -201,7 +214,9 @@
   7: list<DocumentChange> changes,
   // The document is omitted, since it is being sent to others: ask another
   // instance.
-  8: bool busy
+  8: bool busy,
+  // Unset if no data centre was ever evacuated.
+  9: EvacuationState evacuations
 }
 
 // --- ledger --------------------------------------------------------------
@@ -454,7 +469,9 @@
   11: string sender_address,
   // New reports, and a digest of all reports of the sender.
   12: list<EndReport> ends,
-  13: i64 ends_digest
+  13: i64 ends_digest,
+  // Unset if no data centre was ever evacuated.
+  14: EvacuationState evacuations
 }
 
 // --- commands in the replicated log --------------------------------------
@@ -475,9 +492,19 @@
   2: string storage_id
 }
 
+// Begins or ends the evacuation of a data centre. base_revision: the
+// revision of the evacuations that the sender of the order knew.
+struct EvacuateCommand {
+  1: string data_centre,
+  2: bool evacuated,
+  3: i64 base_revision,
+  4: string operator_name
+}
+
 union Command {
   1: PublishCommand publish,
   2: ClaimRequest claim,
   3: ClaimEnd claim_end,
-  4: ReplaceStorageCommand replace_storage
+  4: ReplaceStorageCommand replace_storage,
+  5: EvacuateCommand evacuate
 }
--- a/cyclamenlift/wire/gen/protocol/ttypes.py
+++ b/cyclamenlift/wire/gen/protocol/ttypes.py
@@ -73,15 +73,17 @@
      - data_centre
      - wire_version
      - cluster
+     - takes_evacuations
 
     """
 
 
-    def __init__(self, instance=None, data_centre=None, wire_version=None, cluster=None,):
+    def __init__(self, instance=None, data_centre=None, wire_version=None, cluster=None, takes_evacuations=None,):
         self.instance = instance
         self.data_centre = data_centre
         self.wire_version = wire_version
         self.cluster = cluster
+        self.takes_evacuations = takes_evacuations
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -112,6 +114,11 @@
                     self.cluster = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.takes_evacuations = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -138,6 +145,10 @@
             oprot.writeFieldBegin('cluster', TType.STRING, 4)
             oprot.writeString(self.cluster.encode('utf-8') if sys.version_info[0] == 2 else self.cluster)
             oprot.writeFieldEnd()
+        if self.takes_evacuations is not None:
+            oprot.writeFieldBegin('takes_evacuations', TType.BOOL, 5)
+            oprot.writeBool(self.takes_evacuations)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1527,6 +1538,93 @@
         return not (self == other)
 
 
+class EvacuationState(object):
+    """
+    Attributes:
+     - revision
+     - data_centres
+     - changed_unix_ms
+
+    """
+
+
+    def __init__(self, revision=None, data_centres=None, changed_unix_ms=None,):
+        self.revision = revision
+        self.data_centres = data_centres
+        self.changed_unix_ms = changed_unix_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.data_centres = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.data_centres.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.changed_unix_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EvacuationState')
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 1)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.data_centres is not None:
+            oprot.writeFieldBegin('data_centres', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.data_centres))
+            for iter20 in self.data_centres:
+                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.changed_unix_ms is not None:
+            oprot.writeFieldBegin('changed_unix_ms', TType.I64, 3)
+            oprot.writeI64(self.changed_unix_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class DocumentRequest(object):
     """
     Attributes:
@@ -1707,11 +1805,12 @@
      - leader_address
      - changes
      - busy
+     - evacuations
 
     """
 
 
-    def __init__(self, request_id=None, version=None, document=None, committed=None, packed_document=None, leader_address=None, changes=None, busy=None,):
+    def __init__(self, request_id=None, version=None, document=None, committed=None, packed_document=None, leader_address=None, changes=None, busy=None, evacuations=None,):
         self.request_id = request_id
         self.version = version
         self.document = document
@@ -1720,6 +1819,7 @@
         self.leader_address = leader_address
         self.changes = changes
         self.busy = busy
+        self.evacuations = evacuations
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1763,11 +1863,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = DocumentChange()
-                        _elem19.read(iprot)
-                        self.changes.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = DocumentChange()
+                        _elem26.read(iprot)
+                        self.changes.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1776,6 +1876,12 @@
                     self.busy = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRUCT:
+                    self.evacuations = EvacuationState()
+                    self.evacuations.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1813,14 +1919,18 @@
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter20 in self.changes:
-                iter20.write(oprot)
+            for iter27 in self.changes:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.busy is not None:
             oprot.writeFieldBegin('busy', TType.BOOL, 8)
             oprot.writeBool(self.busy)
             oprot.writeFieldEnd()
+        if self.evacuations is not None:
+            oprot.writeFieldBegin('evacuations', TType.STRUCT, 9)
+            self.evacuations.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1996,11 +2106,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = Header()
-                        _elem26.read(iprot)
-                        self.headers.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = Header()
+                        _elem33.read(iprot)
+                        self.headers.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2031,8 +2141,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter27 in self.headers:
-                iter27.write(oprot)
+            for iter34 in self.headers:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -2746,11 +2856,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = LogEntry()
-                        _elem33.read(iprot)
-                        self.entries.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = LogEntry()
+                        _elem40.read(iprot)
+                        self.entries.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2793,8 +2903,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter34 in self.entries:
-                iter34.write(oprot)
+            for iter41 in self.entries:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.commit_index is not None:
@@ -3246,10 +3356,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.fingerprints = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = iprot.readBinary()
-                        self.fingerprints.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readBinary()
+                        self.fingerprints.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3266,10 +3376,10 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.ran_ms = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = iprot.readI32()
-                        self.ran_ms.append(_elem46)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = iprot.readI32()
+                        self.ran_ms.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3294,8 +3404,8 @@
         if self.fingerprints is not None:
             oprot.writeFieldBegin('fingerprints', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.fingerprints))
-            for iter47 in self.fingerprints:
-                oprot.writeBinary(iter47)
+            for iter54 in self.fingerprints:
+                oprot.writeBinary(iter54)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -3309,8 +3419,8 @@
         if self.ran_ms is not None:
             oprot.writeFieldBegin('ran_ms', TType.LIST, 6)
             oprot.writeListBegin(TType.I32, len(self.ran_ms))
-            for iter48 in self.ran_ms:
-                oprot.writeI32(iter48)
+            for iter55 in self.ran_ms:
+                oprot.writeI32(iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3354,10 +3464,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.known = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = iprot.readI64()
-                        self.known.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readI64()
+                        self.known.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3374,8 +3484,8 @@
         if self.known is not None:
             oprot.writeFieldBegin('known', TType.LIST, 1)
             oprot.writeListBegin(TType.I64, len(self.known))
-            for iter55 in self.known:
-                oprot.writeI64(iter55)
+            for iter62 in self.known:
+                oprot.writeI64(iter62)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3419,11 +3529,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = EndReport()
-                        _elem61.read(iprot)
-                        self.reports.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = EndReport()
+                        _elem68.read(iprot)
+                        self.reports.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3440,8 +3550,8 @@
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter62 in self.reports:
-                iter62.write(oprot)
+            for iter69 in self.reports:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4273,11 +4383,12 @@
      - sender_address
      - ends
      - ends_digest
+     - evacuations
 
     """
 
 
-    def __init__(self, kind=None, sequence=None, cluster=None, sender=None, sender_incarnation=None, subject=None, subject_address=None, records=None, config_version=None, members_digest=None, sender_address=None, ends=None, ends_digest=None,):
+    def __init__(self, kind=None, sequence=None, cluster=None, sender=None, sender_incarnation=None, subject=None, subject_address=None, records=None, config_version=None, members_digest=None, sender_address=None, ends=None, ends_digest=None, evacuations=None,):
         self.kind = kind
         self.sequence = sequence
         self.cluster = cluster
@@ -4291,6 +4402,7 @@
         self.sender_address = sender_address
         self.ends = ends
         self.ends_digest = ends_digest
+        self.evacuations = evacuations
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4339,11 +4451,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = MemberRecord()
-                        _elem68.read(iprot)
-                        self.records.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = MemberRecord()
+                        _elem75.read(iprot)
+                        self.records.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4365,11 +4477,11 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype72, _size69) = iprot.readListBegin()
-                    for _i73 in range(_size69):
-                        _elem74 = EndReport()
-                        _elem74.read(iprot)
-                        self.ends.append(_elem74)
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = EndReport()
+                        _elem81.read(iprot)
+                        self.ends.append(_elem81)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4378,6 +4490,12 @@
                     self.ends_digest = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRUCT:
+                    self.evacuations = EvacuationState()
+                    self.evacuations.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4419,8 +4537,8 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter75 in self.records:
-                iter75.write(oprot)
+            for iter82 in self.records:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_version is not None:
@@ -4438,14 +4556,18 @@
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter76 in self.ends:
-                iter76.write(oprot)
+            for iter83 in self.ends:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ends_digest is not None:
             oprot.writeFieldBegin('ends_digest', TType.I64, 13)
             oprot.writeI64(self.ends_digest)
             oprot.writeFieldEnd()
+        if self.evacuations is not None:
+            oprot.writeFieldBegin('evacuations', TType.STRUCT, 14)
+            self.evacuations.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4644,6 +4766,96 @@
         return not (self == other)
 
 
+class EvacuateCommand(object):
+    """
+    Attributes:
+     - data_centre
+     - evacuated
+     - base_revision
+     - operator_name
+
+    """
+
+
+    def __init__(self, data_centre=None, evacuated=None, base_revision=None, operator_name=None,):
+        self.data_centre = data_centre
+        self.evacuated = evacuated
+        self.base_revision = base_revision
+        self.operator_name = operator_name
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.evacuated = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.base_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.operator_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EvacuateCommand')
+        if self.data_centre is not None:
+            oprot.writeFieldBegin('data_centre', TType.STRING, 1)
+            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
+            oprot.writeFieldEnd()
+        if self.evacuated is not None:
+            oprot.writeFieldBegin('evacuated', TType.BOOL, 2)
+            oprot.writeBool(self.evacuated)
+            oprot.writeFieldEnd()
+        if self.base_revision is not None:
+            oprot.writeFieldBegin('base_revision', TType.I64, 3)
+            oprot.writeI64(self.base_revision)
+            oprot.writeFieldEnd()
+        if self.operator_name is not None:
+            oprot.writeFieldBegin('operator_name', TType.STRING, 4)
+            oprot.writeString(self.operator_name.encode('utf-8') if sys.version_info[0] == 2 else self.operator_name)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Command(object):
     """
     Attributes:
@@ -4651,15 +4863,17 @@
      - claim
      - claim_end
      - replace_storage
+     - evacuate
 
     """
 
 
-    def __init__(self, publish=None, claim=None, claim_end=None, replace_storage=None,):
+    def __init__(self, publish=None, claim=None, claim_end=None, replace_storage=None, evacuate=None,):
         self.publish = publish
         self.claim = claim
         self.claim_end = claim_end
         self.replace_storage = replace_storage
+        self.evacuate = evacuate
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4694,6 +4908,12 @@
                     self.replace_storage.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.evacuate = EvacuateCommand()
+                    self.evacuate.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4720,6 +4940,10 @@
             oprot.writeFieldBegin('replace_storage', TType.STRUCT, 4)
             self.replace_storage.write(oprot)
             oprot.writeFieldEnd()
+        if self.evacuate is not None:
+            oprot.writeFieldBegin('evacuate', TType.STRUCT, 5)
+            self.evacuate.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4743,6 +4967,7 @@
     (2, TType.STRING, 'data_centre', 'UTF8', None, ),  # 2
     (3, TType.I32, 'wire_version', None, None, ),  # 3
     (4, TType.STRING, 'cluster', 'UTF8', None, ),  # 4
+    (5, TType.BOOL, 'takes_evacuations', None, None, ),  # 5
 )
 all_structs.append(Header)
 Header.thrift_spec = (
@@ -4864,6 +5089,13 @@
     (1, TType.I64, 'probe_id', None, None, ),  # 1
     (2, TType.STRUCT, 'load', [LoadFigures, None], None, ),  # 2
 )
+all_structs.append(EvacuationState)
+EvacuationState.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'revision', None, None, ),  # 1
+    (2, TType.LIST, 'data_centres', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.I64, 'changed_unix_ms', None, None, ),  # 3
+)
 all_structs.append(DocumentRequest)
 DocumentRequest.thrift_spec = (
     None,  # 0
@@ -4890,6 +5122,7 @@
     (6, TType.STRING, 'leader_address', 'UTF8', None, ),  # 6
     (7, TType.LIST, 'changes', (TType.STRUCT, [DocumentChange, None], False), None, ),  # 7
     (8, TType.BOOL, 'busy', None, None, ),  # 8
+    (9, TType.STRUCT, 'evacuations', [EvacuationState, None], None, ),  # 9
 )
 all_structs.append(ClaimRequest)
 ClaimRequest.thrift_spec = (
@@ -5117,6 +5350,7 @@
     (11, TType.STRING, 'sender_address', 'UTF8', None, ),  # 11
     (12, TType.LIST, 'ends', (TType.STRUCT, [EndReport, None], False), None, ),  # 12
     (13, TType.I64, 'ends_digest', None, None, ),  # 13
+    (14, TType.STRUCT, 'evacuations', [EvacuationState, None], None, ),  # 14
 )
 all_structs.append(PublishCommand)
 PublishCommand.thrift_spec = (
@@ -5134,6 +5368,14 @@
     (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'storage_id', 'UTF8', None, ),  # 2
 )
+all_structs.append(EvacuateCommand)
+EvacuateCommand.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'data_centre', 'UTF8', None, ),  # 1
+    (2, TType.BOOL, 'evacuated', None, None, ),  # 2
+    (3, TType.I64, 'base_revision', None, None, ),  # 3
+    (4, TType.STRING, 'operator_name', 'UTF8', None, ),  # 4
+)
 all_structs.append(Command)
 Command.thrift_spec = (
     None,  # 0
@@ -5141,6 +5383,7 @@
     (2, TType.STRUCT, 'claim', [ClaimRequest, None], None, ),  # 2
     (3, TType.STRUCT, 'claim_end', [ClaimEnd, None], None, ),  # 3
     (4, TType.STRUCT, 'replace_storage', [ReplaceStorageCommand, None], None, ),  # 4
+    (5, TType.STRUCT, 'evacuate', [EvacuateCommand, None], None, ),  # 5
 )
 fix_spec(all_structs)
 del all_structs
--- a/cyclamenlift/wire/tasks.py
+++ b/cyclamenlift/wire/tasks.py
@@ -287,4 +287,5 @@
             data_centre=self.data_centre,
             wire_version=WIRE_VERSION,
             cluster=self.cluster,
+            takes_evacuations=True,
         )
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -22,6 +22,8 @@
 REPLACE = '/v1/Config.Replace'
 PATCH = '/v1/Config.Patch'
 GET = '/v1/Config.Get'
+EVACUATE = '/v1/Evacuate.Start/'
+TAKE_BACK = '/v1/Evacuate.Finish/'
 
 
 class Answer(NamedTuple):
--- a/tools/mutants_calls.py
+++ b/tools/mutants_calls.py
@@ -43,6 +43,21 @@
         'return False',
         'tests/gate/test_cold_targets.py',
     ),
+    Mutant(
+        'a gate in an evacuated data centre starts a call',
+        'cyclamenlift/gate/admission_control.py',
+        'if self.gate.evacuated:',
+        'if False:',
+        'tests/gate/test_evacuation.py',
+    ),
+    Mutant(
+        'calls that wait at a gate outlive the evacuation',
+        'cyclamenlift/gate/tasks.py',
+        'if evacuated:\n            self.admission_control'
+        '.refuse_waiting_calls(ResultCode.EVACUATED)',
+        'if False:\n            pass',
+        'tests/gate/test_evacuation.py',
+    ),
     Mutant(
         'the target client says unsent for everything',
         'cyclamenlift/gate/gate_call.py',
--- a/tools/mutants_control.py
+++ b/tools/mutants_control.py
@@ -25,6 +25,27 @@
 STORAGE_TESTS = 'tests/replication/test_storage.py'
 
 CONTROL_MUTANTS = (
+    Mutant(
+        'a late order undoes a later one',
+        'cyclamenlift/events/evacuations.py',
+        'if known is not None and base_revision < known.revision:',
+        'if False:',
+        'tests/events/test_evacuations.py',
+    ),
+    Mutant(
+        'a taker sends an order on for an operator that has left',
+        'cyclamenlift/events/evacuation_orders.py',
+        'if conflict and newer and self.is_waiting():',
+        'if conflict and newer:',
+        'tests/events/test_evacuations.py',
+    ),
+    Mutant(
+        'a snapshot forgets the evacuations',
+        'cyclamenlift/runtime/state_machine.py',
+        'self.evacuations.restore(state.evacuations)',
+        'pass',
+        'tests/events/test_evacuations.py',
+    ),
     Mutant(
         'a late release frees a newer claim',
         LEDGER,
