--- a/cyclamenlift/calls/tasks.py
+++ b/cyclamenlift/calls/tasks.py
@@ -49,9 +49,8 @@
 ANSWERED_CODES = (ResultCode.ANSWERED, ResultCode.ANSWERED_FROM_RECORD)
 # Refusals because the current rules lack the requested service or route.
 UNKNOWN_NAME_CODES = (ResultCode.NO_ROUTE, ResultCode.UNKNOWN_SERVICE)
-# Retry delay in milliseconds while newer rules are being distributed: a change
-# of 40 KB was active on the last of 65 daemons after 0.34 s, and on nine
-# tenths after 0.24 s (simulated links of 2 Mbit/s).
+# Retry delay in milliseconds while newer rules are being distributed: the time
+# after which most daemons have a large change on slow links.
 RULES_RETRY_AFTER_MS = 250
 # Headers handled by the entry; the gate passes what the target needs.
 OWN_HEADERS = frozenset(
--- a/cyclamenlift/calls/usual_timeouts.py
+++ b/cyclamenlift/calls/usual_timeouts.py
@@ -18,9 +18,8 @@
 # route's callers is learned.
 MAX_REMEMBERED = 64
 # Share of the remembered requests that must state exactly the same timeout for
-# it to count as usual. Callers retry once at most on the sites that were
-# measured, so first tries are at least half. Routes whose timeouts vary have
-# no usual one.
+# it to count as usual. First tries of callers that retry once are at least
+# half. Routes whose timeouts vary have no usual one.
 MIN_USUAL_SHARE = 0.4
 # Minimum number of requests before a usual timeout is inferred.
 MIN_SEEN = 8
--- a/cyclamenlift/gate/admission.py
+++ b/cyclamenlift/gate/admission.py
@@ -26,22 +26,14 @@
 REPEAT_SHARE = 0.8
 # From this share of the slots on, a call that can't be in time is refused
 # instead of started, since calls arrive that still can. Below it there is
-# capacity for both. On two days of heavy load at a site whose targets are
-# seven times slower a third of the time, single runs scored 0.264 and 0.206
-# without such a share, 0.318 and 0.287 with 0.7, 0.361 and 0.286 with 0.5,
-# 0.368 and 0.275 with 0.3. Of the middle values the lower refuses fewer calls.
+# capacity for both.
 CROWDED_SHARE = 0.5
 # Safety margins, in multiples of the spread of the route's service time: a
 # call counts as late if it would be late when it takes the mean plus this many
 # spreads. The first applies to a call that would start on a busy target, the
 # second to one that would wait. At twice its capacity a target is busy whether
 # ten calls wait or two, but half of the calls that were admitted at the last
-# possible moment are late. Simulating one gate under the load of its test gave
-# 1,374 calls in time and 521 late with no margin, 1,666 and 217 with one
-# spread, 1,698 and 116 with two, where slots begin to stay free. In a whole
-# fleet, two seconds after a restart of all instances, 267 calls in time and
-# 340 late of 964 with no margin, 360 and 221 with about one and a half
-# spreads.
+# possible moment are late. With larger margins slots begin to stay free.
 CROWDED_SPREADS = 0.5
 WAIT_SPREADS = 1.5
 # Retry-after, in seconds, when the target itself refused a call and its slots
--- a/cyclamenlift/gate/concurrency.py
+++ b/cyclamenlift/gate/concurrency.py
@@ -7,10 +7,6 @@
 down, and a fixed limit would waste their slots. So the limit is learned from
 the ratio of measured to usual service time, by the share of the slots that was
 in use.
-
-On two days of heavy load on a deployment with such targets, the score (credit
-minus costs) was 0.66 and 0.63 with the learned limit, 0.55 and 0.54 with all
-slots in use, one run for each day.
 """
 
 # Upper bounds of the utilization bands, as shares of the slots. No target was
--- a/cyclamenlift/gate/slowdowns.py
+++ b/cyclamenlift/gate/slowdowns.py
@@ -12,11 +12,11 @@
 from cyclamenlift.routing.finish import PERCENT
 from cyclamenlift.routing.finish import SLOWDOWN_PACE
 
-# Assumed duration of slowdowns before any was observed, in seconds, as
-# measured on real sites. Counts as two observations.
+# Assumed duration of slowdowns before any was observed, in seconds. Counts as
+# two observations.
 INITIAL_LENGTHS = (0.5, 0.5)
 # The same for the time between slowdowns, and for how much longer work takes
-# in one, as a factor minus one: the lowest values that were observed.
+# in one, as a factor minus one.
 INITIAL_GAPS = (1.5, 1.5)
 INITIAL_EXCESS = 3.0
 EXCESS_WEIGHT = 0.25
@@ -24,8 +24,8 @@
 # Slowdowns in the history: about half a minute's where they take up a quarter
 # of the time.
 HISTORY_LENGTH = 16
-# Calls during which the pace changed that are needed to override the measured
-# default, that calls keep their pace. Service times vary by a third, so the
+# Calls during which the pace changed that are needed to override the default,
+# that calls keep their pace. Service times vary by a third, so the
 # mean of this many is accurate to a tenth.
 MIN_PACE_CHANGES = 12
 # Minimum weight of a call in the moving averages.
--- a/cyclamenlift/membership/state.py
+++ b/cyclamenlift/membership/state.py
@@ -41,9 +41,7 @@
 FORWARD_FANOUT = 4
 # Number of members of other data centres among those that a change is pushed
 # to: bytes between data centres are expensive, and since each member that
-# learns of a change sends it to one of them, many copies cross in total. The
-# time until all of 200 members have learned of a change was not measured with
-# it.
+# learns of a change sends it to one of them, many copies cross in total.
 REMOTE_PUSHES = 1
 
 
--- a/cyclamenlift/platform/settings.py
+++ b/cyclamenlift/platform/settings.py
@@ -26,7 +26,7 @@
 # Callers are sent elsewhere after two failed readiness checks, one a second.
 READINESS_SECONDS = 2.2
 # Maximum age of a target's load report before the target is polled, in
-# seconds: a sixth of the time that a machine stays slow (measured: 0.5 s).
+# seconds: a sixth of the time that a machine usually stays slow.
 LOAD_MAX_AGE_SECONDS = 0.08
 # Fields that name a data centre each, with its region as value.
 DATA_CENTRE_PREFIX = 'zones.'
--- a/cyclamenlift/replication/voter_changes.py
+++ b/cyclamenlift/replication/voter_changes.py
@@ -15,8 +15,8 @@
 
 MAX_VOTERS = 7
 # After this many seconds without contact a voter may be replaced by another
-# instance: longer than a process restart takes (0.5 to 1.5 s as measured),
-# shorter than the time in which a repair must be complete (4 s).
+# instance: longer than a process restart takes, shorter than the time in which
+# a repair must be complete (4 s).
 UNREACHABLE_SECONDS = 2.0
 
 
--- a/cyclamenlift/routing/finish.py
+++ b/cyclamenlift/routing/finish.py
@@ -1,12 +1,11 @@
 """Expected completion times of calls, as pure functions.
 
 Other workloads on a host slow a target down several times for some hundred
-milliseconds, after which it recovers. On the sites that were measured such a
-slowdown took about half a second, was present a quarter of the time and made
-calls four or seven times as long. A call keeps the pace at which its target
-began it, even when the slowdown ends first. So a call of 660 ms that begins in
-a slowdown takes 4.6 s, while one that first waits for the end of the slowdown
-takes about a second.
+milliseconds, after which it recovers. Such a slowdown may be present a quarter
+of the time and make calls several times as long. A call keeps the pace at
+which its target began it, even when the slowdown ends first. So a call of 660
+ms that begins at a seventh of the speed takes 4.6 s, while one that first
+waits for the end of a slowdown of half a second takes about a second.
 
 A pace is the current duration of calls as a percentage of the usual one.
 """
@@ -19,8 +18,7 @@
 SLOWDOWN_PACE = 250
 # Default for the remaining seconds of a slowdown when the gate does not report
 # them: half of a slowdown, since reports arrive at any point of it, plus an
-# allowance for another one that follows (33 slowdowns were logged: 0.5 s most
-# often, 0.63 s on average).
+# allowance for another one that follows.
 DEFAULT_SLOWDOWN_LEFT = 0.4
 # A reported pace older than this, in seconds, is ignored. Until then it holds,
 # because gates report each change to the entries that called them recently.
--- a/cyclamenlift/routing/work.py
+++ b/cyclamenlift/routing/work.py
@@ -9,8 +9,7 @@
 CLIP_FACTOR = 3.0
 # Assumed work in seconds before any answer, for routes without an objective.
 DEFAULT_WORK = 0.1
-# Assumed work as a share of the route's objective: at the sites seen so far
-# work is 0.30 to 0.38 of it.
+# Assumed work as a share of the route's objective.
 DEFAULT_WORK_SHARE = 0.33
 # Assumed mean deviation of a call's time before it is known, as a share of its
 # mean: that of calls whose times vary by a third.
