Use all slots of a target that has only a few

What callers saw: in the seconds after a restart of all instances calls were refused or queued while one of three slots of each target was free.

Cause: while nothing is known of a target, eight tenths of its slots are used, rounded down; of three slots that is two, and of the capacity two thirds, just when targets take twice as long and every caller is back.

Change: up to four slots, all are used at first.

A slot is a quarter of a target with four, more than the share that the learned limit may leave idle while it learns.

--- a/cyclamenlift/gate/concurrency.py
+++ b/cyclamenlift/gate/concurrency.py
@@ -17,6 +17,9 @@
 # fifth of them stays idle for the time of a few dozen calls. Calls below this
 # share also measure the usual work of their route.
 INITIAL_SHARE = 0.8
+# Up to this many slots, all are used at first: one slot is a quarter of them or
+# more, which is too much to leave idle while callers are refused.
+FEW_SLOTS = 4
 # Calls in a band before its mean is used. Service times vary by a third, so
 # the mean of this many is accurate to less than a tenth.
 MIN_BAND_SAMPLES = 20
@@ -71,7 +74,9 @@
     def __init__(self, slots: int):
         self.slots = slots
         self.bands = make_bands(slots)
-        self.initial_limit = max(1, int(slots * INITIAL_SHARE))
+        self.initial_limit = slots
+        if slots > FEW_SLOTS:
+            self.initial_limit = max(1, int(slots * INITIAL_SHARE))
         self.chosen = self.initial_limit
         self.trial_band: UtilizationBand | None = None
         self.next_trial_at = 0.0
@@ -100,8 +105,8 @@
         No further band is tried during a slowdown of the target, as service
         times are then not comparable.
 
-        >>> ConcurrencyLimiter(6).limit(0.0), ConcurrencyLimiter(15).limit(0.0)
-        (4, 12)
+        >>> [ConcurrencyLimiter(n).limit(0.0) for n in (3, 6, 15)]
+        [3, 4, 12]
         """
         if not steady:
             return self.chosen
