Count what the predecessor of a gate may have sent to a cold target

What could happen: a daemon is killed and started again within a second while its target is cold. The new gate knew nothing of the calls that the old one had sent, so the target could get twice what it bears in one second.

Change: each process takes the time first of all (process_start.py). A gate whose target was cold before that begins no call until a second after it. A warm target, or one that got cold later, as after a loss of power, is used at once, as the time that is left of its coldness shows.

Evidence: three tests, the first fails without the change; a mutant, killed.

--- a/cyclamenlift/gate/cold_start.py
+++ b/cyclamenlift/gate/cold_start.py
@@ -70,11 +70,23 @@
         # Whether the target said last that it is cold, None before it has.
         self.told_cold: bool | None = None
         self.warm_at = NEVER
+        # When this process started, and until when calls of its predecessor
+        # to the target may still count.
+        self.started_at = NEVER
+        self.blind_until = NEVER
         self.sent: collections.deque[float] = collections.deque()
         self.promised: set[Hashable] = set()
 
     # -- what is known of the target --------------------------------------
 
+    def follow_predecessor(self, started_at: float) -> None:
+        """Count the unknown calls of the process that this one replaced.
+
+        It may have sent as many as the target bears until this one started.
+        """
+        self.started_at = started_at
+        self.blind_until = started_at + WINDOW_SECONDS
+
     def begin_incarnation(self, now: float) -> None:
         """Forget what is known, since another target has started."""
         self.cold_until = math.inf
@@ -114,6 +126,18 @@
         self.told_cold = cold
         return changed
 
+    def blind_wait(self, now: float) -> float:
+        """Return the seconds for which unknown calls may still count.
+
+        None do if the target is warm, or got cold after this process started.
+        """
+        if now >= self.blind_until or self.told_cold is False:
+            return 0.0
+        began_cold = self.cold_until - self.rate.cold_seconds
+        if self.told_cold and began_cold >= self.started_at:
+            return 0.0
+        return self.blind_until - now
+
     def is_cold(self, now: float) -> bool:
         """Return whether the target is cold, or not known to be warm."""
         if self.cold_until < math.inf:
@@ -147,6 +171,9 @@
         most = self.rate.max_calls
         if not most:
             return 0.0
+        blind_wait = self.blind_wait(now)
+        if blind_wait:
+            return blind_wait
         self.forget_old(now)
         excess = len(self.sent) + len(self.promised) + ahead + 1 - most
         if excess <= 0:
--- a/cyclamenlift/platform/__main__.py
+++ b/cyclamenlift/platform/__main__.py
@@ -3,7 +3,10 @@
 import signal
 import sys
 
-from cyclamenlift.lazy_imports import install_lazy_imports
+# Takes the time, so it comes before modules that take long to load.
+import cyclamenlift.process_start  # noqa: F401
+
+from cyclamenlift.lazy_imports import install_lazy_imports  # isort: skip
 
 USAGE = 'usage: cyclamenlift.platform daemon|control\n'
 
--- a/cyclamenlift/runtime/daemon.py
+++ b/cyclamenlift/runtime/daemon.py
@@ -41,6 +41,7 @@
 from cyclamenlift.membership.tasks import Membership
 from cyclamenlift.models.rules import CallerLimits
 from cyclamenlift.models.rules import EventRules
+from cyclamenlift.process_start import STARTED_AT
 from cyclamenlift.quarantine.tasks import Quarantine
 from cyclamenlift.routing.state import RoutingState
 from cyclamenlift.runtime.call_metrics import CallMetrics
@@ -184,6 +185,7 @@
             self.dialect,
         )
         gate.link_rate = settings.link_mbps * BYTES_OF_MEGABIT
+        gate.state.cold_start.follow_predecessor(STARTED_AT)
         gate.cold_burst_factor = settings.cold_burst_factor
         gate.cold_burst_slack = settings.cold_burst_slack
         gate.target_host = client.address.host
--- a/tests/gate/test_cold_targets.py
+++ b/tests/gate/test_cold_targets.py
@@ -137,6 +137,34 @@
     assert not limit.wait(now)
 
 
+def test_a_gate_that_starts_again_counts_what_its_predecessor_may_have_sent():
+    # Guards against twice what a cold target bears in the second in which its
+    # daemon is killed and started again.
+    limit = cold_limit(NO_LIMIT)
+    limit.follow_predecessor(10.0)
+    limit.note_page(1.5, 10.39, 10.4)
+    # The document, which has the rate, comes after the first page.
+    limit.rate = RATE
+    assert limit.wait(10.4) == pytest.approx(0.6)
+    assert not limit.wait(11.0)
+
+
+def test_a_target_that_started_with_its_gate_is_used_at_once():
+    # Guards against a second without calls after a restart of everything.
+    limit = cold_limit()
+    limit.follow_predecessor(10.0)
+    limit.note_page(2.6, 10.39, 10.4)
+    assert not limit.wait(10.4)
+
+
+def test_a_warm_target_is_used_at_once_by_a_gate_that_has_just_started():
+    # Guards against a second without calls after each restart of a daemon.
+    limit = cold_limit()
+    limit.follow_predecessor(10.0)
+    limit.note_page(0.0, 10.39, 10.4)
+    assert not limit.wait(10.4)
+
+
 def test_without_a_rate_nothing_is_limited_or_counted():
     # Guards against costs for services that declare no rate.
     limit = cold_limit(NO_LIMIT)
--- a/tools/mutants_calls.py
+++ b/tools/mutants_calls.py
@@ -36,6 +36,13 @@
         'oldest = max(float(int(now)), self.warm_at)',
         'tests/gate/test_cold_targets.py',
     ),
+    Mutant(
+        'a gate forgets what its predecessor sent',
+        'cyclamenlift/gate/cold_start.py',
+        'return self.blind_until - now',
+        'return 0.0',
+        'tests/gate/test_cold_targets.py',
+    ),
     Mutant(
         'a gate does not ask whether its target has become cold',
         'cyclamenlift/gate/cold_start.py',
