Count calls to a cold target on while its incarnation is in doubt

What could happen: a delayed announcement of an old incarnation reaches a gate that does not know it, and the health page corrects it a moment later. Each change cleared the calls that had been counted, so the target, cold all the while, could get twice what it bears in a second. And an announcement alone, which may be seconds old, let a gate that had just started pass over what its predecessor may have sent.

Change: calls count on when the incarnation changes, and only the page ends the wait of a gate that has just started.

Why it holds: both changes only let a gate send later. A target that really was replaced has been down for longer than the calls count, as a rule.

--- a/cyclamenlift/gate/cold_start.py
+++ b/cyclamenlift/gate/cold_start.py
@@ -88,13 +88,15 @@
         self.blind_until = started_at + WINDOW_SECONDS
 
     def begin_incarnation(self, now: float) -> None:
-        """Forget what is known, since another target has started."""
+        """Forget what is known, since another target has started.
+
+        Calls count on: the target before may turn out to be still there.
+        """
         self.cold_until = math.inf
         self.unknown_since = now
         self.page_tells = False
         self.told_cold = None
         self.warm_at = NEVER
-        self.sent.clear()
 
     def note_page(
         self, cold_seconds: float, asked_at: float, now: float
@@ -129,12 +131,14 @@
     def blind_wait(self, now: float) -> float:
         """Return the seconds for which unknown calls may still count.
 
-        None do if the target is warm, or got cold after this process started.
+        None do if the target's page says that it is warm, or that it got cold
+        after this process started.
         """
-        if now >= self.blind_until or self.told_cold is False:
+        if now >= self.blind_until:
             return 0.0
         began_cold = self.cold_until - self.rate.cold_seconds
-        if self.told_cold and began_cold >= self.started_at:
+        got_cold_since = self.told_cold and began_cold >= self.started_at
+        if self.page_tells and (got_cold_since or not self.told_cold):
             return 0.0
         return self.blind_until - now
 
--- a/tests/gate/test_cold_targets.py
+++ b/tests/gate/test_cold_targets.py
@@ -137,6 +137,27 @@
     assert not limit.wait(now)
 
 
+def test_calls_count_on_while_the_known_incarnation_changes_back_and_forth():
+    # Guards against a delayed announcement of an old incarnation, which the
+    # page corrects: the target got calls before and gets them after.
+    limit = cold_limit()
+    limit.note_page(2.5, 0.0, 0.0)
+    for number in range(RATE.max_calls):
+        limit.note_sent(number, 0.1)
+    limit.begin_incarnation(0.2)
+    limit.begin_incarnation(0.3)
+    limit.note_page(2.2, 0.3, 0.3)
+    assert limit.wait(0.4) == pytest.approx(0.7)
+
+
+def test_an_announcement_does_not_vouch_for_a_predecessor():
+    # Guards against a heartbeat sent while the target was still warm.
+    limit = cold_limit()
+    limit.follow_predecessor(10.0)
+    limit.note_announcement(0.0, 10.4)
+    assert limit.wait(10.4) == pytest.approx(0.6)
+
+
 def test_a_gate_that_starts_again_counts_what_its_predecessor_may_have_sent():
     # Guards against twice what a cold target bears in the second in which its
     # daemon is killed and started again.
