Read all that a target says of itself in one place, and log its limit

No line of a log told what a target says beside its pace, so the hypotheses could not be told apart.

Change, with no decision changed but one: header fields of a response are read by one function into one record; a gate logs when a limit is declared, changed or ended, with the calls sent so far, and a field that it can't read. Two metrics: calls sent, limit in force. What another target at the address says in a 421 is no longer taken for the load of this one.

Why it holds: nothing decides by the new fields yet.

--- a/cyclamenlift/core/metrics.py
+++ b/cyclamenlift/core/metrics.py
@@ -89,6 +89,18 @@
         '{call}',
         'calls that this gate refused',
     ),
+    MetricInfo(
+        'cyclamenlift.gate.sent',
+        MetricKind.COUNTER,
+        '{call}',
+        'calls that this gate sent to the local target',
+    ),
+    MetricInfo(
+        'cyclamenlift.gate.target_limit',
+        MetricKind.GAUGE,
+        '{call}/s',
+        'limit that the local target declares, -1 for none',
+    ),
     MetricInfo(
         'cyclamenlift.gate.probes',
         MetricKind.COUNTER,
--- a/cyclamenlift/gate/decision_log.py
+++ b/cyclamenlift/gate/decision_log.py
@@ -48,6 +48,26 @@
     )
 
 
+def log_declared_limit(
+    gate: 'Gate', before: float | None, after: float | None, source: str
+) -> None:
+    """Log that the target declared, changed or ended a limit.
+
+    ``sent`` counts the calls sent to the target since the start, so that two
+    lines tell how many it got between them.
+    """
+    LOG.info(
+        'target_limited' if after is not None else 'target_limit_ended',
+        incarnation=gate.registration.incarnation,
+        source=source,
+        calls_per_second=after,
+        before=before,
+        sent=gate.sent,
+        running=len(gate.state.running),
+        waiting=len(gate.state.queue),
+    )
+
+
 def log_unknown_outcome(
     gate: 'Gate', call: 'GateCall', code: ResultCode, detail: str
 ) -> None:
--- a/cyclamenlift/gate/gate_call.py
+++ b/cyclamenlift/gate/gate_call.py
@@ -109,6 +109,7 @@
         if self.gate.suspects.refuse_suspect(self):
             return
         self.is_buffering = False
+        self.gate.sent += 1
         self.gate.state.cold_start.note_sent(self.key, now)
         self.started_at = now
         self.mark = self.gate.state.occupancy.mark(now)
@@ -240,8 +241,9 @@
     # -- from the target --------------------------------------------------
 
     def on_head(self, status, headers, length: int | None) -> None:
-        self.gate.note_answer_head(headers)
         self.verdict = classify_answer(self.gate.dialect, status, headers)
+        if self.verdict is not AnswerVerdict.REPLACED:
+            self.gate.reports.note_answer(headers, self.started_at)
         self.status = status
         if self.verdict is not AnswerVerdict.ANSWER:
             return
--- a/cyclamenlift/gate/health.py
+++ b/cyclamenlift/gate/health.py
@@ -10,10 +10,9 @@
 
 from cyclamenlift.gate.registration import Announcement
 from cyclamenlift.gate.registration import AnnouncementOutcome
-from cyclamenlift.http.dialects import parse_cold_seconds
-from cyclamenlift.http.dialects import parse_load
 from cyclamenlift.http.headers import find_header
 from cyclamenlift.http.target import TargetRequest
+from cyclamenlift.http.target_reports import parse_load
 from cyclamenlift.wire.gen.protocol.ttypes import TargetState
 
 if typing.TYPE_CHECKING:
@@ -29,8 +28,6 @@
 # queries the pace before a call begins, so a later figure only serves to
 # inform entries.
 MAX_LOAD_AGE_PERIODS = 6.0
-# Characters of an unreadable header that are logged.
-MAX_LOGGED_VALUE = 40
 GOOD_STATUS = range(200, 400)
 
 
@@ -155,26 +152,9 @@
 
     def on_head(self, status, headers, _length) -> None:
         self.status = status
-        self.note_cold(headers)
-        self.gate.note_answer_head(headers)
+        self.gate.reports.note_page(headers, self.request_sent_at)
         if self.learn_incarnation(headers):
-            self.note_cold(headers)
-
-    def note_cold(self, headers) -> None:
-        """Record how much longer the known target is cold."""
-        dialect = self.gate.dialect
-        if not dialect.cold_ms:
-            return
-        name = find_header(headers, dialect.incarnation)
-        if not name or name != self.gate.registration.incarnation:
-            return
-        # A page without the field is that of a warm target.
-        text = find_header(headers, dialect.cold_ms) or '0'
-        cold_seconds = parse_cold_seconds(text)
-        if cold_seconds is None:
-            LOG.warning('cold_time_unreadable', value=text[:MAX_LOGGED_VALUE])
-            return
-        self.gate.note_cold_page(cold_seconds, self.request_sent_at)
+            self.gate.reports.note_page(headers, self.request_sent_at)
 
     def learn_incarnation(self, headers) -> bool:
         """Learn the target's incarnation from its health page.
--- a/cyclamenlift/gate/performance.py
+++ b/cyclamenlift/gate/performance.py
@@ -11,7 +11,7 @@
 from cyclamenlift.gate.slowdowns import PaceRetention
 from cyclamenlift.gate.slowdowns import SlowdownHistory
 from cyclamenlift.gate.slowdowns import WorkProgress
-from cyclamenlift.http.dialects import TargetLoad
+from cyclamenlift.http.target_reports import TargetLoad
 from cyclamenlift.routing.finish import best_start
 from cyclamenlift.routing.finish import PERCENT
 from cyclamenlift.routing.finish import StartPlan
--- a/cyclamenlift/gate/state.py
+++ b/cyclamenlift/gate/state.py
@@ -27,7 +27,7 @@
 from cyclamenlift.gate.occupancy import Occupancy
 from cyclamenlift.gate.performance import PaceAtStart
 from cyclamenlift.gate.performance import PerformanceModel
-from cyclamenlift.http.dialects import TargetLoad
+from cyclamenlift.http.target_reports import TargetLoad
 from cyclamenlift.routing.finish import StartPlan
 from cyclamenlift.wire.gen.protocol.ttypes import LoadFigures
 from cyclamenlift.wire.gen.protocol.ttypes import TargetState
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -15,7 +15,6 @@
 from cyclamenlift.gate.body_transfers import BodyTransfers
 from cyclamenlift.gate.cold_start import ColdRate
 from cyclamenlift.gate.cold_start import NO_LIMIT
-from cyclamenlift.gate.decision_log import log_cold
 from cyclamenlift.gate.gate_call import GateCall
 from cyclamenlift.gate.lag_tracker import LagTracker
 from cyclamenlift.gate.pace_notifier import PaceNotifier
@@ -29,11 +28,10 @@
 from cyclamenlift.gate.state import DequeueResult
 from cyclamenlift.gate.state import GateState
 from cyclamenlift.gate.suspects import SuspectCheck
+from cyclamenlift.gate.target_reports import TargetReports
 from cyclamenlift.gate.termination import TerminationDetector
 from cyclamenlift.http.dialects import DEFAULT_DIALECT
 from cyclamenlift.http.dialects import Dialect
-from cyclamenlift.http.dialects import parse_load
-from cyclamenlift.http.headers import find_header
 from cyclamenlift.models.rules import EventRules
 from cyclamenlift.models.rules import ServiceRule
 from cyclamenlift.quarantine.tasks import Quarantine
@@ -94,10 +92,13 @@
         self.state_hooks: list[Callable[[TargetState], None]] = []
         self.slots_hooks: list[Callable[[int], None]] = []
         self.refused = 0
+        # Calls sent to the target since the start.
+        self.sent = 0
         # Whether nothing may be sent to the target, as its data centre is
         # evacuated.
         self.evacuated = False
         self.pace_queries = PaceQueries(scheduler)
+        self.reports = TargetReports(self)
         self.termination = TerminationDetector(self)
         self.presence = Presence(self)
         self.body_transfers = BodyTransfers(self)
@@ -205,25 +206,6 @@
         for hook in self.slots_hooks:
             hook(slots)
 
-    def note_answer_head(self, headers) -> None:
-        """Record the load that the target reports in its answer headers."""
-        if self.dialect.load:
-            text = find_header(headers, self.dialect.load)
-            load = parse_load(text)
-            if load is not None:
-                now = self.now()
-                self.state.note_target_load(load, now)
-                self.notify_pace_change(now)
-                if self.state.queue:
-                    self.apply_dequeued(self.state.start_queued(now))
-                self.pace_queries.resume_all()
-
-    def note_cold_page(self, cold_seconds: float, asked_at: float) -> None:
-        """Record how much longer the target is cold by its health page."""
-        cold_start = self.state.cold_start
-        if cold_start.note_page(cold_seconds, asked_at, self.now()):
-            log_cold(self, cold_seconds, 'page')
-
     def notify_pace_change(self, now: float) -> None:
         """Notify entries of a pace change and refuse calls it makes late."""
         if self.pace_notifier.is_due(self.state.pace_percent(now)):
--- a/cyclamenlift/http/dialects.py
+++ b/cyclamenlift/http/dialects.py
@@ -7,7 +7,6 @@
 
 import dataclasses
 
-from cyclamenlift.core.clock import MILLISECONDS
 from cyclamenlift.core.registry import Registry
 
 
@@ -26,6 +25,8 @@
     every response made by a target; ``not_run`` states that the target
     didn't run the call; ``load`` holds the load that the target reports and
     ``cold_ms``, on its health page, how much longer it is cold.
+    ``calls_per_second`` is a limit that the target declares, ``leaving`` says
+    that it is about to leave.
     ``call_id_required`` rejects requests without a call ID.
     ``fractional_retry`` writes ``Retry-After`` with fractions.
     """
@@ -41,6 +42,8 @@
     not_run: str = ''
     load: str = ''
     cold_ms: str = ''
+    calls_per_second: str = ''
+    leaving: str = ''
     call_id_required: bool = False
     call_id_repeated: bool = False
     fractional_retry: bool = False
@@ -58,49 +61,6 @@
         return frozenset(name for name in names if name)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TargetLoad:
-    """Load that a target reports about itself.
-
-    ``pace_percent`` is the current duration of work relative to the usual
-    one: 100 for the usual duration, 0 if it isn't reported.
-    """
-
-    running: int
-    waiting: int
-    slots: int
-    pace_percent: int = 0
-
-
-def parse_cold_seconds(text: str | None) -> float | None:
-    """Parse how much longer a target is cold; None if invalid.
-
-    >>> parse_cold_seconds('1500'), parse_cold_seconds('soon')
-    (1.5, None)
-    """
-    number = (text or '').strip()
-    if not (number.isascii() and number.isdigit()):
-        return None
-    return int(number) / MILLISECONDS
-
-
-def parse_load(text: str | None) -> TargetLoad | None:
-    """Parse running, waiting, slots and an optional pace; None if invalid.
-
-    >>> parse_load('3,0,8,250')
-    TargetLoad(running=3, waiting=0, slots=8, pace_percent=250)
-    >>> parse_load('3,x') is None
-    True
-    """
-    parts = (text or '').split(',')
-    if len(parts) < 3:
-        return None
-    numbers = [part.strip() for part in parts[:4]]
-    if not all(n.isascii() and n.isdigit() for n in numbers):
-        return None
-    return TargetLoad(*(int(number) for number in numbers))
-
-
 DIALECTS: Registry[Dialect] = Registry('dialect')
 
 DEFAULT_DIALECT = DIALECTS.register('default')(
--- a/cyclamenlift/platform/dialect.py
+++ b/cyclamenlift/platform/dialect.py
@@ -21,6 +21,10 @@
         not_run='not-executed',
         load='server-load',
         cold_ms='cold-ms',
+        # Calls a second from all instances together, while it is present.
+        calls_per_second='server-limit',
+        # '1' from a target that leaves.
+        leaving='server-leaving',
         call_id_required=True,
         call_id_repeated=True,
         fractional_retry=True,
--- a/cyclamenlift/runtime/call_metrics.py
+++ b/cyclamenlift/runtime/call_metrics.py
@@ -14,6 +14,8 @@
     from cyclamenlift.runtime.daemon import DaemonNode
 
 SERVER_ERROR = 500
+# Exported while the target declares no limit; 0 is a limit.
+NO_LIMIT_FIGURE = -1.0
 
 
 class CallMetrics:
@@ -74,7 +76,21 @@
     def watch_gate(self, gate) -> None:
         watch = self.metrics.watch
         watch('cyclamenlift.gate.refused', lambda: gate.refused)
+        watch('cyclamenlift.gate.sent', lambda: gate.sent)
+        watch(
+            'cyclamenlift.gate.target_limit',
+            lambda: limit_figure(gate.reports.calls_per_second),
+        )
         watch('cyclamenlift.gate.probes', lambda: gate.budget.answered)
         watch('cyclamenlift.gate.in_flight', lambda: len(gate.state.running))
         watch('cyclamenlift.gate.queued', lambda: len(gate.state.queue))
         watch('cyclamenlift.targets.ended', lambda: gate.termination.ended)
+
+
+def limit_figure(calls_per_second: float | None) -> float:
+    """Return a declared limit as it is exported.
+
+    >>> limit_figure(2.5), limit_figure(None)
+    (2.5, -1.0)
+    """
+    return NO_LIMIT_FIGURE if calls_per_second is None else calls_per_second
--- a/tests/gate/builders.py
+++ b/tests/gate/builders.py
@@ -91,7 +91,7 @@
         return self.can_query
 
     def report_pace(self, pace: int) -> None:
-        self.gate.note_answer_head([('x-load', f'0,0,8,{pace}')])
+        self.gate.reports.note_answer([('x-load', f'0,0,8,{pace}')], 0.0)
 
     def send_call(
         self,
--- a/tests/gate/test_admission.py
+++ b/tests/gate/test_admission.py
@@ -14,7 +14,7 @@
 from cyclamenlift.gate.concurrency import MIN_BAND_SAMPLES
 from cyclamenlift.gate.state import GateState
 from cyclamenlift.gate.state import Verdict
-from cyclamenlift.http.dialects import TargetLoad
+from cyclamenlift.http.target_reports import TargetLoad
 
 WORK = 0.120
 OBJECTIVE = 0.400
--- a/tests/gate/test_calls_in_slowdowns.py
+++ b/tests/gate/test_calls_in_slowdowns.py
@@ -23,7 +23,7 @@
 from cyclamenlift.gate.performance import PaceAtStart
 from cyclamenlift.gate.state import GateState
 from cyclamenlift.gate.state import Verdict
-from cyclamenlift.http.dialects import TargetLoad
+from cyclamenlift.http.target_reports import TargetLoad
 from cyclamenlift.routing.finish import StartPlan
 from tests.gate.builders import look_up
 
--- a/tests/gate/test_cold_targets.py
+++ b/tests/gate/test_cold_targets.py
@@ -23,7 +23,7 @@
 from cyclamenlift.gate.registration import Announcement
 from cyclamenlift.gate.state import GateState
 from cyclamenlift.gate.state import Verdict
-from cyclamenlift.http.dialects import TargetLoad
+from cyclamenlift.http.target_reports import TargetLoad
 from tests.gate.builders import GateBench
 from tests.gate.builders import look_up
 
--- a/tests/gate/test_concurrency.py
+++ b/tests/gate/test_concurrency.py
@@ -14,7 +14,7 @@
 from cyclamenlift.gate.concurrency import ConcurrencyLimiter
 from cyclamenlift.gate.concurrency import TRIAL_INTERVAL_SECONDS
 from cyclamenlift.gate.state import GateState
-from cyclamenlift.http.dialects import TargetLoad
+from cyclamenlift.http.target_reports import TargetLoad
 
 SLOTS = 15
 WORK = {'look-up': 0.060, 'order': 0.078, 'list': 0.150}
--- a/tests/gate/test_health.py
+++ b/tests/gate/test_health.py
@@ -54,7 +54,7 @@
 def aged(gate: Gate, health: HealthCheck, age: float) -> HealthCheck:
     """Make the newest load figure of the target ``age`` seconds old."""
     health.settings = Period()
-    gate.note_answer_head([('x-load', '0,0,6,100')])
+    gate.reports.note_answer([('x-load', '0,0,6,100')], 0.0)
     gate.state.performance.pace.reported_at -= age
     health.request_sent_at = gate.now()
     return health
--- a/tests/gate/test_overload.py
+++ b/tests/gate/test_overload.py
@@ -15,7 +15,7 @@
 
 from cyclamenlift.gate.state import GateState
 from cyclamenlift.gate.state import Verdict
-from cyclamenlift.http.dialects import TargetLoad
+from cyclamenlift.http.target_reports import TargetLoad
 from tests.gate.builders import look_up
 
 SLOTS = 15
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -9,7 +9,8 @@
 MOST_LINES = 1_200
 NAMES = re.compile(
     'attempt-id|deadline-ms|response-stamp|target-instance|not-executed'
-    '|server-load|instance-id|base-version|caller-service'
+    '|server-load|server-limit|server-leaving'
+    '|instance-id|base-version|caller-service'
     '|virtual_hosts|path_rules|heartbeat_addr|target_latency'
     '|weighted_services|cold_left|cold_per_s|cold-ms|Evacuate\\.'
     '|Instances\\.Heartbeat|Config\\.Replace',
--- a/tests/runtime/builders.py
+++ b/tests/runtime/builders.py
@@ -432,6 +432,8 @@
         not_run='x-not-run',
         load='x-load',
         cold_ms='x-cold',
+        calls_per_second='x-limit',
+        leaving='x-leaving',
         call_id_repeated=True,
     )
 
--- a/tests/runtime/test_load_news.py
+++ b/tests/runtime/test_load_news.py
@@ -25,7 +25,7 @@
         LoadNews, lambda link, message: sent.append(link.hello)
     )
     gate.pace_notifier.note_call(gate_end, 0.0)
-    gate.note_answer_head([('x-load', '1,0,4,700')])
+    gate.reports.note_answer([('x-load', '1,0,4,700')], 0.0)
     assert sent == [None]
 
 
@@ -38,13 +38,13 @@
     )
     gate.pace_notifier.note_call(gate_end, 0.0)
     for pace in (100, 105, 700, 690, 100):
-        gate.note_answer_head([('x-load', f'1,0,4,{pace}')])
+        gate.reports.note_answer([('x-load', f'1,0,4,{pace}')], 0.0)
     assert sent == [100, 700, 100]
 
 
 def test_slow_gate_returns_a_call_that_limits_the_pace():
     gate = make_gate(platform_like_dialect())
-    gate.note_answer_head([('x-load', '1,0,4,700')])
+    gate.reports.note_answer([('x-load', '1,0,4,700')], 0.0)
     wary = CallStart(call_id=1, most_pace_percent=200)
     content = CallStart(call_id=2, most_pace_percent=0)
     assert gate.admission_control.is_too_slow(wary, 0.0)
