--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -44,6 +44,13 @@
         self.inner = f'{inner},{inner + 1}'
         self.control = [random_host() for _ in range(control)]
         self.daemons = [random_host() for _ in range(daemons)]
+        # Where a daemon takes calls, and where its target listens.
+        self.entries: dict[str, str] = {}
+        self.targets: dict[str, str] = {}
+        for host in (*self.control, *self.daemons):
+            entry, app = free_ports(host, 2)
+            self.entries[host] = f'{host}:{entry}'
+            self.targets[host] = f'{host}:{app}'
         self.processes: dict[str, subprocess.Popen] = {}
         for host in self.control:
             self.start(host, 'control')
@@ -52,19 +59,19 @@
 
     def settings(self, host: str) -> str:
         """Return the settings file of the instance on ``host``."""
-        entry, ready, app = free_ports(host, 3)
+        (ready,) = free_ports(host, 1)
         port = self.control_port
         seeds = [f'{seed}:{port}' for seed in self.control[:3]]
         return settings_lines(
             **{
                 'ip': host,
-                'listen.outbound': f'{host}:{entry}',
+                'listen.outbound': self.entries[host],
                 'listen.ready': f'{host}:{ready}',
                 'listen.control': f'{host}:{port}',
                 'internal_ports': self.inner,
                 'seeds': ','.join(seeds),
                 'fault_tolerance.machines': str(len(self.control) // 2),
-                'app_addr': f'{host}:{app}',
+                'app_addr': self.targets[host],
                 'data_dir': str(self.folder / host),
             }
         )
@@ -139,6 +146,14 @@
             time.sleep(0.05)
         raise AssertionError(self.log(self.control[0])[-2000:])
 
+    def wait_until_served(self, call) -> None:
+        """Wait until ``call`` of each entry's address returns 200."""
+        deadline = time.monotonic() + WAIT_SECONDS
+        for host in self.daemons:
+            while call(self.entries[host]) != 200:
+                assert time.monotonic() < deadline, self.log(host)[-2000:]
+                time.sleep(0.05)
+
     def is_leader(self, host: str) -> bool:
         """Whether an instance answers reads itself, without a redirect."""
         return self.ask(host, GET).status == 200
--- /dev/null
+++ b/tests/platform/test_declared_limit.py
@@ -0,0 +1,92 @@
+"""The real programs keep to the limit that a target declares.
+
+Guards against a target in need that names a limit in each of its answers and
+gets as many calls as before, from all instances together.
+"""
+
+import http.client
+import itertools
+import threading
+import time
+
+import pytest
+
+from tests.platform.fleet import Fleet
+from tests.platform.target_server import TargetServer
+
+CALLS_PER_SECOND = 60.0
+LIMIT = 2.1
+# A limit is counted from this long after it was first named, in this span.
+GRACE_SECONDS = 3.0
+SPAN_SECONDS = 4.0
+ALLOWED = 1.5 * LIMIT * SPAN_SECONDS + 5
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    fleet = Fleet(tmp_path, control=1, daemons=2)
+    targets = [
+        TargetServer(fleet.targets[host], f'i-{number}')
+        for number, host in enumerate(fleet.daemons)
+    ]
+    yield fleet, targets
+    fleet.close()
+    for target in targets:
+        target.close()
+
+
+def send_calls(fleet: Fleet, stop: threading.Event) -> list[threading.Thread]:
+    """Send calls through all entries until ``stop`` is set."""
+    numbers = itertools.count(1)
+
+    def send(address: str) -> None:
+        gap = len(fleet.daemons) / CALLS_PER_SECOND
+        while not stop.wait(gap):
+            threading.Thread(
+                target=call, args=(address, next(numbers)), daemon=True
+            ).start()
+
+    threads = [
+        threading.Thread(target=send, args=(fleet.entries[host],))
+        for host in fleet.daemons
+    ]
+    for thread in threads:
+        thread.start()
+    return threads
+
+
+def call(address: str, number: int) -> int:
+    """Send one call to an entry; return the status, 0 for none."""
+    host, port = address.rsplit(':', 1)
+    connection = http.client.HTTPConnection(host, int(port), timeout=2.0)
+    headers = {
+        'Host': 'a.example',
+        'Attempt-Id': f'a-{number}',
+        'Deadline-Ms': '1000',
+    }
+    try:
+        connection.request('GET', '/p/1', headers=headers)
+        return connection.getresponse().status
+    except (OSError, http.client.HTTPException):
+        return 0
+    finally:
+        connection.close()
+
+
+def test_a_limit_named_in_answers_holds_for_all_daemons_together(fleet):
+    # Guards against a limit that no daemon reads.
+    programs, (limited, other) = fleet
+    programs.publish_first()
+    programs.wait_until_served(lambda address: call(address, 0))
+    stop = threading.Event()
+    threads = send_calls(programs, stop)
+    time.sleep(1.0)
+    limited.says['Server-Limit'] = str(LIMIT)
+    named_at = time.monotonic()
+    time.sleep(GRACE_SECONDS + SPAN_SECONDS + 0.5)
+    stop.set()
+    for thread in threads:
+        thread.join()
+    most = limited.most_in(SPAN_SECONDS, named_at + GRACE_SECONDS)
+    assert 0 < most <= ALLOWED
+    assert other.most_in(SPAN_SECONDS, named_at) > ALLOWED
