Keep to the limit that a target declares, at the gate beside it

Callers saw: a target in need that named a limit in its answers got up to eight times as many calls.

Cause: no part of the product read the limit. The class: a statement of a target about itself that has no reader, since each field was read where it was first needed, in five places of the gate.

Ruled out: a share kept by each instance (none keeps any), a limit kept as slots (the number of calls at once did not change when it was named).

Change: the gate, which all calls to a target pass, counts them in a sliding window, the same mechanism as for cold targets. Entries learn when the target takes another call, remember what it said and return it with their calls, so that a gate that has just started knows it. The most urgent calls go first; what can't be in time is refused at once (2019).

Why it holds: the count is in the one process that sends all calls to the target; a lower limit holds at once, and only an answer to a later request raises or ends it.

--- a/cyclamenlift/calls/state.py
+++ b/cyclamenlift/calls/state.py
@@ -54,6 +54,7 @@
     ResultCode.TARGET_SLOW,
     ResultCode.REQUEST_QUARANTINED,
     ResultCode.TARGET_COLD,
+    ResultCode.TARGET_LIMITED,
     ResultCode.EVACUATED,
 }
 # Refusals that tell that a target has as many calls as it can serve.
@@ -62,6 +63,7 @@
         ResultCode.OVERLOADED,
         ResultCode.QUEUE_DEADLINE,
         ResultCode.TARGET_COLD,
+        ResultCode.TARGET_LIMITED,
     )
 )
 # Number of targets that may end under one call. The first may have ended
--- a/cyclamenlift/calls/tasks.py
+++ b/cyclamenlift/calls/tasks.py
@@ -362,13 +362,19 @@
                 call.service, attempt.instance, load, self.now()
             )
 
+    def note_answer_load(self, call: Call, attempt: Try, load) -> None:
+        if load is not None:
+            self.routing.note_answer_load(
+                call.service, attempt.instance, load, self.now()
+            )
+
     def on_answer_start(self, link, answer: AnswerStart) -> None:
         found = self.find(link, answer.call_id)
         if found is not None:
             call, attempt = found
             self.note_work(call, answer)
             call.on_answer_start(attempt, answer)
-            self.note_load(call, attempt, answer.load)
+            self.note_answer_load(call, attempt, answer.load)
 
     def on_body_chunk(self, link, chunk: BodyChunk) -> None:
         found = self.find(link, chunk.call_id)
--- a/cyclamenlift/calls/tries.py
+++ b/cyclamenlift/calls/tries.py
@@ -83,6 +83,7 @@
         number = self.calls.next_number()
         message = self.start_message(now)
         message.most_pace_percent = self.max_pace(choice)
+        message.statement = self.calls.routing.statements.find(choice.instance)
         attempt = Try(number, choice.instance, link, now, hedge)
         self.tried.add(choice.instance)
         self.open[number] = attempt
--- a/cyclamenlift/core/codes.py
+++ b/cyclamenlift/core/codes.py
@@ -36,6 +36,7 @@
     REQUEST_QUARANTINED = 2016
     TARGET_COLD = 2017
     EVACUATED = 2018
+    TARGET_LIMITED = 2019
 
     TARGET_BROKE_OFF = 3000
     PEER_LOST = 3001
@@ -173,6 +174,11 @@
         'the target is cold and has as many calls as it bears',
         _RETRY,
     ),
+    ResultCode.TARGET_LIMITED: (
+        503,
+        'the target has as many calls as its declared limit allows',
+        _RETRY,
+    ),
     ResultCode.EVACUATED: (
         503,
         'the only targets left are in an evacuated data centre',
--- a/cyclamenlift/gate/admission_control.py
+++ b/cyclamenlift/gate/admission_control.py
@@ -22,7 +22,7 @@
 # half second after which a slowdown is over.
 QUEUE_TIMEOUT_RETRY_AFTER = 0.25
 # Timers may fire slightly early.
-MIN_COLD_WAIT_SECONDS = 0.001
+MIN_LIMIT_WAIT_SECONDS = 0.001
 
 
 class AdmissionController:
@@ -30,8 +30,8 @@
 
     def __init__(self, gate: 'Gate'):
         self.gate = gate
-        # Fires when a cold target bears another call.
-        self.cold_timer = None
+        # Fires when a limit on starts allows another call.
+        self.limit_timer = None
 
     # -- admission -------------------------------------------------------
 
@@ -76,7 +76,7 @@
             log_hold(self.gate, call, admission.hold_seconds)
         if not call.ended:
             call.request_body()
-        self.start_when_warm()
+        self.start_when_allowed()
 
     def admit(self, call: 'GateCall', now: float) -> Admission:
         """Decide on a call, by its route's objective if it has a route."""
@@ -102,29 +102,29 @@
         else:
             call.begin(now)
 
-    # -- cold targets ----------------------------------------------------
+    # -- limits on starts ------------------------------------------------
 
-    def start_when_warm(self) -> None:
-        """Start the queued calls as soon as a cold target bears them.
+    def start_when_allowed(self) -> None:
+        """Start the queued calls as soon as the target may get them.
 
         A target that may have become cold is asked first.
         """
         state = self.gate.state
-        if not state.queue or self.cold_timer is not None:
+        if not state.queue or self.limit_timer is not None:
             return
         now = self.gate.now()
-        wait = state.cold_start.wait(now)
+        wait = state.start_limits.wait(now)
         if not wait:
             return
-        if state.cold_start.needs_report(now):
+        if state.start_limits.cold.needs_report(now):
             self.gate.pace_queries.send_query()
-        self.cold_timer = self.gate.scheduler.after(
-            max(MIN_COLD_WAIT_SECONDS, wait), self.on_cold_timer
+        self.limit_timer = self.gate.scheduler.after(
+            max(MIN_LIMIT_WAIT_SECONDS, wait), self.on_limit_timer
         )
 
-    def on_cold_timer(self) -> None:
-        """Start the queued calls that the target bears by now."""
-        self.cold_timer = None
+    def on_limit_timer(self) -> None:
+        """Start the queued calls that the target may get by now."""
+        self.limit_timer = None
         gate = self.gate
         gate.apply_dequeued(gate.state.start_queued(gate.now()))
 
@@ -183,7 +183,10 @@
     def needs_pace_query(self, call: 'GateCall', now: float) -> bool:
         """Return whether to query the target's pace before a call begins."""
         start = call.start
-        if self.gate.state.cold_start.needs_report(now):
+        if self.gate.state.start_limits.declared.wait(now):
+            # It can't begin now; a target in need is spared the request.
+            return False
+        if self.gate.state.start_limits.cold.needs_report(now):
             return True
         if not (self.gate.dialect.load and start.route_name):
             return False
--- a/cyclamenlift/gate/announcements.py
+++ b/cyclamenlift/gate/announcements.py
@@ -53,7 +53,9 @@
     def note_cold(self, cold_seconds: float) -> None:
         """Record how much longer the target says that it is cold."""
         gate = self.gate
-        if gate.state.cold_start.note_announcement(cold_seconds, gate.now()):
+        if gate.state.start_limits.cold.note_announcement(
+            cold_seconds, gate.now()
+        ):
             log_cold(gate, cold_seconds, 'announcement')
 
     def begin_incarnation(
--- a/cyclamenlift/gate/cold_start.py
+++ b/cyclamenlift/gate/cold_start.py
@@ -7,11 +7,13 @@
 time in.
 """
 
-import collections
 from collections.abc import Hashable
 import dataclasses
 import math
 
+from cyclamenlift.gate.call_window import CallBound
+from cyclamenlift.gate.call_window import CallWindow
+
 WINDOW_SECONDS = 1.0
 # Share of the calls that a cold target bears which it is given: calls reach it
 # up to some milliseconds after they were sent, so those of two windows may
@@ -62,6 +64,7 @@
     """
 
     def __init__(self) -> None:
+        self.window = CallWindow()
         self.rate = NO_LIMIT
         # Until something tells, a target is taken to be cold.
         self.cold_until = math.inf
@@ -74,8 +77,12 @@
         # to the target may still count.
         self.started_at = NEVER
         self.blind_until = NEVER
-        self.sent: collections.deque[float] = collections.deque()
-        self.promised: set[Hashable] = set()
+
+    def set_rate(self, rate: ColdRate) -> None:
+        """Set what the target bears while it is cold."""
+        self.rate = rate
+        bound = CallBound(rate.max_calls, WINDOW_SECONDS)
+        self.window.bound = bound if rate.max_calls else None
 
     # -- what is known of the target --------------------------------------
 
@@ -154,48 +161,29 @@
 
     def promise(self, key: Hashable) -> None:
         """Count a call that has a slot and will be sent."""
-        if self.rate.max_calls:
-            self.promised.add(key)
+        self.window.promise(key)
 
     def withdraw(self, key: Hashable) -> None:
         """Stop counting a call that was not sent."""
-        self.promised.discard(key)
+        self.window.withdraw(key)
 
     def note_sent(self, key: Hashable, now: float) -> None:
         """Count a call that is being sent to the target."""
-        self.promised.discard(key)
-        if self.rate.max_calls:
-            self.sent.append(now)
+        self.window.note_sent(key, now)
 
     def wait(self, now: float, ahead: int = 0) -> float:
         """Return the seconds until a call may be sent behind ``ahead`` others.
 
         0 if it may be sent now.
         """
-        most = self.rate.max_calls
-        if not most:
+        if self.window.bound is None:
             return 0.0
         blind_wait = self.blind_wait(now)
         if blind_wait:
             return blind_wait
-        self.forget_old(now)
-        excess = len(self.sent) + len(self.promised) + ahead + 1 - most
-        if excess <= 0:
-            return 0.0
-        if not self.sent:
-            return WINDOW_SECONDS
-        # Each call that is sent as an old one stops counting does so itself a
-        # window later.
-        rounds, index = divmod(excess - 1, len(self.sent))
-        freed_at = self.sent[index] + WINDOW_SECONDS * (rounds + 1)
-        return max(0.0, freed_at - now)
+        self.window.forget_until(self.warm_at)
+        return self.window.wait(now, ahead)
 
     def needs_report(self, now: float) -> bool:
         """Return whether a warm target must say again that it is warm."""
         return not self.is_cold(now) and self.wait(now) > 0.0
-
-    def forget_old(self, now: float) -> None:
-        """Forget calls that no longer count."""
-        oldest = max(now - WINDOW_SECONDS, self.warm_at)
-        while self.sent and self.sent[0] <= oldest:
-            self.sent.popleft()
--- a/cyclamenlift/gate/decision_log.py
+++ b/cyclamenlift/gate/decision_log.py
@@ -42,8 +42,8 @@
         incarnation=gate.registration.incarnation,
         source=source,
         cold_ms=int(cold_seconds * MILLISECONDS),
-        max_calls=gate.state.cold_start.rate.max_calls,
-        sent=len(gate.state.cold_start.sent),
+        max_calls=gate.state.start_limits.cold.rate.max_calls,
+        sent=len(gate.state.start_limits.cold.window.sent),
         waiting=len(gate.state.queue),
     )
 
--- a/cyclamenlift/gate/gate_call.py
+++ b/cyclamenlift/gate/gate_call.py
@@ -110,7 +110,7 @@
             return
         self.is_buffering = False
         self.gate.sent += 1
-        self.gate.state.cold_start.note_sent(self.key, now)
+        self.gate.state.start_limits.note_sent(self.key, now)
         self.started_at = now
         self.mark = self.gate.state.occupancy.mark(now)
         self.pace_at_start = self.gate.state.performance.pace.pace_at_start(
@@ -243,7 +243,9 @@
     def on_head(self, status, headers, length: int | None) -> None:
         self.verdict = classify_answer(self.gate.dialect, status, headers)
         if self.verdict is not AnswerVerdict.REPLACED:
-            self.gate.reports.note_answer(headers, self.started_at)
+            self.gate.reports.note_answer(
+                headers, self.started_at, self.verdict
+            )
         self.status = status
         if self.verdict is not AnswerVerdict.ANSWER:
             return
--- a/cyclamenlift/gate/health.py
+++ b/cyclamenlift/gate/health.py
@@ -81,9 +81,13 @@
     def max_load_age(self) -> float:
         """Return the age from which the target's load is polled again.
 
-        Calls on hold wait for the figure that ends a slowdown.
+        Calls on hold wait for the figure that ends a slowdown, unless a
+        declared limit is what they wait for.
         """
-        if self.gate.state.queue:
+        state = self.gate.state
+        if state.queue and not state.start_limits.declared.wait(
+            self.gate.now()
+        ):
             return self.settings.health_seconds
         return MAX_LOAD_AGE_PERIODS * self.settings.health_seconds
 
--- a/cyclamenlift/gate/state.py
+++ b/cyclamenlift/gate/state.py
@@ -21,12 +21,12 @@
 from cyclamenlift.gate.admission import RecentUrgencies
 from cyclamenlift.gate.admission import seconds_until_slot
 from cyclamenlift.gate.admission import usable_slots
-from cyclamenlift.gate.cold_start import ColdStartLimit
 from cyclamenlift.gate.estimates import ErrorShare
 from cyclamenlift.gate.estimates import ServiceTime
 from cyclamenlift.gate.occupancy import Occupancy
 from cyclamenlift.gate.performance import PaceAtStart
 from cyclamenlift.gate.performance import PerformanceModel
+from cyclamenlift.gate.start_limits import StartLimits
 from cyclamenlift.http.target_reports import TargetLoad
 from cyclamenlift.routing.finish import StartPlan
 from cyclamenlift.wire.gen.protocol.ttypes import LoadFigures
@@ -95,7 +95,7 @@
         self.rules = DEFAULT_RULES
         self.order_of = operator.attrgetter('order')
         self.occupancy = Occupancy()
-        self.cold_start = ColdStartLimit()
+        self.start_limits = StartLimits()
         self.target_state = TargetState.STARTING
         self.service_time = ServiceTime()
         self.errors = ErrorShare()
@@ -109,14 +109,15 @@
             return self.refuse(ResultCode.DRAINING)
         if now >= deadline:
             return self.refuse(ResultCode.DEADLINE_NOT_RUN)
-        cold_wait = self.cold_start.wait(now, len(self.queue))
-        if len(self.running) < self.slots and not (self.queue or cold_wait):
+        limit_wait = self.start_limits.wait(now, len(self.queue))
+        if len(self.running) < self.slots and not (self.queue or limit_wait):
             self.start(key, now)
             return Admission(Verdict.START)
         if len(self.queue) >= self.queue_limit:
             return self.refuse(ResultCode.OVERLOADED)
-        if cold_wait and now + cold_wait + self.service_time.mean > deadline:
-            return self.refuse_until(ResultCode.TARGET_COLD, cold_wait)
+        late = now + limit_wait + self.service_time.mean > deadline
+        if limit_wait and late:
+            return self.refuse_limited(limit_wait, len(self.queue), now)
         if now + self.mean_queue_wait() + self.service_time.mean > deadline:
             return self.refuse(ResultCode.QUEUE_DEADLINE)
         self.queue[key] = AdmissionRequest(key, deadline)
@@ -145,13 +146,13 @@
             threshold = self.crowded_slots()
             retry_after = self.wait_for_slot(0, threshold, guess)
             return self.refuse_until(ResultCode.QUEUE_DEADLINE, retry_after)
-        cold_wait = self.cold_start.wait(now, ahead)
-        may_start = not (best.held or ahead or cold_wait)
+        limit_wait = self.start_limits.wait(now, ahead)
+        may_start = not (best.held or ahead or limit_wait)
         if may_start and len(self.running) < limit:
             self.start(request.key, now, guess)
             return Admission(Verdict.START)
         slot_wait = max(best.held, self.wait_for_slot(ahead, limit, guess))
-        wait = max(slot_wait, cold_wait)
+        wait = max(slot_wait, limit_wait)
         latest = (
             request.useful_deadline - guess - self.rules.wait_spreads * spread
         )
@@ -160,10 +161,9 @@
         if len(self.queue) >= max(self.queue_limit, self.slots):
             return self.refuse_until(ResultCode.OVERLOADED, wait)
         if now + wait > latest:
-            code = ResultCode.QUEUE_DEADLINE
-            if cold_wait > slot_wait:
-                code = ResultCode.TARGET_COLD
-            return self.refuse_until(code, wait)
+            if limit_wait > slot_wait:
+                return self.refuse_limited(wait, ahead, now)
+            return self.refuse_until(ResultCode.QUEUE_DEADLINE, wait)
         self.queue[request.key] = request
         return Admission(
             Verdict.QUEUED, latest_start=latest, hold_seconds=best.held
@@ -182,7 +182,7 @@
             self.start(request.key, now, best.seconds)
             return Admission(Verdict.START)
         self.running.discard(request.key)
-        self.cold_start.withdraw(request.key)
+        self.start_limits.withdraw(request.key)
         self.hold_times.pop(request.key, None)
         self.note_occupancy(now)
         self.queue[request.key] = request
@@ -217,7 +217,7 @@
         off and its duration is meaningless.
         """
         self.running.discard(key)
-        self.cold_start.withdraw(key)
+        self.start_limits.withdraw(key)
         self.hold_times.pop(key, None)
         self.note_occupancy(now)
         if seconds is not None:
@@ -232,7 +232,7 @@
         for key in sorted(self.queue, key=self.order_in_queue):
             if len(self.running) >= self.concurrency_limit:
                 break
-            if self.cold_start.wait(now):
+            if self.start_limits.wait(now):
                 break
             request = self.queue[key]
             if now >= request.deadline:
@@ -251,7 +251,7 @@
     def start(self, key: Hashable, now: float, seconds: float = 0.0) -> None:
         """Give a call a slot that it should hold for ``seconds``."""
         self.running.add(key)
-        self.cold_start.promise(key)
+        self.start_limits.promise(key)
         self.hold_times[key] = seconds
         self.note_occupancy(now)
 
@@ -291,7 +291,7 @@
         """
         self.target_state = TargetState.STARTING
         self.performance.pace.forget()
-        self.cold_start.begin_incarnation(now)
+        self.start_limits.begin_incarnation(now)
         self.untracked_calls = 0
         if cold:
             self.errors = ErrorShare()
@@ -342,6 +342,11 @@
     def refuse_until(self, code: ResultCode, wait: float) -> Admission:
         return Admission(Verdict.REFUSED, code, max(MIN_RETRY_AFTER, wait))
 
+    def refuse_limited(self, wait: float, ahead: int, now: float) -> Admission:
+        """Refuse a call that a limit on starts would make late."""
+        code = self.start_limits.refusal_code(now, ahead)
+        return self.refuse_until(code, wait)
+
     def count_ahead(self, request: AdmissionRequest, now: float) -> int:
         """Return how many queued calls start before this one.
 
@@ -399,11 +404,20 @@
         done = now + best.seconds + self.rules.crowded_spreads * spread
         return done > request.useful_deadline
 
-    def cold_wait(self, now: float) -> float:
-        """Return the seconds until a cold target may get another call."""
-        if not self.cold_start.is_cold(now):
-            return 0.0
-        return self.cold_start.wait(now, len(self.queue))
+    def start_wait(self, now: float) -> float:
+        """Return the seconds until the target may get another call."""
+        return self.start_limits.told_wait(now, len(self.queue))
+
+    def told_slots(self) -> int:
+        """Return the slots that entries are told of.
+
+        A target with a limit has no use for more than its calls take up.
+        """
+        rate = self.start_limits.declared.calls_per_second
+        if rate is None:
+            return self.concurrency_limit
+        used = math.ceil(rate * self.service_time.mean)
+        return min(self.concurrency_limit, max(1, used))
 
     def mean_queue_wait(self) -> float:
         """Return the expected queueing time by recent service times."""
@@ -420,7 +434,7 @@
         return LoadFigures(
             in_flight=len(self.running),
             queued=len(self.queue),
-            slots=self.concurrency_limit,
+            slots=self.told_slots(),
             latency_us=int(self.service_time.mean * 1_000_000),
             error_permille=int(self.errors.share(now) * 1000),
             state=self.target_state,
@@ -430,5 +444,5 @@
             spell_left_ms=int(
                 self.performance.pace.slowdown_left(now) * MILLISECONDS
             ),
-            cold_wait_ms=math.ceil(self.cold_wait(now) * MILLISECONDS),
+            start_wait_ms=math.ceil(self.start_wait(now) * MILLISECONDS),
         )
--- a/cyclamenlift/gate/target_reports.py
+++ b/cyclamenlift/gate/target_reports.py
@@ -4,15 +4,19 @@
 each statement of a target has one reader.
 """
 
+from collections.abc import Callable
 import typing
 
 import structlog
 
 from cyclamenlift.gate.decision_log import log_cold
 from cyclamenlift.gate.decision_log import log_declared_limit
+from cyclamenlift.gate.verdicts import AnswerVerdict
 from cyclamenlift.http.headers import find_header
+from cyclamenlift.http.headers import Headers
 from cyclamenlift.http.target_reports import parse_report
 from cyclamenlift.http.target_reports import TargetReport
+from cyclamenlift.wire.gen.protocol.ttypes import TargetStatement
 
 if typing.TYPE_CHECKING:
     from cyclamenlift.gate.tasks import Gate
@@ -25,33 +29,90 @@
 
     def __init__(self, gate: 'Gate'):
         self.gate = gate
-        # The limit that the target declared last, in calls per second.
-        self.calls_per_second: float | None = None
 
-    def note_answer(self, headers, sent_at: float) -> None:
+    # -- commands ---------------------------------------------------------
+
+    def note_answer(
+        self,
+        headers: Headers,
+        sent_at: float,
+        verdict: AnswerVerdict = AnswerVerdict.ANSWER,
+    ) -> None:
         """Apply the report in the response to a call sent at ``sent_at``."""
-        report = parse_report(headers, self.gate.dialect)
-        self.log_unreadable(report)
+        report = self.read(headers)
         self.note_load(report)
-        self.note_limit(report, 'answer')
+        declared = self.gate.state.start_limits.declared
+        if self.is_statement(report, verdict):
+            rate = report.calls_per_second
+            now = self.gate.now()
+            self.apply_limit(
+                lambda: declared.note_answer(rate, sent_at, now), 'answer'
+            )
 
-    def note_page(self, headers, asked_at: float) -> None:
+    def note_page(self, headers: Headers, asked_at: float) -> None:
         """Apply the report on the health page asked for at ``asked_at``.
 
         Another target may have answered: only the known one is believed.
         """
-        report = parse_report(headers, self.gate.dialect)
-        self.log_unreadable(report)
+        report = self.read(headers)
         if self.is_by_known_target(headers):
             self.note_cold(report, asked_at)
-            self.note_limit(report, 'page')
+            self.note_limit_on_page(report, asked_at)
         self.note_load(report)
 
-    def is_by_known_target(self, headers) -> bool:
+    def note_hearsay(self, statement: TargetStatement | None) -> None:
+        """Apply what an entry was told of the target by a predecessor."""
+        if statement is None:
+            return
+        if statement.incarnation != self.gate.registration.incarnation:
+            return
+        rate = statement.calls_per_second
+        if rate is not None:
+            declared = self.gate.state.start_limits.declared
+            now = self.gate.now()
+            self.apply_limit(lambda: declared.note_hearsay(rate, now), 'entry')
+
+    # -- queries ----------------------------------------------------------
+
+    def statement(self) -> TargetStatement | None:
+        """Return what entries are to remember of the target, if anything."""
+        rate = self.gate.state.start_limits.declared.calls_per_second
+        if rate is None:
+            return None
+        return TargetStatement(self.gate.registration.incarnation, False, rate)
+
+    def is_by_known_target(self, headers: Headers) -> bool:
         """Return whether a page names the incarnation that is known."""
         name = find_header(headers, self.gate.dialect.incarnation)
         return bool(name) and name == self.gate.registration.incarnation
 
+    def is_statement(
+        self, report: TargetReport, verdict: AnswerVerdict
+    ) -> bool:
+        """Return whether an answer tells what limit is in force.
+
+        Damaged answers end no limit, and neither does an unreadable one.
+        """
+        if report.calls_per_second is not None:
+            return True
+        if verdict is not AnswerVerdict.ANSWER:
+            return False
+        return report.could_read(self.gate.dialect.calls_per_second)
+
+    # -- steps ------------------------------------------------------------
+
+    def read(self, headers: Headers) -> TargetReport:
+        """Read a report and log what could not be understood."""
+        report = parse_report(headers, self.gate.dialect)
+        for field in report.unreadable:
+            LOG.warning(
+                'target_report_unreadable',
+                incarnation=self.gate.registration.incarnation,
+                field=field.name,
+                value=field.value,
+            )
+        return report
+
     def note_load(self, report: TargetReport) -> None:
         """Record the load that the target reports and act on its pace."""
         if report.load is None:
@@ -71,27 +132,31 @@
             return
         # A page without the field is that of a warm target.
         cold_seconds = report.cold_seconds or 0.0
-        cold_start = self.gate.state.cold_start
-        if cold_start.note_page(cold_seconds, asked_at, self.gate.now()):
+        cold = self.gate.state.start_limits.cold
+        if cold.note_page(cold_seconds, asked_at, self.gate.now()):
             log_cold(self.gate, cold_seconds, 'page')
 
-    def note_limit(self, report: TargetReport, source: str) -> None:
-        """Record the limit that the target declares."""
-        dialect = self.gate.dialect
-        if not report.could_read(dialect.calls_per_second):
+    def note_limit_on_page(
+        self, report: TargetReport, asked_at: float
+    ) -> None:
+        """Record the limit that the health page names, or that it is over."""
+        if not report.could_read(self.gate.dialect.calls_per_second):
             return
-        before = self.calls_per_second
-        if report.calls_per_second == before:
+        declared = self.gate.state.start_limits.declared
+        rate = report.calls_per_second
+        now = self.gate.now()
+        self.apply_limit(
+            lambda: declared.note_page(rate, asked_at, now), 'page'
+        )
+
+    def apply_limit(self, note: Callable[[], bool], source: str) -> None:
+        """Record a limit with ``note`` and act on its change."""
+        gate = self.gate
+        declared = gate.state.start_limits.declared
+        before = declared.calls_per_second
+        if not note():
             return
-        self.calls_per_second = report.calls_per_second
-        log_declared_limit(self.gate, before, report.calls_per_second, source)
-
-    def log_unreadable(self, report: TargetReport) -> None:
-        """Log the fields of a report that have no effect."""
-        for field in report.unreadable:
-            LOG.warning(
-                'target_report_unreadable',
-                incarnation=self.gate.registration.incarnation,
-                field=field.name,
-                value=field.value,
-            )
+        after = declared.calls_per_second
+        log_declared_limit(gate, before, after, source)
+        gate.pace_notifier.notify(gate.figures(), gate.now())
+        gate.apply_dequeued(gate.state.start_queued(gate.now()))
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -124,15 +124,17 @@
         """
         self.rule = rules.services.get(self.service)
         if self.rule is None:
-            self.state.cold_start.rate = NO_LIMIT
+            self.state.start_limits.cold.set_rate(NO_LIMIT)
             self.budget.set_rate(0.0, self.now())
             return
         self.state.queue_limit = self.rule.queue_limit
-        self.state.cold_start.rate = ColdRate(
-            self.rule.cold_calls_per_second,
-            self.rule.cold_seconds,
-            self.cold_burst_factor,
-            self.cold_burst_slack,
+        self.state.start_limits.cold.set_rate(
+            ColdRate(
+                self.rule.cold_calls_per_second,
+                self.rule.cold_seconds,
+                self.cold_burst_factor,
+                self.cold_burst_slack,
+            )
         )
         self.budget.set_rate(self.rule.probes_per_second, self.now())
 
@@ -231,7 +233,9 @@
     def figures(self, link=None) -> LoadFigures:
         """Return the load figures, with the lag of ``link`` if given."""
         lag = self.current_lag(link) if link is not None else 0.0
-        return self.state.figures(self.now(), lag, self.body_wait())
+        figures = self.state.figures(self.now(), lag, self.body_wait())
+        figures.statement = self.reports.statement()
+        return figures
 
     def current_lag(self, link) -> float:
         """Return the current lag of calls on a link, in seconds."""
@@ -310,6 +314,7 @@
             call.send_refused(ResultCode.NO_TARGET, 'ends not known yet')
             return
         self.pace_notifier.note_call(link, now)
+        self.reports.note_hearsay(start.statement)
         if self.evacuated:
             call.send_refused(ResultCode.EVACUATED)
             return
@@ -414,7 +419,7 @@
             call = self.calls.get(key)
             if call is not None:
                 call.begin(self.now())
-        self.admission_control.start_when_warm()
+        self.admission_control.start_when_allowed()
 
     def check_idle(self) -> None:
         if self.is_idle():
--- a/cyclamenlift/routing/estimates.py
+++ b/cyclamenlift/routing/estimates.py
@@ -40,7 +40,7 @@
     __slots__ = (
         'answered_at',
         'body_wait',
-        'cold_wait',
+        'start_wait',
         'error_at',
         'error_level',
         'gate_latency',
@@ -73,7 +73,7 @@
         self.spell_left = 0.0
         self.lag = 0.0
         self.body_wait = 0.0
-        self.cold_wait = 0.0
+        self.start_wait = 0.0
         self.load_at = 0.0
         self.load_deadline = 0.0
         self.latency = 0.0
@@ -129,7 +129,7 @@
         self.spell_left = (figures.spell_left_ms or 0) / MILLISECONDS
         self.lag = (figures.lag_ms or 0) / MILLISECONDS
         self.body_wait = (figures.body_wait_ms or 0) / MILLISECONDS
-        self.cold_wait = (figures.cold_wait_ms or 0) / MILLISECONDS
+        self.start_wait = (figures.start_wait_ms or 0) / MILLISECONDS
         self.gate_latency = (figures.latency_us or 0) / MICROSECONDS
         if figures.error_permille:
             level = min(1.0, figures.error_permille / PERMILLE)
@@ -147,9 +147,9 @@
         """Return how long a body sent now waits behind other bodies."""
         return max(0.0, self.body_wait - (now - self.pace_at))
 
-    def current_cold_wait(self, now: float) -> float:
-        """Return the time until a cold target may get another call."""
-        return max(0.0, self.cold_wait - (now - self.pace_at))
+    def current_start_wait(self, now: float) -> float:
+        """Return the time until the target may get another call."""
+        return max(0.0, self.start_wait - (now - self.pace_at))
 
     def is_refusing(self, now: float) -> bool:
         """Return whether the gate has just refused a call for overload."""
--- a/cyclamenlift/routing/policies.py
+++ b/cyclamenlift/routing/policies.py
@@ -203,7 +203,7 @@
         profile.work, estimate.pace, estimate.spell_left, age
     )
     seconds += estimate.current_lag(now)
-    seconds += estimate.current_cold_wait(now)
+    seconds += estimate.current_start_wait(now)
     if profile.body_seconds and candidate.instance != group.instance:
         seconds += profile.body_seconds + estimate.current_body_wait(now)
     return seconds + queueing_delay(load, slots, profile.work)
--- a/cyclamenlift/routing/state.py
+++ b/cyclamenlift/routing/state.py
@@ -30,6 +30,7 @@
 from cyclamenlift.routing.policies import sample_of
 from cyclamenlift.routing.probes import probe_rate_per_member
 from cyclamenlift.routing.probes import ProbeAllowance
+from cyclamenlift.routing.statements import TargetStatements
 from cyclamenlift.routing.work import WorkTable
 from cyclamenlift.wire.gen.protocol.ttypes import LoadFigures
 from cyclamenlift.wire.gen.protocol.ttypes import MemberRecord
@@ -63,6 +64,7 @@
         self.services: dict[str, ServiceState] = {}
         self.records: dict[str, MemberRecord] = {}
         self.work = WorkTable()
+        self.statements = TargetStatements()
         self.instance = ''
         # Bandwidth of this instance's link in bytes per second, 0 if unknown.
         self.link_rate = 0.0
@@ -398,10 +400,24 @@
         if now < estimate.latency_deadline and seconds > estimate.latency:
             estimate.note_latency(seconds, group.typical_latency, now)
 
+    def note_answer_load(
+        self, service: str, instance: str, load: LoadFigures, now: float
+    ) -> None:
+        """Store load figures received with an answer made by the target.
+
+        Its gate has just heard from the target, so that it states nothing
+        means that nothing is to be remembered any more.
+        """
+        if load.statement is None:
+            self.statements.forget(instance)
+        self.note_load(service, instance, load, now)
+
     def note_load(
         self, service: str, instance: str, load: LoadFigures, now: float
     ) -> None:
         """Store load figures received with an answer or probe answer."""
+        if load.statement is not None:
+            self.statements.note(instance, load.statement)
         candidate = self.find(service, instance)
         if candidate is None:
             return
--- a/cyclamenlift/runtime/call_metrics.py
+++ b/cyclamenlift/runtime/call_metrics.py
@@ -79,7 +79,9 @@
         watch('cyclamenlift.gate.sent', lambda: gate.sent)
         watch(
             'cyclamenlift.gate.target_limit',
-            lambda: limit_figure(gate.reports.calls_per_second),
+            lambda: limit_figure(
+                gate.state.start_limits.declared.calls_per_second
+            ),
         )
         watch('cyclamenlift.gate.probes', lambda: gate.budget.answered)
         watch('cyclamenlift.gate.in_flight', lambda: len(gate.state.running))
--- a/cyclamenlift/runtime/daemon.py
+++ b/cyclamenlift/runtime/daemon.py
@@ -185,7 +185,7 @@
             self.dialect,
         )
         gate.link_rate = settings.link_mbps * BYTES_OF_MEGABIT
-        gate.state.cold_start.follow_predecessor(STARTED_AT)
+        gate.state.start_limits.follow_predecessor(STARTED_AT)
         gate.cold_burst_factor = settings.cold_burst_factor
         gate.cold_burst_slack = settings.cold_burst_slack
         gate.target_host = client.address.host
--- a/cyclamenlift/wire/cyclamenlift.thrift
+++ b/cyclamenlift/wire/cyclamenlift.thrift
@@ -41,6 +41,15 @@
   2: string value
 }
 
+// What a target said of itself that outlives its gate: entries that were told
+// it return it with each call, so that a gate that has just started knows it.
+struct TargetStatement {
+  1: string incarnation,
+  2: bool leaving,
+  // Calls that it takes from all instances together; absent: no limit.
+  3: double calls_per_second
+}
+
 // Load of one target, measured by its gate.
 struct LoadFigures {
   1: i32 in_flight,
@@ -59,8 +68,11 @@
   9: i32 body_wait_ms,
   // Expected remainder of a slow period; 0: none, or unknown.
   10: i32 spell_left_ms,
-  // Time until a cold target may get another call; 0: now.
-  11: i32 cold_wait_ms
+  // Time until the target may get another call, as it is cold or declares a
+  // limit; 0: now.
+  11: i32 start_wait_ms,
+  // Absent while the target declares no limit and does not leave.
+  12: TargetStatement statement
 }
 
 // Entry to gate. Includes a body that fits entirely (body_complete).
@@ -95,7 +107,9 @@
   // The caller was refused before and retries.
   21: bool returned,
   // Identifies the request; the same in each attempt.
-  22: binary fingerprint
+  22: binary fingerprint,
+  // What the entry was told of the target; absent: nothing.
+  23: TargetStatement statement
 }
 
 // Sent by a gate to its recent entries when its load changes.
--- a/cyclamenlift/wire/gen/protocol/ttypes.py
+++ b/cyclamenlift/wire/gen/protocol/ttypes.py
@@ -235,6 +235,85 @@
         return not (self == other)
 
 
+class TargetStatement(object):
+    """
+    Attributes:
+     - incarnation
+     - leaving
+     - calls_per_second
+
+    """
+
+
+    def __init__(self, incarnation=None, leaving=None, calls_per_second=None,):
+        self.incarnation = incarnation
+        self.leaving = leaving
+        self.calls_per_second = calls_per_second
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.calls_per_second = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TargetStatement')
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 1)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 2)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        if self.calls_per_second is not None:
+            oprot.writeFieldBegin('calls_per_second', TType.DOUBLE, 3)
+            oprot.writeDouble(self.calls_per_second)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadFigures(object):
     """
     Attributes:
@@ -248,12 +327,13 @@
      - lag_ms
      - body_wait_ms
      - spell_left_ms
-     - cold_wait_ms
+     - start_wait_ms
+     - statement
 
     """
 
 
-    def __init__(self, in_flight=None, queued=None, slots=None, latency_us=None, error_permille=None, state=None, pace_percent=None, lag_ms=None, body_wait_ms=None, spell_left_ms=None, cold_wait_ms=None,):
+    def __init__(self, in_flight=None, queued=None, slots=None, latency_us=None, error_permille=None, state=None, pace_percent=None, lag_ms=None, body_wait_ms=None, spell_left_ms=None, start_wait_ms=None, statement=None,):
         self.in_flight = in_flight
         self.queued = queued
         self.slots = slots
@@ -264,7 +344,8 @@
         self.lag_ms = lag_ms
         self.body_wait_ms = body_wait_ms
         self.spell_left_ms = spell_left_ms
-        self.cold_wait_ms = cold_wait_ms
+        self.start_wait_ms = start_wait_ms
+        self.statement = statement
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -327,7 +408,13 @@
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.I32:
-                    self.cold_wait_ms = iprot.readI32()
+                    self.start_wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRUCT:
+                    self.statement = TargetStatement()
+                    self.statement.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -380,9 +467,13 @@
             oprot.writeFieldBegin('spell_left_ms', TType.I32, 10)
             oprot.writeI32(self.spell_left_ms)
             oprot.writeFieldEnd()
-        if self.cold_wait_ms is not None:
-            oprot.writeFieldBegin('cold_wait_ms', TType.I32, 11)
-            oprot.writeI32(self.cold_wait_ms)
+        if self.start_wait_ms is not None:
+            oprot.writeFieldBegin('start_wait_ms', TType.I32, 11)
+            oprot.writeI32(self.start_wait_ms)
+            oprot.writeFieldEnd()
+        if self.statement is not None:
+            oprot.writeFieldBegin('statement', TType.STRUCT, 12)
+            self.statement.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -427,11 +518,12 @@
      - sent_at_us
      - returned
      - fingerprint
+     - statement
 
     """
 
 
-    def __init__(self, call_id=None, service_name=None, method=None, path=None, headers=None, time_left_us=None, body_length=None, body=None, body_complete=None, idempotent=None, depth=None, trace_id=None, config_version=None, rank=None, objective_left_us=None, nested=None, route_name=None, repeated=None, most_pace_percent=None, sent_at_us=None, returned=None, fingerprint=None,):
+    def __init__(self, call_id=None, service_name=None, method=None, path=None, headers=None, time_left_us=None, body_length=None, body=None, body_complete=None, idempotent=None, depth=None, trace_id=None, config_version=None, rank=None, objective_left_us=None, nested=None, route_name=None, repeated=None, most_pace_percent=None, sent_at_us=None, returned=None, fingerprint=None, statement=None,):
         self.call_id = call_id
         self.service_name = service_name
         self.method = method
@@ -454,6 +546,7 @@
         self.sent_at_us = sent_at_us
         self.returned = returned
         self.fingerprint = fingerprint
+        self.statement = statement
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -580,6 +673,12 @@
                     self.fingerprint = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.STRUCT:
+                    self.statement = TargetStatement()
+                    self.statement.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -681,6 +780,10 @@
             oprot.writeFieldBegin('fingerprint', TType.STRING, 22)
             oprot.writeBinary(self.fingerprint)
             oprot.writeFieldEnd()
+        if self.statement is not None:
+            oprot.writeFieldBegin('statement', TType.STRUCT, 23)
+            self.statement.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4975,6 +5078,13 @@
     (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'value', 'UTF8', None, ),  # 2
 )
+all_structs.append(TargetStatement)
+TargetStatement.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'incarnation', 'UTF8', None, ),  # 1
+    (2, TType.BOOL, 'leaving', None, None, ),  # 2
+    (3, TType.DOUBLE, 'calls_per_second', None, None, ),  # 3
+)
 all_structs.append(LoadFigures)
 LoadFigures.thrift_spec = (
     None,  # 0
@@ -4988,7 +5098,8 @@
     (8, TType.I32, 'lag_ms', None, None, ),  # 8
     (9, TType.I32, 'body_wait_ms', None, None, ),  # 9
     (10, TType.I32, 'spell_left_ms', None, None, ),  # 10
-    (11, TType.I32, 'cold_wait_ms', None, None, ),  # 11
+    (11, TType.I32, 'start_wait_ms', None, None, ),  # 11
+    (12, TType.STRUCT, 'statement', [TargetStatement, None], None, ),  # 12
 )
 all_structs.append(CallStart)
 CallStart.thrift_spec = (
@@ -5015,6 +5126,7 @@
     (20, TType.I64, 'sent_at_us', None, None, ),  # 20
     (21, TType.BOOL, 'returned', None, None, ),  # 21
     (22, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 22
+    (23, TType.STRUCT, 'statement', [TargetStatement, None], None, ),  # 23
 )
 all_structs.append(LoadNews)
 LoadNews.thrift_spec = (
--- a/tests/calls/test_refusal_storm.py
+++ b/tests/calls/test_refusal_storm.py
@@ -21,6 +21,7 @@
 from cyclamenlift.quarantine.state import QuarantineStatus
 from cyclamenlift.routing.messages import CallProfile
 from cyclamenlift.routing.messages import Choice
+from cyclamenlift.routing.statements import TargetStatements
 
 WORK = 0.07
 OBJECTIVE = 0.30
@@ -66,6 +67,7 @@
                 profile=lambda *_: CallProfile('look-up', WORK),
                 call_started=lambda *_: None,
                 is_evacuated=lambda _service: False,
+                statements=TargetStatements(),
             ),
             link_to=lambda _choice: link,
             next_number=lambda: len(self.asked),
--- a/tests/gate/simulation.py
+++ b/tests/gate/simulation.py
@@ -4,6 +4,7 @@
 and the connection to the target are simulated.
 """
 
+import collections
 from collections.abc import Callable
 import dataclasses
 import heapq
@@ -12,6 +13,7 @@
 
 from cyclamenlift.gate.health import HealthCheck
 from cyclamenlift.gate.tasks import Gate
+from cyclamenlift.routing.statements import TargetStatements
 from cyclamenlift.runtime.local_link import local_link_pair
 from cyclamenlift.wire.gen.protocol.ttypes import AnswerStart
 from cyclamenlift.wire.gen.protocol.ttypes import Broken
@@ -25,6 +27,7 @@
 MICROSECONDS = 1_000_000
 HEALTH_PATH = '/health'
 PAGE_SECONDS = 0.001
+INSTANCE = 'instance-1'
 # How long after a limit was first declared it is counted, and in which span.
 GRACE_SECONDS = 3.0
 SPAN_SECONDS = 4.0
@@ -81,6 +84,28 @@
         self.time = end
 
 
+class ProcessTime:
+    """The scheduler of one process: its timers end with it."""
+
+    def __init__(self, time: VirtualTime):
+        self.clock = time
+        self.time = time
+        self.alive = True
+
+    def at(self, deadline: float, callback) -> Timer:
+        return self.time.at(deadline, lambda: self.run(callback))
+
+    def after(self, seconds: float, callback) -> Timer:
+        return self.at(self.time.now() + seconds, callback)
+
+    def every(self, seconds: float, callback) -> None:
+        self.time.every(seconds, lambda: self.run(callback))
+
+    def run(self, callback) -> None:
+        if self.alive:
+            callback()
+
+
 @dataclasses.dataclass
 class HealthSettings:
     """The settings that the health check reads."""
@@ -132,6 +157,7 @@
         self.slots = slots
         self.work = work
         self.rng = random.Random(seed)
+        self.open: set[TargetRequestInProgress] = set()
         self.name = 'i-1'
         self.says: dict[str, str] = {}
         self.page_says: dict[str, str] = {}
@@ -146,13 +172,22 @@
             return self.time.after(PAGE_SECONDS, call.answer)
         self.calls.append(self.time.now())
         self.running += 1
+        self.open.add(call)
         work = self.work * self.rng.uniform(0.7, 1.3)
         return self.time.after(work, lambda: self.end(call))
 
     def end(self, call: TargetRequestInProgress) -> None:
         self.running -= 1
+        self.open.discard(call)
         call.answer()
 
+    def drop_calls(self) -> None:
+        """Stop the calls of a process that has ended."""
+        for call in self.open:
+            call.cancel()
+        self.running -= len(self.open)
+        self.open.clear()
+
     def headers(self, path: str) -> list[tuple[str, str]]:
         said = self.page_says if path == HEALTH_PATH else self.says
         return [
@@ -195,12 +230,17 @@
         self.rng = random.Random(seed)
         self.numbers = itertools.count(1)
         self.outcomes: list = []
+        # The numbers of all calls by rank.
+        self.ranks: dict[int, set[int]] = collections.defaultdict(set)
+        # What the entry was told of the target; survives the gate.
+        self.statements = TargetStatements()
         self.start_gate()
 
     def start_gate(self) -> None:
         """Start a gate that knows nothing, in place of the one before."""
+        self.process = ProcessTime(self.time)
         self.gate = Gate(
-            self.time,
+            self.process,
             self.target,
             'prices',
             self.target.slots,
@@ -210,12 +250,29 @@
         self.entry_end, self.gate_end = local_link_pair(iter(range(1, 9)))
         for kind in (Refused, Cancelled, Broken, AnswerStart):
             self.entry_end.subscribe(
-                kind, lambda _link, message: self.outcomes.append(message)
+                kind, lambda _link, message: self.on_outcome(message)
             )
         for kind in (Credit, LoadNews):
             self.entry_end.subscribe(kind, lambda _link, _message: None)
         self.health.start()
 
+    def on_outcome(self, message) -> None:
+        self.outcomes.append(message)
+        if message.load is None:
+            return
+        if message.load.statement is not None:
+            self.statements.note(INSTANCE, message.load.statement)
+        elif isinstance(message, AnswerStart):
+            self.statements.forget(INSTANCE)
+
+    def restart_gate(self) -> None:
+        """Kill the gate's process and start another one."""
+        self.process.alive = False
+        self.target.drop_calls()
+        self.start_gate()
+        started_at = self.time.now()
+        self.gate.state.start_limits.follow_predecessor(started_at)
+
     def call(
         self,
         rank: int = 0,
@@ -226,6 +283,7 @@
     ) -> int:
         """Send a call to the gate; return its number."""
         number = next(self.numbers)
+        self.ranks[rank].add(number)
         start = CallStart(
             call_id=number,
             service_name='prices',
@@ -243,6 +301,7 @@
             objective_left_us=int(objective * MICROSECONDS),
             route_name=f'look-up-{rank}',
             nested=nested,
+            statement=self.statements.find(INSTANCE),
         )
         self.gate.on_call_start(self.gate_end, start)
         return number
--- a/tests/gate/test_cold_targets.py
+++ b/tests/gate/test_cold_targets.py
@@ -35,7 +35,7 @@
 
 def cold_limit(rate: ColdRate = RATE) -> ColdStartLimit:
     limit = ColdStartLimit()
-    limit.rate = rate
+    limit.set_rate(rate)
     limit.begin_incarnation(0.0)
     return limit
 
@@ -165,7 +165,7 @@
     limit.follow_predecessor(10.0)
     limit.note_page(1.5, 10.39, 10.4)
     # The document, which has the rate, comes after the first page.
-    limit.rate = RATE
+    limit.set_rate(RATE)
     assert limit.wait(10.4) == pytest.approx(0.6)
     assert not limit.wait(11.0)
 
@@ -193,7 +193,7 @@
         limit.promise(number)
         limit.note_sent(number, 1.0)
     assert not limit.wait(1.0)
-    assert not limit.sent
+    assert not limit.window.sent
 
 
 class PageBench(GateBench):
@@ -201,7 +201,7 @@
 
     def __init__(self):
         super().__init__()
-        self.gate.state.cold_start.rate = RATE
+        self.gate.state.start_limits.cold.set_rate(RATE)
         self.health = HealthCheck(self.gate, self.target, settings=None)
         self.health.status = 200
 
@@ -254,7 +254,7 @@
     bench.gate.announce(
         Announcement('i-2', 'prices', 8, warm_up_seconds=3.0, sequence=1)
     )
-    assert bench.gate.state.cold_start.is_cold(bench.gate.now())
+    assert bench.gate.state.start_limits.cold.is_cold(bench.gate.now())
 
 
 SLOTS = 6
@@ -281,7 +281,7 @@
         self.recent: collections.deque[float] = collections.deque()
         self.up = True
         self.state = GateState(SLOTS)
-        self.state.cold_start.rate = rate
+        self.state.start_limits.cold.set_rate(rate)
         self.begin(0.0, 0.0)
 
     def begin(self, now: float, cold: float) -> None:
@@ -289,9 +289,9 @@
         self.up = True
         self.recent.clear()
         state = GateState(SLOTS)
-        state.cold_start.rate = self.rate
-        state.cold_start.begin_incarnation(now)
-        state.cold_start.note_page(cold, now, now)
+        state.start_limits.cold.set_rate(self.rate)
+        state.start_limits.cold.begin_incarnation(now)
+        state.start_limits.cold.note_page(cold, now, now)
         state.note_target_load(self.load(now), now)
         self.state = state
 
@@ -345,19 +345,19 @@
         for target in asked:
             state = target.state
             cold = max(0.0, target.warm_at - now)
-            state.cold_start.note_page(cold, now, now)
+            state.start_limits.cold.note_page(cold, now, now)
             state.note_target_load(target.load(now), now)
             admission = state.admit_routed(request, now)
             if admission.verdict is Verdict.START:
                 self.begin(now, target, state, request)
                 return
             if admission.verdict is Verdict.QUEUED:
-                wait = max(0.001, state.cold_start.wait(now))
+                wait = max(0.001, state.start_limits.cold.wait(now))
                 self.push(now + wait, self.dequeue, target, state)
                 return
 
     def begin(self, now: float, target, state, request) -> None:
-        state.cold_start.note_sent(request.key, now)
+        state.start_limits.cold.note_sent(request.key, now)
         if not target.bears(now):
             target.up = False
             target.ends += 1
--- a/tests/gate/test_target_reports.py
+++ b/tests/gate/test_target_reports.py
@@ -9,9 +9,9 @@
     # Guards against an excess that no log line can explain.
     bench = GateBench()
     with structlog.testing.capture_logs() as lines:
-        for limit in ('25.3', '25.3', '2.1', ''):
+        for sent_at, limit in enumerate(('25.3', '25.3', '2.1', '')):
             headers = [('x-limit', limit)] if limit else []
-            bench.gate.reports.note_answer(headers, bench.gate.now())
+            bench.gate.reports.note_answer(headers, sent_at)
     told = [(line['event'], line['calls_per_second']) for line in lines]
     assert told == [
         ('target_limited', 25.3),
@@ -26,6 +26,7 @@
     bench = GateBench()
     bench.gate.reports.note_answer([('x-limit', '25.3')], bench.gate.now())
     with structlog.testing.capture_logs() as lines:
-        bench.gate.reports.note_answer([('x-limit', '-1')], bench.gate.now())
+        bench.gate.reports.note_answer([('x-limit', '-1')], 1.0)
     assert [line['event'] for line in lines] == ['target_report_unreadable']
-    assert bench.gate.reports.calls_per_second == 25.3
+    declared = bench.gate.state.start_limits.declared
+    assert declared.calls_per_second == 25.3
--- a/tests/platform/test_declared_limit.py
+++ b/tests/platform/test_declared_limit.py
@@ -73,8 +73,11 @@
         connection.close()
 
 
-def test_a_limit_named_in_answers_holds_for_all_daemons_together(fleet):
-    # Guards against a limit that no daemon reads.
+def run_limited(fleet, faults=lambda: None) -> tuple[int, int]:
+    """Return the most calls that a limited and an unlimited target got.
+
+    ``faults`` runs when the limit begins to count.
+    """
     programs, (limited, other) = fleet
     programs.publish_first()
     programs.wait_until_served(lambda address: call(address, 0))
@@ -83,10 +86,35 @@
     time.sleep(1.0)
     limited.says['Server-Limit'] = str(LIMIT)
     named_at = time.monotonic()
-    time.sleep(GRACE_SECONDS + SPAN_SECONDS + 0.5)
+    time.sleep(GRACE_SECONDS)
+    faults()
+    time.sleep(SPAN_SECONDS + 0.5)
     stop.set()
     for thread in threads:
         thread.join()
-    most = limited.most_in(SPAN_SECONDS, named_at + GRACE_SECONDS)
-    assert 0 < most <= ALLOWED
-    assert other.most_in(SPAN_SECONDS, named_at) > ALLOWED
+    since = named_at + GRACE_SECONDS
+    return (
+        limited.most_in(SPAN_SECONDS, since),
+        other.most_in(SPAN_SECONDS, since),
+    )
+
+
+def test_a_limit_named_in_answers_holds_for_all_daemons_together(fleet):
+    # Guards against a limit that no daemon reads.
+    limited, other = run_limited(fleet)
+    assert 0 < limited <= ALLOWED
+    assert other > ALLOWED
+
+
+def test_a_limit_holds_while_the_daemon_beside_the_target_restarts(fleet):
+    # Guards against a new daemon that has not heard of the limit yet.
+    programs, _targets = fleet
+    beside = programs.daemons[0]
+
+    def restart() -> None:
+        programs.kill(beside)
+        programs.start(beside, 'daemon')
+
+    limited, other = run_limited(fleet, restart)
+    assert 0 < limited <= ALLOWED
+    assert other > ALLOWED
--- a/tools/mutants_calls.py
+++ b/tools/mutants_calls.py
@@ -31,9 +31,9 @@
     ),
     Mutant(
         'a cold target gets the calls of two windows in one second',
-        'cyclamenlift/gate/cold_start.py',
-        'oldest = max(now - WINDOW_SECONDS, self.warm_at)',
-        'oldest = max(float(int(now)), self.warm_at)',
+        'cyclamenlift/gate/call_window.py',
+        'self.forget_until(now - seconds)',
+        'self.forget_until(float(int(now)))',
         'tests/gate/test_cold_targets.py',
     ),
     Mutant(
@@ -50,6 +50,20 @@
         'return False',
         'tests/gate/test_cold_targets.py',
     ),
+    Mutant(
+        'a gate does not heed what entries were told of its target',
+        'cyclamenlift/gate/target_reports.py',
+        'if statement is None:',
+        'if True:',
+        'tests/gate/test_declared_limit.py',
+    ),
+    Mutant(
+        'an answer that is read late ends a declared limit',
+        'cyclamenlift/gate/declared_limit.py',
+        'if sent_at <= self.heard_at:',
+        'if False:',
+        'tests/gate/test_declared_limit.py',
+    ),
     Mutant(
         'a gate in an evacuated data centre starts a call',
         'cyclamenlift/gate/admission_control.py',
