Let a target leave by its answers, too

Callers saw: calls at a target that says in each answer that it leaves, while its announcements say ready or never come (277 and 369 requests in the users' reproduction, 0 allowed).

Leaving was known from announcements alone.

Change: an answer or the health page that says so sets off what an announcement does: the gate drains, entries are told, waiting calls and bodies that still arrive are refused, and no announcement of that incarnation brings it back. Entries remember a departure, however it was told, and return it with their calls, so that a gate which has just started knows it.

Why it holds: the gate drains when it has read the head of the answer, before any entry can pass it on.

--- a/cyclamenlift/gate/announcements.py
+++ b/cyclamenlift/gate/announcements.py
@@ -73,11 +73,12 @@
         if not announcement.draining:
             gate.set_target_state(TargetState.READY)
 
-    def leave(self, incarnation: str, born_ms: int) -> None:
-        """Stop admitting calls to a target that announced its departure."""
+    def leave(self, incarnation: str, born_ms: int, source: str) -> None:
+        """Stop admitting calls to a target that said that it leaves."""
         known = self.registration.leave(incarnation, born_ms)
         LOG.info(
             'target_leaves',
+            source=source,
             incarnation=incarnation,
             born_ms=born_ms,
             current=known,
--- a/cyclamenlift/gate/target_reports.py
+++ b/cyclamenlift/gate/target_reports.py
@@ -48,6 +48,8 @@
             self.apply_limit(
                 lambda: declared.note_answer(rate, sent_at, now), 'answer'
             )
+        if report.leaving and verdict is not AnswerVerdict.UNPROVEN:
+            self.note_leaving('answer')
 
     def note_page(self, headers: Headers, asked_at: float) -> None:
         """Apply the report on the health page asked for at ``asked_at``.
@@ -58,6 +60,8 @@
         if self.is_by_known_target(headers):
             self.note_cold(report, asked_at)
             self.note_limit_on_page(report, asked_at)
+            if report.leaving:
+                self.note_leaving('page')
         self.note_load(report)
 
     def note_hearsay(self, statement: TargetStatement | None) -> None:
@@ -66,6 +70,8 @@
             return
         if statement.incarnation != self.gate.registration.incarnation:
             return
+        if statement.leaving:
+            self.note_leaving('entry')
         rate = statement.calls_per_second
         if rate is not None:
             declared = self.gate.state.start_limits.declared
@@ -76,10 +82,13 @@
 
     def statement(self) -> TargetStatement | None:
         """Return what entries are to remember of the target, if anything."""
+        registration = self.gate.registration
         rate = self.gate.state.start_limits.declared.calls_per_second
-        if rate is None:
+        if rate is None and not registration.draining:
             return None
-        return TargetStatement(self.gate.registration.incarnation, False, rate)
+        return TargetStatement(
+            registration.incarnation, registration.draining, rate
+        )
 
     def is_by_known_target(self, headers: Headers) -> bool:
         """Return whether a page names the incarnation that is known."""
@@ -149,6 +158,14 @@
             lambda: declared.note_page(rate, asked_at, now), 'page'
         )
 
+    def note_leaving(self, source: str) -> None:
+        """Stop admitting calls, as if the target had announced it."""
+        registration = self.gate.registration
+        if not registration.draining:
+            self.gate.target_leaves(
+                registration.incarnation, registration.born_ms, source
+            )
+
     def apply_limit(self, note: Callable[[], bool], source: str) -> None:
         """Record a limit with ``note`` and act on its change."""
         gate = self.gate
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -193,10 +193,13 @@
         return self.announcements.announce(announcement)
 
     def target_leaves(
-        self, incarnation: str, born_ms: int = UNKNOWN_START
+        self,
+        incarnation: str,
+        born_ms: int = UNKNOWN_START,
+        source: str = 'announcement',
     ) -> None:
-        """Stop admitting calls to a target that announced its departure."""
-        self.announcements.leave(incarnation, born_ms)
+        """Stop admitting calls to a target that said that it leaves."""
+        self.announcements.leave(incarnation, born_ms, source)
 
     def doubt_target(self) -> None:
         """Note that a different target answered at the address."""
--- a/tools/mutants_calls.py
+++ b/tools/mutants_calls.py
@@ -64,6 +64,13 @@
         'if False:',
         'tests/gate/test_declared_limit.py',
     ),
+    Mutant(
+        'a gate forgets that its target said that it leaves',
+        'cyclamenlift/gate/target_reports.py',
+        'if statement.leaving:',
+        'if False:',
+        'tests/gate/test_leaving_targets.py',
+    ),
     Mutant(
         'a gate in an evacuated data centre starts a call',
         'cyclamenlift/gate/admission_control.py',
