Keep the connection to a gate that sends a code of a later release

What could happen: while instances are upgraded one after the other, a gate of the new release refuses a call with a code that the entry does not know. The entry fails to read the message and the calls on that connection are lost. Found by reading, when a new code was added.

Change: an unknown code of a refusal counts as a full gate, since any refusal proves that the call did not run; the number stays in the detail. An unknown code of a call that broke off leaves its outcome unknown, as before.

--- a/cyclamenlift/calls/call.py
+++ b/cyclamenlift/calls/call.py
@@ -17,6 +17,7 @@
 from cyclamenlift.calls.tries import Tries
 from cyclamenlift.core.clock import MICROSECONDS
 from cyclamenlift.core.clock import MILLISECONDS
+from cyclamenlift.core.codes import code_of_peer
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.http.exchange import Exchange
@@ -155,7 +156,7 @@
         self.end_try(attempt, Outcome.LOST, ending)
 
     def on_refused(self, attempt: Try, refused: Refused) -> None:
-        code = ResultCode(refused.code)
+        code = code_of_peer(refused.code, ResultCode.OVERLOADED)
         if code == ResultCode.TARGET_SLOW:
             # Its current pace is known now; it may still be the best choice.
             self.tries.tried.discard(attempt.instance)
@@ -173,12 +174,12 @@
             EndKind.NOT_RUN,
             code,
             refused.retry_after_ms,
-            refused.detail or '',
+            refusal_detail(refused, code),
         )
         self.end_try(attempt, outcome, ending)
 
     def on_broken(self, attempt: Try, broken: Broken) -> None:
-        code = ResultCode(broken.code)
+        code = code_of_peer(broken.code, ResultCode.TARGET_BROKE_OFF)
         timed_out = code == ResultCode.DEADLINE_UNKNOWN
         outcome = Outcome.TIMEOUT if timed_out else Outcome.LOST
         self.end_unknown(attempt, outcome, code, broken.detail or '')
@@ -410,3 +411,9 @@
 def as_headers(pairs: list[tuple[str, str]]) -> list[Header]:
     """Return HTTP header pairs as wire headers."""
     return [Header(name, value) for name, value in pairs]
+
+
+def refusal_detail(refused: Refused, code: ResultCode) -> str:
+    """Return the detail of a refusal, with a code that is not known here."""
+    detail = refused.detail or ''
+    return detail if refused.code == code else f'{refused.code} {detail}'
--- a/cyclamenlift/core/codes.py
+++ b/cyclamenlift/core/codes.py
@@ -371,6 +371,20 @@
     return CodeInfo(*_INFO[code])
 
 
+def code_of_peer(number: int, unknown: ResultCode) -> ResultCode:
+    """Return a code that a peer sent, ``unknown`` for that of a later release.
+
+    >>> code_of_peer(2002, ResultCode.OVERLOADED).name
+    'DRAINING'
+    >>> code_of_peer(2999, ResultCode.OVERLOADED).name
+    'OVERLOADED'
+    """
+    try:
+        return ResultCode(number)
+    except ValueError:
+        return unknown
+
+
 def is_not_run(code: int) -> bool:
     """Return whether a code proves that nothing ran.
 
