Tell refused callers of a limited target times one after the other

What callers would see: a target takes 10 calls a second and 60 come; all that are refused within a moment are told the same time, return together and are refused together.

Change: the times that they are told are as far apart as the target takes calls, a second beyond the first one at most, since many are served elsewhere.

Evidence: a test of the times, which failed before (there was one time for all); a test that the stricter of cold rate and limit holds, which passed.

--- a/cyclamenlift/gate/declared_limit.py
+++ b/cyclamenlift/gate/declared_limit.py
@@ -17,6 +17,9 @@
 # longer one the first calls would take all, and the urgent ones that come
 # after them would wait past their objectives.
 WINDOW_SECONDS = 0.25
+# How far the returns of refused callers are spread at most, in seconds: many
+# of them are served elsewhere and never come back.
+MAX_SPREAD_SECONDS = 1.0
 NEVER = -math.inf
 
 
@@ -38,6 +41,8 @@
         self.page_tells = False
         # When this process started.
         self.started_at = NEVER
+        # When the caller that was refused last was told to return.
+        self.last_return_at = NEVER
 
     # -- what the target says ---------------------------------------------
 
@@ -135,6 +140,24 @@
         known_from = self.started_at + self.window.bound.seconds
         return max(known_from - now, self.window.wait(now, ahead))
 
+    def return_wait(self, now: float, wait: float) -> float:
+        """Return the seconds after which a refused caller should return.
+
+        ``wait`` is when the target may get a call again. Callers refused one
+        after the other are told times as far apart as the target takes calls,
+        so that they don't return together to be refused again.
+        """
+        bound = self.window.bound
+        if bound is None:
+            return wait
+        gap = bound.seconds / max(1, bound.max_calls)
+        soonest = now + wait
+        latest = soonest + MAX_SPREAD_SECONDS
+        self.last_return_at = min(
+            latest, max(soonest, self.last_return_at + gap)
+        )
+        return self.last_return_at - now
+
 
 def is_as_strict(rate: float | None, other: float | None) -> bool:
     """Return whether a limit allows no more than another; None is no limit.
--- a/cyclamenlift/gate/state.py
+++ b/cyclamenlift/gate/state.py
@@ -344,7 +344,10 @@
 
     def refuse_limited(self, wait: float, ahead: int, now: float) -> Admission:
         """Refuse a call that a limit on starts would make late."""
-        code = self.start_limits.refusal_code(now, ahead)
+        limits = self.start_limits
+        code = limits.refusal_code(now, ahead)
+        if code is ResultCode.TARGET_LIMITED:
+            wait = limits.declared.return_wait(now, wait)
         return self.refuse_until(code, wait)
 
     def count_ahead(self, request: AdmissionRequest, now: float) -> int:
--- a/tests/gate/test_declared_limit.py
+++ b/tests/gate/test_declared_limit.py
@@ -9,8 +9,10 @@
 import pytest
 
 from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.gate.cold_start import ColdRate
 from cyclamenlift.gate.declared_limit import DeclaredLimit
 from cyclamenlift.gate.declared_limit import MIN_CALLS_PER_SECOND
+from cyclamenlift.gate.start_limits import StartLimits
 from cyclamenlift.wire.gen.protocol.ttypes import BodyChunk
 from tests.gate.simulation import allowed_in_span
 from tests.gate.simulation import GateInTime
@@ -114,6 +116,39 @@
     assert min(m.retry_after_ms for m in late) >= 300
 
 
+def test_refused_callers_are_told_to_return_one_after_the_other():
+    # Guards against callers that return together, to be refused together.
+    known = declared(2.0)
+    known.note_sent('first', 1.0)
+    told = [known.return_wait(1.1, known.wait(1.1)) for _ in range(6)]
+    assert told[:3] == pytest.approx([0.4, 0.9, 1.4])
+    assert told[3:] == pytest.approx([1.4] * 3)
+    assert known.return_wait(3.0, known.wait(3.0)) == pytest.approx(0.0)
+
+
+@pytest.mark.parametrize(
+    'cold_rate, limit, code',
+    [
+        (1.0, 50.0, ResultCode.TARGET_COLD),
+        (50.0, 1.0, ResultCode.TARGET_LIMITED),
+    ],
+)
+def test_the_stricter_of_both_limits_holds(cold_rate, limit, code):
+    # Guards against a cold target whose limit replaces its cold rate.
+    limits = StartLimits()
+    limits.cold.set_rate(ColdRate(cold_rate, 3.0))
+    limits.begin_incarnation(0.0)
+    limits.cold.note_page(3.0, 0.0, 0.0)
+    limits.declared.note_answer(limit, 0.0, 0.0)
+    sent = 0
+    while not limits.wait(1.0):
+        limits.promise(sent)
+        limits.note_sent(sent, 1.0)
+        sent += 1
+    assert sent == 1
+    assert limits.refusal_code(1.0, 0) is code
+
+
 def test_uploads_count_from_when_they_have_a_slot():
     # Guards against bodies that arrive together and are all sent then.
     bench = GateInTime()
