Read a limit before the load in the same answer; let hearsay end with it

What could happen, found by reading: an answer names a limit and says how the target is loaded; the load was applied first and started waiting calls that the limit would have held. And a gate that knew a limit from entries alone renewed it with each call of theirs, so that the first answer without one did not end it. A limit that changes a little with each answer was sent to all entries each time.

Change: leaving and limit come before the load; what entries remember is not taken for something just heard; a change by less than a factor of 1.3 goes with the next answers.

Evidence: two tests, both failed before.

--- a/cyclamenlift/gate/declared_limit.py
+++ b/cyclamenlift/gate/declared_limit.py
@@ -82,15 +82,17 @@
         self.was_told = True
         return self.note(calls_per_second, asked_at, now)
 
-    def note_hearsay(self, calls_per_second: float, now: float) -> bool:
+    def note_hearsay(self, calls_per_second: float) -> bool:
         """Record a limit that an entry was told by a predecessor.
 
         What the target itself has told this process goes first. Returns
         whether the limit has changed.
         """
-        if self.was_told:
+        known = self.calls_per_second
+        if self.was_told or (known is not None and known <= calls_per_second):
             return False
-        return self.note(calls_per_second, NEVER, now)
+        self.set_limit(calls_per_second)
+        return True
 
     def note(
         self, calls_per_second: float | None, sent_at: float, now: float
--- a/cyclamenlift/gate/target_reports.py
+++ b/cyclamenlift/gate/target_reports.py
@@ -22,6 +22,9 @@
     from cyclamenlift.gate.tasks import Gate
 
 LOG = structlog.get_logger('gate')
+# A change of the limit by more than this factor is sent to entries at once;
+# smaller ones reach them with the next answers.
+LIMIT_STEP = 1.3
 
 
 class TargetReports:
@@ -38,9 +41,13 @@
         sent_at: float,
         verdict: AnswerVerdict = AnswerVerdict.ANSWER,
     ) -> None:
-        """Apply the report in the response to a call sent at ``sent_at``."""
+        """Apply the report in the response to a call sent at ``sent_at``.
+
+        The load comes last, since it may start calls that wait.
+        """
         report = self.read(headers)
-        self.note_load(report)
+        if report.leaving and verdict is not AnswerVerdict.UNPROVEN:
+            self.note_leaving('answer')
         declared = self.gate.state.start_limits.declared
         if self.is_statement(report, verdict):
             rate = report.calls_per_second
@@ -48,8 +55,7 @@
             self.apply_limit(
                 lambda: declared.note_answer(rate, sent_at, now), 'answer'
             )
-        if report.leaving and verdict is not AnswerVerdict.UNPROVEN:
-            self.note_leaving('answer')
+        self.note_load(report)
 
     def note_page(self, headers: Headers, asked_at: float) -> None:
         """Apply the report on the health page asked for at ``asked_at``.
@@ -58,10 +64,10 @@
         """
         report = self.read(headers)
         if self.is_by_known_target(headers):
-            self.note_cold(report, asked_at)
-            self.note_limit_on_page(report, asked_at)
             if report.leaving:
                 self.note_leaving('page')
+            self.note_cold(report, asked_at)
+            self.note_limit_on_page(report, asked_at)
         self.note_load(report)
 
     def note_hearsay(self, statement: TargetStatement | None) -> None:
@@ -75,8 +81,7 @@
         rate = statement.calls_per_second
         if rate is not None:
             declared = self.gate.state.start_limits.declared
-            now = self.gate.now()
-            self.apply_limit(lambda: declared.note_hearsay(rate, now), 'entry')
+            self.apply_limit(lambda: declared.note_hearsay(rate), 'entry')
 
     # -- queries ----------------------------------------------------------
 
@@ -175,5 +180,18 @@
             return
         after = declared.calls_per_second
         log_declared_limit(gate, before, after, source)
-        gate.pace_notifier.notify(gate.figures(), gate.now())
+        if is_step(before, after):
+            gate.pace_notifier.notify(gate.figures(), gate.now())
         gate.apply_dequeued(gate.state.start_queued(gate.now()))
+
+
+def is_step(before: float | None, after: float | None) -> bool:
+    """Return whether entries are told of a change of the limit at once.
+
+    >>> is_step(None, 2.0), is_step(2.0, 1.0), is_step(25.3, 25.1)
+    (True, True, False)
+    """
+    if before is None or after is None:
+        return True
+    low, high = sorted((before, after))
+    return high > LIMIT_STEP * low
--- a/tests/gate/test_declared_limit.py
+++ b/tests/gate/test_declared_limit.py
@@ -200,10 +200,35 @@
     # Guards against an entry that brings an old limit back.
     known = declared(10.0)
     known.note_answer(None, 2.0, 2.1)
-    assert not known.note_hearsay(10.0, 2.2)
+    assert not known.note_hearsay(10.0)
     assert known.calls_per_second is None
 
 
+def test_the_first_answer_ends_a_limit_that_only_entries_remember():
+    # Guards against a limit that each call of an entry renews.
+    known = DeclaredLimit()
+    assert known.note_hearsay(2.1)
+    assert not known.note_hearsay(2.1)
+    assert known.note_answer(None, 1.0, 1.2)
+    assert not known.note_hearsay(2.1)
+
+
+def test_an_answer_that_names_a_limit_starts_no_call_above_it():
+    # Guards against waiting calls that start for the load in an answer before
+    # the limit in the same answer is read.
+    bench = GateInTime(slots=2, work=1.0)
+    bench.time.run_until(1.0)
+    for _ in range(6):
+        bench.call(objective=4.0, deadline=5.0)
+    bench.time.run_until(1.1)
+    begun = len(bench.target.calls)
+    assert len(bench.gate.state.queue) >= 3
+    bench.gate.set_slots(6)
+    headers = [('x-load', '2,0,6,100'), (LIMIT, '0.5')]
+    bench.gate.reports.note_answer(headers, 1.1)
+    assert len(bench.target.calls) <= begun + 1
+
+
 @hypothesis.given(
     limit=strategies.floats(0.05, 40.0),
     gaps=strategies.lists(strategies.floats(0.0, 0.4), max_size=200),
