--- a/cyclamenlift/gate/health.py
+++ b/cyclamenlift/gate/health.py
@@ -158,7 +158,9 @@
         self.status = status
         self.gate.reports.note_page(headers, self.request_sent_at)
         if self.learn_incarnation(headers):
-            self.gate.reports.note_page(headers, self.request_sent_at)
+            self.gate.reports.note_identifying_page(
+                headers, self.request_sent_at
+            )
 
     def learn_incarnation(self, headers) -> bool:
         """Learn the target's incarnation from its health page.
--- a/cyclamenlift/gate/target_reports.py
+++ b/cyclamenlift/gate/target_reports.py
@@ -63,13 +63,17 @@
         Another target may have answered: only the known one is believed.
         """
         report = self.read(headers)
-        if self.is_by_known_target(headers):
-            if report.leaving:
-                self.note_leaving('page')
-            self.note_cold(report, asked_at)
-            self.note_limit_on_page(report, asked_at)
+        self.apply_page(report, headers, asked_at)
         self.note_load(report)
 
+    def note_identifying_page(self, headers: Headers, asked_at: float) -> None:
+        """Apply the page by which the target has just been identified.
+
+        Its load was applied before.
+        """
+        report = parse_report(headers, self.gate.dialect)
+        self.apply_page(report, headers, asked_at)
+
     def note_hearsay(self, statement: TargetStatement | None) -> None:
         """Apply what an entry was told of the target by a predecessor."""
         if statement is None:
@@ -127,6 +131,17 @@
             )
         return report
 
+    def apply_page(
+        self, report: TargetReport, headers: Headers, asked_at: float
+    ) -> None:
+        """Apply what a page says that only the known target may say."""
+        if not self.is_by_known_target(headers):
+            return
+        if report.leaving:
+            self.note_leaving('page')
+        self.note_cold(report, asked_at)
+        self.note_limit_on_page(report, asked_at)
+
     def note_load(self, report: TargetReport) -> None:
         """Record the load that the target reports and act on its pace."""
         if report.load is None:
