Take the load from a 421 again; nothing else of the target that sent it

Since the reader of reports was joined, the load in a 421 was passed over. It is that of whatever target listens at the address, mostly the next incarnation of the same one, so gates knew its pace later.

A limit or a departure in a 421 still says nothing of the target that is known: a test.

--- a/cyclamenlift/gate/gate_call.py
+++ b/cyclamenlift/gate/gate_call.py
@@ -242,10 +242,7 @@
 
     def on_head(self, status, headers, length: int | None) -> None:
         self.verdict = classify_answer(self.gate.dialect, status, headers)
-        if self.verdict is not AnswerVerdict.REPLACED:
-            self.gate.reports.note_answer(
-                headers, self.started_at, self.verdict
-            )
+        self.gate.reports.note_answer(headers, self.started_at, self.verdict)
         self.status = status
         if self.verdict is not AnswerVerdict.ANSWER:
             return
--- a/cyclamenlift/gate/target_reports.py
+++ b/cyclamenlift/gate/target_reports.py
@@ -43,18 +43,12 @@
     ) -> None:
         """Apply the report in the response to a call sent at ``sent_at``.
 
-        The load comes last, since it may start calls that wait.
+        The load is that of whatever target listens at the address now. It
+        comes last, since it may start calls that wait.
         """
         report = self.read(headers)
-        if report.leaving and verdict is not AnswerVerdict.UNPROVEN:
-            self.note_leaving('answer')
-        declared = self.gate.state.start_limits.declared
-        if self.is_statement(report, verdict):
-            rate = report.calls_per_second
-            now = self.gate.now()
-            self.apply_limit(
-                lambda: declared.note_answer(rate, sent_at, now), 'answer'
-            )
+        if verdict is not AnswerVerdict.REPLACED:
+            self.apply_answer(report, sent_at, verdict)
         self.note_load(report)
 
     def note_page(self, headers: Headers, asked_at: float) -> None:
@@ -131,6 +125,21 @@
             )
         return report
 
+    def apply_answer(
+        self, report: TargetReport, sent_at: float, verdict: AnswerVerdict
+    ) -> None:
+        """Apply what the target says of itself in an answer to a call."""
+        if report.leaving and verdict is not AnswerVerdict.UNPROVEN:
+            self.note_leaving('answer')
+        if not self.is_statement(report, verdict):
+            return
+        declared = self.gate.state.start_limits.declared
+        rate = report.calls_per_second
+        now = self.gate.now()
+        self.apply_limit(
+            lambda: declared.note_answer(rate, sent_at, now), 'answer'
+        )
+
     def apply_page(
         self, report: TargetReport, headers: Headers, asked_at: float
     ) -> None:
--- a/tests/gate/test_target_reports.py
+++ b/tests/gate/test_target_reports.py
@@ -2,6 +2,8 @@
 
 import structlog
 
+from cyclamenlift.gate.verdicts import AnswerVerdict
+from cyclamenlift.wire.gen.protocol.ttypes import TargetState
 from tests.gate.builders import GateBench
 
 
@@ -30,3 +32,14 @@
     assert [line['event'] for line in lines] == ['target_report_unreadable']
     declared = bench.gate.state.start_limits.declared
     assert declared.calls_per_second == 25.3
+
+
+def test_another_target_at_the_address_says_nothing_of_this_one():
+    # Guards against a limit, or a departure, of the target that came after.
+    bench = GateBench()
+    headers = [('x-limit', '2.0'), ('x-leaving', '1'), ('x-load', '0,0,8,200')]
+    bench.gate.reports.note_answer(headers, 1.0, AnswerVerdict.REPLACED)
+    state = bench.gate.state
+    assert state.start_limits.declared.calls_per_second is None
+    assert state.target_state == TargetState.READY
+    assert state.pace_percent(0.0) == 200
