Start waiting calls by a raised limit, not by the timer of the one before

What could happen, found by reading: calls wait for a limit of one call in two seconds, the target raises it to five a second, and the timer of the old limit keeps others from being set: they start when something else happens by chance (160 ms late in the test, as the health page is polled).

Change: a changed limit sets the timer anew. What cold rate and declared limit do alike stands once.

Evidence: a test, which failed before.

--- a/cyclamenlift/gate/admission_control.py
+++ b/cyclamenlift/gate/admission_control.py
@@ -122,6 +122,12 @@
             max(MIN_LIMIT_WAIT_SECONDS, wait), self.on_limit_timer
         )
 
+    def restart_limit_timer(self) -> None:
+        """Start the queued calls by a limit that has just changed."""
+        if self.limit_timer is not None:
+            self.limit_timer.cancel()
+        self.on_limit_timer()
+
     def on_limit_timer(self) -> None:
         """Start the queued calls that the target may get by now."""
         self.limit_timer = None
--- a/cyclamenlift/gate/call_window.py
+++ b/cyclamenlift/gate/call_window.py
@@ -68,3 +68,22 @@
         rounds, index = divmod(excess - 1, len(self.sent))
         freed_at = self.sent[index] + seconds * (rounds + 1)
         return max(0.0, freed_at - now)
+
+
+class StartLimit:
+    """A limit that counts all calls to a target in a window."""
+
+    def __init__(self) -> None:
+        self.window = CallWindow()
+
+    def promise(self, key: Hashable) -> None:
+        """Count a call that has a slot and will be sent."""
+        self.window.promise(key)
+
+    def withdraw(self, key: Hashable) -> None:
+        """Stop counting a call that was not sent."""
+        self.window.withdraw(key)
+
+    def note_sent(self, key: Hashable, now: float) -> None:
+        """Count a call that is being sent to the target."""
+        self.window.note_sent(key, now)
--- a/cyclamenlift/gate/cold_start.py
+++ b/cyclamenlift/gate/cold_start.py
@@ -7,12 +7,11 @@
 time in.
 """
 
-from collections.abc import Hashable
 import dataclasses
 import math
 
 from cyclamenlift.gate.call_window import CallBound
-from cyclamenlift.gate.call_window import CallWindow
+from cyclamenlift.gate.call_window import StartLimit
 
 WINDOW_SECONDS = 1.0
 # Share of the calls that a cold target bears which it is given: calls reach it
@@ -53,7 +52,7 @@
 NO_LIMIT = ColdRate()
 
 
-class ColdStartLimit:
+class ColdStartLimit(StartLimit):
     """Counts the calls to a target that is, or may have become, cold.
 
     Only calls sent since the target last said that it is warm can have reached
@@ -64,7 +63,7 @@
     """
 
     def __init__(self) -> None:
-        self.window = CallWindow()
+        super().__init__()
         self.rate = NO_LIMIT
         # Until something tells, a target is taken to be cold.
         self.cold_until = math.inf
@@ -159,18 +158,6 @@
 
     # -- calls -------------------------------------------------------------
 
-    def promise(self, key: Hashable) -> None:
-        """Count a call that has a slot and will be sent."""
-        self.window.promise(key)
-
-    def withdraw(self, key: Hashable) -> None:
-        """Stop counting a call that was not sent."""
-        self.window.withdraw(key)
-
-    def note_sent(self, key: Hashable, now: float) -> None:
-        """Count a call that is being sent to the target."""
-        self.window.note_sent(key, now)
-
     def wait(self, now: float, ahead: int = 0) -> float:
         """Return the seconds until a call may be sent behind ``ahead`` others.
 
--- a/cyclamenlift/gate/declared_limit.py
+++ b/cyclamenlift/gate/declared_limit.py
@@ -4,11 +4,10 @@
 together, for as long as it says so. Pure logic; callers pass the time in.
 """
 
-from collections.abc import Hashable
 import math
 
 from cyclamenlift.gate.call_window import CallBound
-from cyclamenlift.gate.call_window import CallWindow
+from cyclamenlift.gate.call_window import StartLimit
 
 # A target that declares a lower limit still gets a call this often, in calls a
 # second: its answer may be all that tells when the limit ends.
@@ -23,7 +22,7 @@
 NEVER = -math.inf
 
 
-class DeclaredLimit:
+class DeclaredLimit(StartLimit):
     """The limit that a target declares, and the calls that count for it.
 
     Responses may be read in another order than they were written. A lower
@@ -32,8 +31,8 @@
     """
 
     def __init__(self) -> None:
+        super().__init__()
         self.calls_per_second: float | None = None
-        self.window = CallWindow()
         # When a response named the limit last.
         self.heard_at = NEVER
         # Whether the target itself has told this process what it takes.
@@ -119,18 +118,6 @@
 
     # -- calls -------------------------------------------------------------
 
-    def promise(self, key: Hashable) -> None:
-        """Count a call that has a slot and will be sent."""
-        self.window.promise(key)
-
-    def withdraw(self, key: Hashable) -> None:
-        """Stop counting a call that was not sent."""
-        self.window.withdraw(key)
-
-    def note_sent(self, key: Hashable, now: float) -> None:
-        """Count a call that is being sent to the target."""
-        self.window.note_sent(key, now)
-
     def wait(self, now: float, ahead: int = 0) -> float:
         """Return the seconds until a call may be sent behind ``ahead`` others.
 
--- a/cyclamenlift/gate/target_reports.py
+++ b/cyclamenlift/gate/target_reports.py
@@ -206,7 +206,7 @@
         log_declared_limit(gate, before, after, source)
         if is_step(before, after):
             gate.pace_notifier.notify(gate.figures(), gate.now())
-        gate.apply_dequeued(gate.state.start_queued(gate.now()))
+        gate.admission_control.restart_limit_timer()
 
 
 def is_step(before: float | None, after: float | None) -> bool:
--- a/tests/gate/test_declared_limit.py
+++ b/tests/gate/test_declared_limit.py
@@ -229,6 +229,22 @@
     assert len(bench.target.calls) <= begun + 1
 
 
+def test_waiting_calls_start_as_soon_as_a_limit_is_raised():
+    # Guards against calls that wait for the time of the limit before.
+    bench = GateInTime()
+    bench.target.say(LIMIT, '0.5', on_page=True)
+    bench.time.run_until(1.0)
+    for _ in range(4):
+        bench.call(objective=20.0, deadline=21.0)
+    bench.time.run_until(1.2)
+    waiting = len(bench.gate.state.queue)
+    assert waiting >= 2
+    bench.gate.reports.note_answer([(LIMIT, '5.0')], 1.2)
+    bench.target.say(LIMIT, '5.0', on_page=True)
+    bench.time.run_until(1.02 + 0.2 * waiting)
+    assert len(bench.target.calls) == 1 + waiting
+
+
 @hypothesis.given(
     limit=strategies.floats(0.05, 40.0),
     gaps=strategies.lists(strategies.floats(0.0, 0.4), max_size=200),
