--- a/cyclamenlift/gate/declared_limit.py
+++ b/cyclamenlift/gate/declared_limit.py
@@ -37,6 +37,8 @@
         self.heard_at = NEVER
         # Whether the target itself has told this process what it takes.
         self.was_told = False
+        # Whether the health page has named a limit, so that its silence means
+        # that there is none.
         self.page_tells = False
         # When this process started.
         self.started_at = NEVER
@@ -96,6 +98,7 @@
     def note(
         self, calls_per_second: float | None, sent_at: float, now: float
     ) -> bool:
+        """Record a limit in the response to a request sent at ``sent_at``."""
         known = self.calls_per_second
         if not is_as_strict(calls_per_second, known):
             if sent_at <= self.heard_at:
