--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -46,6 +46,8 @@
     """A deployment in a temporary folder."""
 
     def __init__(self, control: int, sides: list[Side], zones: list[str]):
+        # A script that is ended from outside still ends its processes.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         self.zones = zones
         self.sides = sides
--- a/review/common/server.py
+++ b/review/common/server.py
@@ -48,6 +48,7 @@
         self.lock = threading.Lock()
         self.state = 'ready'
         self.sequence = 0
+        self.born = time.time_ns() // 1_000_000
         super().__init__((host, int(port)), Handler)
 
     def count(self, change: int) -> None:
@@ -71,14 +72,30 @@
                 'state': self.state,
                 'cold_left': '0ms',
                 'seq': self.sequence,
+                'born': self.born,
             }
         )
         return self.call_control(f'/v1/Instances.Heartbeat/{options.id}', body)
 
+    def drain(self) -> None:
+        """End as planned: report it, serve on for a while, exit."""
+        self.state = 'draining'
+        while not self.check_in():
+            time.sleep(0.3)
+        self.record.write('drain_acknowledged')
+        time.sleep(self.options.linger)
+        body = json.dumps({'born': self.born})
+        self.call_control(f'/v1/Instances.Deregister/{self.options.id}', body)
+        self.record.write('exits')
+        os._exit(0)
+
     def call_control(self, path: str, body: str = '') -> bool:
         """Call the daemon of this machine; return whether it said 200."""
         host, port = self.options.control.rsplit(':', 1)
-        connection = http.client.HTTPConnection(host, int(port), timeout=1.0)
+        own = self.options.address.rsplit(':', 1)[0]
+        connection = http.client.HTTPConnection(
+            host, int(port), timeout=1.0, source_address=(own, 0)
+        )
         try:
             headers = {'Content-Type': 'application/json'}
             connection.request('POST', path, body, headers)
@@ -196,6 +213,7 @@
     parser.add_argument('--work', type=float, default=0.05)
     parser.add_argument('--answer-bytes', type=int, default=400)
     parser.add_argument('--answer-seconds', type=float, default=0.0)
+    parser.add_argument('--linger', type=float, default=2.5)
     return parser.parse_args()
 
 
@@ -203,6 +221,10 @@
     """Serve until SIGTERM."""
     server = Server(read_options())
     signal.signal(signal.SIGTERM, lambda *_: os._exit(0))
+    signal.signal(
+        signal.SIGUSR1,
+        lambda *_: threading.Thread(target=server.drain, daemon=True).start(),
+    )
     threading.Thread(target=server.check_in_for_ever, daemon=True).start()
     server.serve_forever()
 
