--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -6,6 +6,7 @@
 
 import http.client
 import json
+import os
 import pathlib
 import random
 import shutil
@@ -165,7 +166,7 @@
                 env={
                     'CYCLAMENLIFT_BOOT': str(path),
                     'PYTHONPATH': str(ROOT / 'target' / 'deps'),
-                    'PATH': '/usr/local/bin:/usr/bin:/bin',
+                    'PATH': os.environ.get('PATH', os.defpath),
                     'LANG': 'C.UTF-8',
                 },
                 stdout=log,
