Send an order to evacuate only while its operator waits for it

Cause: such orders carry no version, so the daemon that takes one names the revision that it knows when it reads the order. A copy that lay at a frozen daemon was read after that daemon had caught up with its peers, got the newest revision and undid the later order. The end of the operator's connection lay unread behind the copy; whether the operator waits was asked only after a conflict, and of what had been read.

Evidence: in the daemon's log revisions 2 and 3 come into force, then it takes the order, then revision 4 is made, within 110 ms of its waking up. Without the freeze nothing of it.

Change: each time before an order goes out its taker makes sure that the operator waits. It asks the kernel, which sees an end that was not read; holds the order for 50 ms, so that the end of a connection that was held up can arrive; and sends nothing later than an operator waits, by the clock that counts suspensions. The revision of an order is older than this question, so whatever changes between it and the leader is a conflict and asked about again. A dropped order is logged as order_dropped.

--- a/cyclamenlift/core/streams.py
+++ b/cyclamenlift/core/streams.py
@@ -152,6 +152,21 @@
                 return True
         return False
 
+    def has_peer_closed(self) -> bool:
+        """Return whether the peer has closed or the connection failed.
+
+        Asks the kernel: the end may have arrived without having been read,
+        while this process stood still. It is not seen behind unread data.
+        """
+        if not self.open:
+            return True
+        try:
+            return not self.sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+
     def start_writing(self) -> None:
         if not self.writing and self.open:
             self.writing = True
--- a/cyclamenlift/events/evacuation_orders.py
+++ b/cyclamenlift/events/evacuation_orders.py
@@ -2,22 +2,31 @@
 
 They go the way of changes of the document: whoever takes one sees it through.
 They carry no version, so an order names the revision of the evacuations that
-its taker knew. If the leader finds that the data centre has changed since, the
-taker decides: while its operator still waits, the order is new, and goes out
-again on the newer revision; otherwise it was overtaken by a later order and
-has no effect.
+its taker knew when it read the order. If the leader finds that the data centre
+has changed since, the taker sends it again on the newer revision.
+
+A copy of an order may have lain at its taker, or on the way, while the
+operator sent the order elsewhere and then the opposite one. Only its operator
+tells such a copy from a new order: one that waits has sent nothing else. So
+the taker makes sure that the operator waits before it sends an order, each
+time, and drops the order otherwise.
 """
 
 from collections.abc import Callable
 
 from returns.result import Result
+import structlog
 
+from cyclamenlift.core.clock import deadline_after
+from cyclamenlift.core.clock import seconds_since_boot
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.core.streams import Address
+from cyclamenlift.core.tasks import Scheduler
 from cyclamenlift.events.commands import not_leader_report
 from cyclamenlift.events.commands import publish_report
 from cyclamenlift.events.context import ControlContext
+from cyclamenlift.events.orders import CALLER_WAIT_SECONDS
 from cyclamenlift.events.orders import Order
 from cyclamenlift.events.orders import order_from
 from cyclamenlift.events.orders import ORDER_KINDS
@@ -31,6 +40,11 @@
 
 EVACUATE = 'evacuate'
 TAKE_BACK = 'take back'
+# How long an order is held before it is sent, in seconds. When a link carries
+# again what it held up, the end of a connection arrives a round trip after
+# its data; the largest round trip is 25 ms.
+ARRIVAL_SECONDS = 0.05
+LOG = structlog.get_logger('orders')
 
 
 @ORDER_KINDS.register(EVACUATE)
@@ -98,43 +112,77 @@
 class EvacuationRequest:
     """One order of an operator, on the instance that took it.
 
-    ``is_waiting`` returns whether the operator still waits for the answer.
+    ``is_awaited`` returns whether the operator is connected at this moment,
+    including what has not been read from its connection. ``done`` is called
+    once. ``boot_clock`` counts the time in which the machine was suspended.
     """
 
     def __init__(
         self,
         orders: OrderHandler,
+        scheduler: Scheduler,
         kind: str,
         data_centre: str,
         remote: Address,
-        is_waiting: Callable[[], bool],
+        is_awaited: Callable[[], bool],
         done: Callable[[Order, PublishReport], None],
+        boot_clock: Callable[[], float] = seconds_since_boot,
     ):
         self.orders = orders
+        self.scheduler = scheduler
         self.kind = kind
         self.data_centre = data_centre
         self.remote = remote
-        self.is_waiting = is_waiting
+        self.is_awaited = is_awaited
         self.done = done
+        self.boot_clock = boot_clock
+        self.abandoned_at = deadline_after(boot_clock(), CALLER_WAIT_SECONDS)
 
     def send(self, revision: int) -> None:
-        """Send the order, based on a revision of the evacuations."""
-        order = order_from(self.kind, revision, 0, self.data_centre.encode())
-
-        def finish(report: PublishReport) -> None:
-            self.on_report(order, report)
+        """Send the order, based on a revision of the evacuations.
 
-        self.orders.handle(order, self.remote, finish)
+        It is held for a moment first, so that the end of a connection that
+        was held up is seen. Whatever changes after this revision, the leader
+        finds out.
+        """
+        order = order_from(self.kind, revision, 0, self.data_centre.encode())
+        self.scheduler.after(ARRIVAL_SECONDS, lambda: self.submit(order))
+
+    def submit(self, order: Order) -> None:
+        """Pass the order on if its operator still waits."""
+        if not self.is_awaited():
+            self.drop(order, 'the operator has disconnected')
+        elif self.boot_clock() >= self.abandoned_at:
+            self.drop(order, 'the operator has sent it elsewhere by now')
+        else:
+            self.orders.handle(
+                order,
+                self.remote,
+                lambda report: self.on_report(order, report),
+            )
 
     def on_report(self, order: Order, report: PublishReport) -> None:
-        """Answer, or send an order that is not overtaken again."""
+        """Answer, or send an order that is based on an old revision again."""
         conflict = report.code == ResultCode.VERSION_CONFLICT
-        newer = report.current_version > order.change.base_version
-        if conflict and newer and self.is_waiting():
+        if conflict and report.current_version > order.change.base_version:
             self.send(report.current_version)
         else:
             self.done(order, report)
 
+    def drop(self, order: Order, reason: str) -> None:
+        """End an order that nobody waits for; it is not carried out."""
+        LOG.warning(
+            'order_dropped',
+            order=order.change.short_id,
+            kind=order.kind,
+            data_centre=self.data_centre[:100],
+            base=order.change.base_version,
+            remote=str(self.remote),
+            reason=reason,
+        )
+        code = ResultCode.CANCELLED_NOT_RUN
+        self.done(order, PublishReport(code, '', detail=reason))
+
 
 def change_evacuation(
     context: ControlContext, change: EvacuationChange, done: OrderDone
--- a/cyclamenlift/events/orders.py
+++ b/cyclamenlift/events/orders.py
@@ -21,8 +21,11 @@
     from cyclamenlift.events.context import ControlContext
     from cyclamenlift.events.reports import DocumentReport
 
+# How long an operator waits for an answer before it sends its order to another
+# instance, in seconds.
+CALLER_WAIT_SECONDS = 1.0
 # How long an instance tries to get an outcome before it reports that there is
-# none, in seconds. Callers wait for one second.
+# none, in seconds.
 ORDER_TIMEOUT_SECONDS = 0.7
 # Larger orders are not forwarded; their callers send them to the leader. They
 # would saturate the links of daemons and, between control instances, delay the
--- a/cyclamenlift/http/exchange.py
+++ b/cyclamenlift/http/exchange.py
@@ -127,6 +127,13 @@
         """Whether the response is complete or the caller disconnected."""
         return self.state is ResponseState.DONE
 
+    def is_awaited(self) -> bool:
+        """Return whether the caller is still connected at this moment.
+
+        Unlike ``done``, this sees a disconnection that has not been read.
+        """
+        return not (self.done or self.connection.stream.has_peer_closed())
+
     # -- request body -----------------------------------------------------
 
     def read_body(self, on_body: OnBody) -> None:
--- a/cyclamenlift/platform/operators.py
+++ b/cyclamenlift/platform/operators.py
@@ -8,6 +8,7 @@
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.core.streams import Address
+from cyclamenlift.core.tasks import Scheduler
 from cyclamenlift.events.commands import invalid_report
 from cyclamenlift.events.commands import publish_document
 from cyclamenlift.events.context import ControlContext
@@ -89,10 +90,12 @@
     def __init__(
         self,
         orders: OrderHandler,
+        scheduler: Scheduler,
         port: int,
         evacuation_revision: Callable[[], int],
     ):
         self.orders = orders
+        self.scheduler = scheduler
         self.port = port
         self.evacuation_revision = evacuation_revision
 
@@ -135,10 +138,11 @@
         """Handle an order for a data centre; it has no body."""
         request = EvacuationRequest(
             self.orders,
+            self.scheduler,
             kind,
             data_centre,
             exchange.remote,
-            lambda: not exchange.done,
+            exchange.is_awaited,
             lambda order, report: self.finish(exchange, order, report),
         )
         request.send(self.evacuation_revision())
--- a/cyclamenlift/platform/programs.py
+++ b/cyclamenlift/platform/programs.py
@@ -74,7 +74,10 @@
 
         view = node.follower.evacuations.view
         OperatorEndpoint(
-            node.orders, address.port, lambda: view.revision
+            node.orders,
+            node.loop.scheduler,
+            address.port,
+            lambda: view.revision,
         ).handle(exchange)
 
     listen(node.loop, str(address), handle, 'targets')
@@ -106,7 +109,10 @@
     address = Address.parse(fields['listen.control'])
     view = node.evacuations.view
     endpoint = OperatorEndpoint(
-        node.orders, address.port, lambda: view.revision
+        node.orders,
+        node.loop.scheduler,
+        address.port,
+        lambda: view.revision,
     )
     listen(node.loop, str(address), endpoint.handle, 'operators')
     watch_settings(node, fields, stamp)
--- a/tests/events/test_evacuations.py
+++ b/tests/events/test_evacuations.py
@@ -5,6 +5,7 @@
 """
 
 import heapq
+import math
 import random
 
 import pytest
@@ -212,6 +213,11 @@
 MAX_DELAY = 6.0
 LOST_SHARE = 0.3
 SLOW_SHARE = 0.25
+# The most by which the end of an operator's connection arrives after its data,
+# when both were held up.
+CLOSING_SECONDS = 0.03
+# How many of those that are read at once are cut off from their operator then.
+CUT_SHARE = 0.3
 
 
 class Taker:
@@ -256,6 +262,33 @@
             delay = self.rng.uniform(0.5, MAX_DELAY) if slow else 0.003
             self.at(self.now + delay, step)
 
+    def after(self, seconds: float, step) -> None:
+        """Run a step later, as a scheduler does."""
+        self.at(self.now + seconds, step)
+
+    def take(self, kind: str, data_centre: str, give_up_at, answer) -> None:
+        """Let an instance read an order, often long after it was sent."""
+        taker = self.rng.choice(self.takers)
+        slow = self.rng.random() < SLOW_SHARE
+        read_at = self.now + (self.rng.uniform(0.5, MAX_DELAY) if slow else 0)
+        closed_at = max(give_up_at, read_at + CLOSING_SECONDS)
+        if not slow and self.rng.random() < CUT_SHARE:
+            closed_at = math.inf
+
+        def read() -> None:
+            EvacuationRequest(
+                taker,
+                self,
+                kind,
+                data_centre,
+                OPERATOR,
+                lambda: self.now < closed_at,
+                answer,
+                lambda: self.now,
+            ).send(taker.revision)
+
+        self.at(read_at, read)
+
     def execute(self, order, done) -> None:
         evacuated = order.kind == EVACUATE
         name = order.body.decode()
@@ -297,21 +330,14 @@
         def send() -> None:
             if acknowledged:
                 return
-            taker = self.rng.choice(self.takers)
             give_up_at = self.now + ANSWER_SECONDS
 
             def answer(order, report) -> None:
                 if self.now < give_up_at:
                     acknowledge(order, report)
 
-            EvacuationRequest(
-                taker,
-                EVACUATE if evacuated else TAKE_BACK,
-                data_centre,
-                OPERATOR,
-                lambda: self.now < give_up_at,
-                answer,
-            ).send(taker.revision)
+            kind = EVACUATE if evacuated else TAKE_BACK
+            self.take(kind, data_centre, give_up_at, answer)
             self.at(give_up_at, send)
 
         send()
@@ -328,8 +354,8 @@
 
 @pytest.mark.parametrize('seed', range(60))
 def test_an_acknowledged_order_holds_until_the_next_one_is_sent(seed):
-    # Guards against orders that are lost, late, doubled or sent to several
-    # instances, and then undo what was acknowledged later.
+    # Guards against orders that are lost, late, doubled, sent to several
+    # instances or lie at one, and then undo what was acknowledged later.
     model = OrderModel(seed)
     left = [
         (model.rng.choice(('bole', 'yeka')), model.rng.random() < 0.5)
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -106,6 +106,9 @@
     def freeze(self, host: str) -> None:
         self.processes[host].send_signal(signal.SIGSTOP)
 
+    def thaw(self, host: str) -> None:
+        self.processes[host].send_signal(signal.SIGCONT)
+
     def kill(self, host: str) -> None:
         self.processes[host].kill()
         self.processes[host].wait()
--- a/tests/platform/test_evacuations.py
+++ b/tests/platform/test_evacuations.py
@@ -15,6 +15,8 @@
 
 # Time within which daemons send nothing more there, in seconds.
 IN_FORCE_SECONDS = 5.0
+# Time in which a daemon that has woken up handles what lay there, in seconds.
+WAKING_SECONDS = 2.0
 
 
 @pytest.fixture
@@ -70,3 +72,25 @@
     wait_for_line(fleet, daemon, seen + 1, 'gate_evacuated')
     assert order(fleet, daemon, TAKE_BACK, 'here') == 200
     wait_for_line(fleet, daemon, 1, 'gate_taken_back')
+
+
+# Guards against the copy of an order that lay unread at a frozen instance,
+# which takes the data centre back after it was evacuated anew.
+@pytest.mark.parametrize('kind', ['daemon', 'control'])
+def test_an_order_that_lay_at_a_frozen_instance_has_no_effect(fleet, kind):
+    leader = fleet.publish_first()
+    (daemon,) = fleet.daemons
+    other, frozen = (h for h in fleet.control if h != leader)
+    if kind == 'daemon':
+        frozen = daemon
+    assert order(fleet, other, EVACUATE, 'here') == 200
+    wait_for_line(fleet, frozen, 1, 'evacuations_in_force')
+    fleet.freeze(frozen)
+    assert fleet.ask(frozen, TAKE_BACK + 'here', base=0).status == 0
+    assert order(fleet, other, TAKE_BACK, 'here') == 200
+    assert order(fleet, other, EVACUATE, 'here') == 200
+    fleet.thaw(frozen)
+    wait_for_line(fleet, frozen, 1, '"revision": 3')
+    time.sleep(WAKING_SECONDS)
+    for host in (frozen, other, leader):
+        assert '"revision": 4' not in fleet.log(host)
--- a/tools/mutants_control.py
+++ b/tools/mutants_control.py
@@ -35,8 +35,22 @@
     Mutant(
         'a taker sends an order on for an operator that has left',
         'cyclamenlift/events/evacuation_orders.py',
-        'if conflict and newer and self.is_waiting():',
-        'if conflict and newer:',
+        'if not self.is_awaited():',
+        'if False:',
+        'tests/events/test_evacuations.py',
+    ),
+    Mutant(
+        'a taker sends an order on long after its operator has left',
+        'cyclamenlift/events/evacuation_orders.py',
+        'elif self.boot_clock() >= self.abandoned_at:',
+        'elif False:',
+        'tests/events/test_evacuations.py',
+    ),
+    Mutant(
+        'an order is sent before the end of its connection can arrive',
+        'cyclamenlift/events/evacuation_orders.py',
+        'ARRIVAL_SECONDS = 0.05',
+        'ARRIVAL_SECONDS = 0.0',
         'tests/events/test_evacuations.py',
     ),
     Mutant(
