Keep a deadline for answers that are streamed

Cause: the entry cancelled the timer of a call when it began to stream the answer, and left the end to the gate, which ends a call at its deadline, or to the loss of the connection. A gate that stands still does neither.

Evidence: the log has no line for these calls until their callers leave; those that still waited for the head ended at the timeout with 504. It was the one place that cancelled the timer of a call that is not over.

Change: the timer goes on, 0.2 s later: what a target had finished by the deadline is on its way then and is delivered. After that the caller's connection is reset, the gate gets a cancellation, a key is marked unknown, and the log line of the call says how far the answer had come and how long nothing had.

--- a/cyclamenlift/calls/call.py
+++ b/cyclamenlift/calls/call.py
@@ -39,6 +39,10 @@
     from cyclamenlift.calls.tasks import Calls
 
 SERVER_ERROR = 500
+# How long after a call's deadline a streamed answer may still end, in seconds.
+# Gates end what their targets still send at the deadline; what a target had
+# finished by then is delivered.
+LATE_ANSWER_SECONDS = 0.2
 OVERLOAD_HEADER = 'cyclamenlift-overloaded'
 
 
@@ -308,16 +312,21 @@
         if self.answered:
             return
         self.state.done = True
-        self.relay = Relay(self.exchange, attempt)
+        self.relay = Relay(self.exchange, attempt, self.calls.now())
         self.status = attempt.status
         self.tries.cancel(Outcome.OVERTAKEN, except_for=attempt)
         self.timer.cancel()
+        self.timer = self.calls.scheduler.at(
+            self.request.deadline + LATE_ANSWER_SECONDS,
+            self.on_relay_deadline,
+        )
         if not self.caller_disconnected:
             self.relay.start()
 
     def relay_body(self, attempt: Try, chunk: BodyChunk) -> None:
         if self.relay.attempt is not attempt:
             return
+        self.relay.note_chunk(len(chunk.data or b''), self.calls.now())
         if chunk.data and not self.caller_disconnected:
             self.relay.send(chunk.data)
         if not chunk.last:
@@ -329,12 +338,26 @@
             self.relay.finish()
         self.close(ResultCode.ANSWERED)
 
-    def abort_relay(self) -> None:
+    def on_relay_deadline(self) -> None:
+        """Break off a streamed answer that its gate has not ended in time.
+
+        The gate may stand still, and its connection shows that late or never.
+        """
+        now = self.calls.now()
+        code = ResultCode.DEADLINE_UNKNOWN
+        ending = Ending(EndKind.UNKNOWN, code, detail=self.relay.progress(now))
+        self.record_trail(self.relay.attempt, ending, now)
+        self.tries.cancel(Outcome.TIMEOUT)
+        self.abort_relay(code)
+
+    def abort_relay(
+        self, code: ResultCode = ResultCode.TARGET_BROKE_OFF
+    ) -> None:
         if self.claim_holder is not None:
             self.claim_holder.mark_unknown()
         if not self.caller_disconnected:
             self.relay.abort()
-        self.close(ResultCode.TARGET_BROKE_OFF)
+        self.close(code)
 
     # -- giving up --------------------------------------------------------
 
--- a/cyclamenlift/calls/relay.py
+++ b/cyclamenlift/calls/relay.py
@@ -9,18 +9,25 @@
 from cyclamenlift.calls.answers import answer_headers
 from cyclamenlift.calls.attempt import Try
 from cyclamenlift.calls.attempt import WINDOW_BYTES
+from cyclamenlift.core.clock import MILLISECONDS
 from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.http.exchange import Exchange
 from cyclamenlift.wire.gen.protocol.ttypes import Credit
 
 
 class Relay:
-    """Streams one answer to one caller."""
+    """Streams one answer to one caller.
 
-    def __init__(self, exchange: Exchange, attempt: Try):
+    ``received`` is how much of the body the gate has sent, ``heard_at`` when
+    it sent something last.
+    """
+
+    def __init__(self, exchange: Exchange, attempt: Try, now: float):
         self.exchange = exchange
         self.attempt = attempt
         self.uncredited = 0
+        self.received = attempt.buffered_size
+        self.heard_at = now
 
     def start(self) -> None:
         attempt = self.attempt
@@ -32,6 +39,17 @@
         if waiting:
             self.send(waiting)
 
+    def note_chunk(self, size: int, now: float) -> None:
+        """Count a part of the body that the gate has sent."""
+        self.received += size
+        self.heard_at = now
+
+    def progress(self, now: float) -> str:
+        """Return how far the answer has come, for the log line of the call."""
+        silent_ms = int((now - self.heard_at) * MILLISECONDS)
+        length = self.attempt.length if self.attempt.length >= 0 else '?'
+        return f'{self.received} of {length} bytes, silent for {silent_ms}ms'
+
     def send(self, data: bytes) -> None:
         """Forward data; credit is granted as the caller reads it."""
         self.exchange.send(data)
