Tell a target's starts apart in what entries remember of it

Cause: entries remember what a target said of itself and return it with their calls, for a daemon that was restarted. They named the incarnation by its name alone, so what the target had said before its restart drained the next start. A drain is final, each refusal told the entries again, and only an answer of the target, which got no call, would have ended it.

Evidence: target_leaves with the new start and the source "entry"; with a new name at each start nothing of it.

Change: a statement names the start (a new optional field on the wire) and counts for the start that the gate knows, or a later one. One without a start, of an entry of an earlier release, is from before this process and counts for targets that had started by then. A departure records the start that left, or when it was told. An answer or page to a request from before the present start was announced does not drain or limit it; as to cold targets such a page does no harm, as a warm one has to say so again before it gets more than a cold one.

--- a/cyclamenlift/gate/announcements.py
+++ b/cyclamenlift/gate/announcements.py
@@ -1,6 +1,7 @@
 """Handles announcements of the target and their effect on its gate."""
 
 from collections.abc import Callable
+import math
 import typing
 
 import structlog
@@ -14,6 +15,7 @@
 if typing.TYPE_CHECKING:
     from cyclamenlift.gate.tasks import Gate
 
+NEVER = -math.inf
 LOG = structlog.get_logger('gate')
 
 
@@ -26,6 +28,10 @@
     def __init__(self, gate: 'Gate', unix_ms: Callable[[], int]):
         self.gate = gate
         self.registration = Registration(unix_ms)
+        # When this process started, by the clock of the target's start times.
+        self.started_ms = unix_ms()
+        # When the present start of the target became known here.
+        self.known_since = NEVER
         self.doubt_hooks: list[Callable[[], None]] = []
 
     def announce(self, announcement: Announcement) -> AnnouncementOutcome:
@@ -63,6 +69,7 @@
     ) -> None:
         """Admit calls to a target that has just been identified."""
         gate = self.gate
+        self.known_since = gate.now()
         self.log(announcement, AnnouncementOutcome.NEW)
         gate.state.reset_for_incarnation(
             announcement.warm_up_seconds > 0.0, gate.now()
--- a/cyclamenlift/gate/registration.py
+++ b/cyclamenlift/gate/registration.py
@@ -194,8 +194,9 @@
             return False
         if is_older(born_ms, self.born_ms):
             return False
-        if is_older(self.born_ms, born_ms):
-            self.current = dataclasses.replace(self.current, born_ms=born_ms)
+        # A target that starts later under this name is another incarnation.
+        left_ms = max(born_ms, self.born_ms) or self.unix_ms()
+        self.current = dataclasses.replace(self.current, born_ms=left_ms)
         self.left = True
         return True
 
--- a/cyclamenlift/gate/target_reports.py
+++ b/cyclamenlift/gate/target_reports.py
@@ -11,6 +11,7 @@
 
 from cyclamenlift.gate.decision_log import log_cold
 from cyclamenlift.gate.decision_log import log_declared_limit
+from cyclamenlift.gate.registration import is_older
 from cyclamenlift.gate.verdicts import AnswerVerdict
 from cyclamenlift.http.headers import find_header
 from cyclamenlift.http.headers import Headers
@@ -32,6 +33,8 @@
 
     def __init__(self, gate: 'Gate'):
         self.gate = gate
+        # Name and start for which an outdated statement has been logged.
+        self.outdated_logged_for = ('', 0)
 
     # -- commands ---------------------------------------------------------
 
@@ -57,7 +60,9 @@
         Another target may have answered: only the known one is believed.
         """
         report = self.read(headers)
-        self.apply_page(report, headers, asked_at)
+        self.apply_page(
+            report, headers, asked_at, self.is_of_known_start(asked_at)
+        )
         self.note_load(report)
 
     def note_identifying_page(self, headers: Headers, asked_at: float) -> None:
@@ -66,16 +71,26 @@
         Its load was applied before.
         """
         report = parse_report(headers, self.gate.dialect)
-        self.apply_page(report, headers, asked_at)
+        self.apply_page(report, headers, asked_at, of_known_start=True)
 
     def note_hearsay(self, statement: TargetStatement | None) -> None:
-        """Apply what an entry was told of the target by a predecessor."""
+        """Apply what an entry was told of the target by a predecessor.
+
+        The target may have started again under its name since then. An entry
+        of an earlier release names no start; what it was told is from before
+        this process.
+        """
         if statement is None:
             return
-        if statement.incarnation != self.gate.registration.incarnation:
+        registration = self.gate.registration
+        born_ms = statement.born_ms or self.gate.announcements.started_ms
+        if statement.incarnation != registration.incarnation:
+            return
+        if is_older(born_ms, registration.born_ms):
+            self.log_outdated(statement)
             return
-        if statement.leaving:
-            self.note_leaving('entry')
+        if statement.leaving and not registration.draining:
+            self.gate.target_leaves(statement.incarnation, born_ms, 'entry')
         rate = statement.calls_per_second
         if rate is not None:
             declared = self.gate.state.start_limits.declared
@@ -90,9 +105,19 @@
         if rate is None and not registration.draining:
             return None
         return TargetStatement(
-            registration.incarnation, registration.draining, rate
+            registration.incarnation,
+            registration.draining,
+            rate,
+            registration.born_ms or None,
         )
 
+    def is_of_known_start(self, asked_at: float) -> bool:
+        """Return whether a response is not of an earlier start of the target.
+
+        One to a request from before the known start was announced may be.
+        """
+        return asked_at >= self.gate.announcements.known_since
+
     def is_by_known_target(self, headers: Headers) -> bool:
         """Return whether a page names the incarnation that is known."""
         name = find_header(headers, self.gate.dialect.incarnation)
@@ -129,6 +154,8 @@
         self, report: TargetReport, sent_at: float, verdict: AnswerVerdict
     ) -> None:
         """Apply what the target says of itself in an answer to a call."""
+        if not self.is_of_known_start(sent_at):
+            return
         if report.leaving and verdict is not AnswerVerdict.UNPROVEN:
             self.note_leaving('answer')
         if not self.is_statement(report, verdict):
@@ -141,14 +168,24 @@
         )
 
     def apply_page(
-        self, report: TargetReport, headers: Headers, asked_at: float
+        self,
+        report: TargetReport,
+        headers: Headers,
+        asked_at: float,
+        of_known_start: bool,
     ) -> None:
-        """Apply what a page says that only the known target may say."""
+        """Apply what a page says that only the known target may say.
+
+        A page of an earlier start does no harm by saying that the target is
+        warm: it has to say so again before it gets more than a cold one.
+        """
         if not self.is_by_known_target(headers):
             return
+        self.note_cold(report, asked_at)
+        if not of_known_start:
+            return
         if report.leaving:
             self.note_leaving('page')
-        self.note_cold(report, asked_at)
         self.note_limit_on_page(report, asked_at)
 
     def note_load(self, report: TargetReport) -> None:
@@ -195,6 +232,21 @@
                 registration.incarnation, registration.born_ms, source
             )
 
+    def log_outdated(self, statement: TargetStatement) -> None:
+        """Log, once for each start, a statement of an earlier one."""
+        registration = self.gate.registration
+        known = (registration.incarnation, registration.born_ms)
+        if known == self.outdated_logged_for:
+            return
+        self.outdated_logged_for = known
+        LOG.info(
+            'target_statement_outdated',
+            incarnation=registration.incarnation,
+            born_ms=registration.born_ms,
+            told_born_ms=statement.born_ms or 0,
+            leaving=bool(statement.leaving),
+        )
+
     def apply_limit(self, note: Callable[[], bool], source: str) -> None:
         """Record a limit with ``note`` and act on its change."""
         gate = self.gate
--- a/cyclamenlift/wire/cyclamenlift.thrift
+++ b/cyclamenlift/wire/cyclamenlift.thrift
@@ -47,7 +47,10 @@
   1: string incarnation,
   2: bool leaving,
   // Calls that it takes from all instances together; absent: no limit.
-  3: double calls_per_second
+  3: double calls_per_second,
+  // Start of the incarnation in Unix milliseconds, since a target may start
+  // again under its name; absent: unknown.
+  4: i64 born_ms
 }
 
 // Load of one target, measured by its gate.
--- a/cyclamenlift/wire/gen/protocol/ttypes.py
+++ b/cyclamenlift/wire/gen/protocol/ttypes.py
@@ -241,14 +241,16 @@
      - incarnation
      - leaving
      - calls_per_second
+     - born_ms
 
     """
 
 
-    def __init__(self, incarnation=None, leaving=None, calls_per_second=None,):
+    def __init__(self, incarnation=None, leaving=None, calls_per_second=None, born_ms=None,):
         self.incarnation = incarnation
         self.leaving = leaving
         self.calls_per_second = calls_per_second
+        self.born_ms = born_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -274,6 +276,11 @@
                     self.calls_per_second = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -296,6 +303,10 @@
             oprot.writeFieldBegin('calls_per_second', TType.DOUBLE, 3)
             oprot.writeDouble(self.calls_per_second)
             oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 4)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5643,6 +5654,7 @@
     (1, TType.STRING, 'incarnation', 'UTF8', None, ),  # 1
     (2, TType.BOOL, 'leaving', None, None, ),  # 2
     (3, TType.DOUBLE, 'calls_per_second', None, None, ),  # 3
+    (4, TType.I64, 'born_ms', None, None, ),  # 4
 )
 all_structs.append(LoadFigures)
 LoadFigures.thrift_spec = (
--- a/tools/mutants_calls.py
+++ b/tools/mutants_calls.py
@@ -67,10 +67,31 @@
     Mutant(
         'a gate forgets that its target said that it leaves',
         'cyclamenlift/gate/target_reports.py',
-        'if statement.leaving:',
+        'if statement.leaving and not registration.draining:',
         'if False:',
         'tests/gate/test_leaving_targets.py',
     ),
+    Mutant(
+        'what an earlier start of a target said holds for the next one',
+        'cyclamenlift/gate/target_reports.py',
+        'if is_older(born_ms, registration.born_ms):',
+        'if False:',
+        'tests/gate/test_leaving_targets.py',
+    ),
+    Mutant(
+        'an answer of an earlier start drains the next one',
+        'cyclamenlift/gate/target_reports.py',
+        'return asked_at >= self.gate.announcements.known_since',
+        'return True',
+        'tests/gate/test_leaving_targets.py',
+    ),
+    Mutant(
+        'a departure does not record the start that left',
+        'cyclamenlift/gate/registration.py',
+        'self.current = dataclasses.replace(self.current, born_ms=left_ms)',
+        'pass',
+        'tests/gate/test_leaving_targets.py',
+    ),
     Mutant(
         'a gate in an evacuated data centre starts a call',
         'cyclamenlift/gate/admission_control.py',
