Use a target that starts again after its clock was set back

What callers would see: a target whose clock was set back before it started again gets no call until its clock has caught up, though it announces itself and its page is good.

Cause: of two starts the later one counts, and an announcement of an earlier one is taken for a delayed one of an incarnation that has ended. Entries that remember the start before, with its later time, drained the new one.

Change: an earlier start counts if it goes on to announce itself, three times over 5 s, while the one that is known does not. Delayed announcements come for a few seconds at most. Announcements of the start that left stay without effect however long they go on. What is known of the start that was replaced so (statements of entries, a late departure) is of an earlier start for the gate, whatever its time.

Tests, failed before: tests/gate/test_registration.py (an earlier start that goes on, a late departure of the start before), tests/gate/ test_leaving_targets.py (clock set back, beside the same gate and a new one). Late starts, bursts and the start that left stay out (passed before and after).

--- a/cyclamenlift/gate/registration.py
+++ b/cyclamenlift/gate/registration.py
@@ -12,6 +12,8 @@
 import dataclasses
 import enum
 
+from cyclamenlift.gate.earlier_start import EarlierStart
+
 MAX_ENDED = 64
 # Start time of an incarnation that was not reported: health pages don't
 # contain it, and some targets never send it.
@@ -82,6 +84,7 @@
         self.current: Announcement | None = None
         self.left = False
         self.doubted = False
+        self.earlier_start = EarlierStart()
         self.ended: collections.OrderedDict[str, EndedIncarnation] = (
             collections.OrderedDict()
         )
@@ -119,19 +122,60 @@
             return True
         return announcement.born_ms <= ended.born_ms
 
+    def is_earlier(self, incarnation: str, born_ms: int) -> bool:
+        """Return whether a start of this name came before the current one.
+
+        This is also known of a later start time, if the current incarnation
+        took the place of that one.
+        """
+        if incarnation == self.incarnation:
+            if is_older(born_ms, self.born_ms):
+                return True
+            if born_ms == self.born_ms:
+                return False
+        ended = self.ended.get(incarnation)
+        return ended is not None and UNKNOWN_START < born_ms <= ended.born_ms
+
+    def is_current_start(self, announcement: Announcement) -> bool:
+        """Return whether an announcement is certainly of the current start."""
+        if announcement.born_ms == UNKNOWN_START:
+            return False
+        return (announcement.incarnation, announcement.born_ms) == (
+            self.incarnation,
+            self.born_ms,
+        )
+
+    def is_outdated(self, announcement: Announcement) -> bool:
+        """Return whether an announcement seems to be of an earlier start."""
+        return self.has_ended(announcement) or is_older(
+            announcement.born_ms, self.born_ms
+        )
+
+    def may_run_again(self, announcement: Announcement) -> bool:
+        """Return whether it may be of a start after the clock was set back."""
+        if announcement.from_health_page or not announcement.born_ms:
+            return False
+        ended = self.ended.get(announcement.incarnation)
+        return ended is None or ended.born_ms != announcement.born_ms
+
     # -- commands ---------------------------------------------------------
 
     def announce(
         self, announcement: Announcement, now: float
     ) -> AnnouncementOutcome:
         """Process an announcement; STALE changes nothing."""
-        if self.has_ended(announcement):
-            return AnnouncementOutcome.STALE
         current = self.current
+        if self.is_current_start(announcement):
+            self.earlier_start.forget()
+            return self.update_current(announcement, current, now)
+        if self.is_outdated(announcement):
+            if not self.may_run_again(announcement):
+                return AnnouncementOutcome.STALE
+            if not self.earlier_start.is_running(announcement, now):
+                return AnnouncementOutcome.STALE
+            return self.replace(announcement, now)
         if current is None:
             return self.replace(announcement, now)
-        if is_older(announcement.born_ms, current.born_ms):
-            return AnnouncementOutcome.STALE
         if announcement.incarnation != current.incarnation:
             return self.replace(announcement, now)
         if is_older(current.born_ms, announcement.born_ms):
@@ -169,6 +213,7 @@
             self.ended.pop(announcement.incarnation, None)
         self.left = False
         self.doubted = False
+        self.earlier_start.forget()
         self.current = announcement
         return AnnouncementOutcome.NEW
 
@@ -192,7 +237,7 @@
         if self.incarnation != incarnation:
             self.mark_ended(incarnation, born_ms, left=True)
             return False
-        if is_older(born_ms, self.born_ms):
+        if self.is_earlier(incarnation, born_ms):
             return False
         # A target that starts later under this name is another incarnation.
         left_ms = max(born_ms, self.born_ms) or self.unix_ms()
--- a/cyclamenlift/gate/target_reports.py
+++ b/cyclamenlift/gate/target_reports.py
@@ -11,7 +11,6 @@
 
 from cyclamenlift.gate.decision_log import log_cold
 from cyclamenlift.gate.decision_log import log_declared_limit
-from cyclamenlift.gate.registration import is_older
 from cyclamenlift.gate.verdicts import AnswerVerdict
 from cyclamenlift.http.headers import find_header
 from cyclamenlift.http.headers import Headers
@@ -86,7 +85,7 @@
         born_ms = statement.born_ms or self.gate.announcements.started_ms
         if statement.incarnation != registration.incarnation:
             return
-        if is_older(born_ms, registration.born_ms):
+        if registration.is_earlier(statement.incarnation, born_ms):
             self.log_outdated(statement)
             return
         if statement.leaving and not registration.draining:
--- a/tests/gate/test_leaving_targets.py
+++ b/tests/gate/test_leaving_targets.py
@@ -239,3 +239,18 @@
         bench.gate.reports.note_answer(headers, SAID_AT)
     assert bench.gate.state.target_state == TargetState.READY
     assert bench.gate.state.start_limits.declared.calls_per_second is None
+
+
+# Guards against a target that starts again after its clock was set back, and
+# that entries drain for what the start before said, with a later time.
+@pytest.mark.parametrize('new_gate', [False, True])
+def test_a_target_whose_clock_was_set_back_is_used_again(new_gate):
+    bench = drained_bench()
+    bench.load(60.0, 20.0)
+    if new_gate:
+        bench.restart_gate()
+    for sequence in range(1, 9):
+        bench.gate.announce(ready(sequence, born_ms=FIRST_BORN_MS - 500))
+        bench.time.run_until(RESTARTED_AT + 1.5 * sequence)
+    bench.time.run_until(20.0)
+    assert bench.target.arrivals(12.0, 20.0) > 200
--- a/tests/gate/test_registration.py
+++ b/tests/gate/test_registration.py
@@ -216,3 +216,67 @@
         assert registration.born_ms == newest
     assert not registration.draining
     assert registration.current.sequence == 3
+
+
+HEARTBEAT_SECONDS = 1.5
+
+
+def announce_for(
+    registration: Registration, seconds: float, born_ms: int
+) -> AnnouncementOutcome:
+    """Let one start of a target announce itself; return the last outcome."""
+    outcome = AnnouncementOutcome.STALE
+    for number in range(1 + int(seconds / HEARTBEAT_SECONDS)):
+        now = 100.0 + number * HEARTBEAT_SECONDS
+        outcome = registration.announce(started('a', born_ms, number + 1), now)
+    return outcome
+
+
+def left_registration() -> Registration:
+    """Return a registration whose target has left."""
+    registration = Registration()
+    registration.announce(started('a', 9000, 1), 0.0)
+    registration.leave('a', 9000)
+    return registration
+
+
+# Guards against a target whose clock was set back before it started again,
+# and that is refused until its clock has caught up.
+def test_a_target_that_goes_on_to_announce_an_earlier_start_is_used():
+    registration = left_registration()
+    assert announce_for(registration, 8.0, 4000) is AnnouncementOutcome.UPDATED
+    assert not registration.draining and registration.born_ms == 4000
+
+
+# Guards against announcements of the start that left, which goes on to run,
+# and of one before it that come late, in a burst or for a few seconds.
+def test_a_start_that_left_or_is_only_late_is_not_used():
+    assert announce_for(left_registration(), 30.0, 9000) is (
+        AnnouncementOutcome.STALE
+    )
+    assert announce_for(left_registration(), 4.0, 4000) is (
+        AnnouncementOutcome.STALE
+    )
+    registration = left_registration()
+    for number in range(9):
+        registration.announce(started('a', 4000, number + 1), 100.0)
+    assert registration.draining
+
+
+# Guards against an old start that takes the place of one that runs.
+def test_an_earlier_start_does_not_replace_one_that_announces_itself():
+    registration = Registration()
+    for number in range(1, 40):
+        now = number * HEARTBEAT_SECONDS
+        registration.announce(started('a', 9000, number), now)
+        registration.announce(started('a', 4000, number), now)
+    assert registration.born_ms == 9000
+
+
+# Guards against a late departure of the start before, with a later time.
+def test_a_departure_of_the_start_before_the_clock_was_set_back_is_late():
+    registration = left_registration()
+    announce_for(registration, 8.0, 4000)
+    assert not registration.leave('a', 9000)
+    assert not registration.draining
+    assert registration.leave('a', 4000)
--- a/tools/mutants_calls.py
+++ b/tools/mutants_calls.py
@@ -74,7 +74,7 @@
     Mutant(
         'what an earlier start of a target said holds for the next one',
         'cyclamenlift/gate/target_reports.py',
-        'if is_older(born_ms, registration.born_ms):',
+        'if registration.is_earlier(statement.incarnation, born_ms):',
         'if False:',
         'tests/gate/test_leaving_targets.py',
     ),
