Bound how long a caller waits for its key to be released

What callers would see: a keyed call that has not run is answered only when the ledger confirms that its key was released. The constant that bounds this wait was not used, so with silent control instances (frozen, cut off) a caller waited for 30 s, or until its deadline.

Change: the caller is answered after 0.4 s, confirmed or not, as the text of the function said (half a second there; 0.4 s leaves callers that were given up at their deadlines an answer within half a second). The release is sent on; until it is confirmed the key answers "in progress".

Test, failed before: tests/runtime/test_path.py, "a caller does not wait for a silent ledger".

--- a/cyclamenlift/calls/claim_holder.py
+++ b/cyclamenlift/calls/claim_holder.py
@@ -25,8 +25,9 @@
 # How long the end of a claim is resent to a ledger that does not confirm it.
 END_RETRY_SECONDS = 30.0
 # The longest time that a caller waits for confirmation that its key was
-# released.
-RELEASE_SECONDS = 0.5
+# released, in seconds. Callers get a final answer half a second after their
+# deadlines at the latest.
+RELEASE_SECONDS = 0.4
 
 VERDICT_CODES = {
     ClaimVerdict.IN_PROGRESS: ResultCode.CLAIM_IN_PROGRESS,
@@ -44,6 +45,8 @@
         self.calls = call.calls
         self.attempt_id = self.calls.next_attempt_id()
         self.held = False
+        # Answers the caller if the release of its key is not confirmed.
+        self.release_timer = None
 
     def claim(self) -> None:
         """Request the claim; the first try waits until it is granted."""
@@ -113,18 +116,23 @@
         """End the claim of a call that failed.
 
         Return True if the caller is answered later: once the release is
-        confirmed, or after half a second. In the latter case the release is
-        resent, and until it is confirmed the key answers "in progress".
+        confirmed, or after ``RELEASE_SECONDS``. In the latter case the
+        release is resent, and until it is confirmed the key answers "in
+        progress".
         """
         if not self.held:
             return False
         if not is_not_run(problem.code):
             self.mark_unknown()
             return False
+        self.release_timer = self.calls.scheduler.after(
+            RELEASE_SECONDS, lambda: self.reply(problem)
+        )
         self.end(ClaimEnding.RELEASED, None, lambda _done: self.reply(problem))
         return True
 
     def reply(self, problem: Problem) -> None:
+        self.release_timer.cancel()
         if not self.call.answered:
             self.call.send_problem(problem)
 
--- a/tests/runtime/test_path.py
+++ b/tests/runtime/test_path.py
@@ -3,6 +3,7 @@
 import gc
 import json
 import threading
+import time
 
 import pytest
 import structlog
@@ -32,6 +33,8 @@
 CALL_CLASSES = (Call, Tries, GateCall, Exchange, TargetCall)
 BROKEN = raw(b'HTTP/1.1 200 X\r\nContent-Length: 10\r\n\r\nabc')
 UNREACHABLE = Address('127.0.0.1', 1)
+# By when a caller has a final answer if nothing else holds it up.
+LATEST_ANSWER_SECONDS = 0.5 + 0.2
 
 
 @pytest.fixture
@@ -273,6 +276,23 @@
     assert len(found.body) < 900_000
 
 
+class SilentEnds(FakeClaims):
+    """A ledger client whose control instances confirm no end of a claim."""
+
+    def end(self, ending, _deadline, _done) -> None:
+        self.ends.append(ending)
+
+
+# Guards against a caller that waits half a minute for a ledger that is silent.
+def test_a_caller_does_not_wait_for_a_silent_ledger(make_path):
+    path = make_path(UNREACHABLE, claims=SilentEnds())
+    began = time.monotonic()
+    found = path.ask('POST', '/book', b'{}', Idempotency_Key='k')
+    assert time.monotonic() - began < LATEST_ANSWER_SECONDS
+    assert found.result == ResultCode.TARGET_UNREACHABLE
+    assert path.calls.is_idle()
+
+
 @pytest.mark.parametrize(
     ('verdict', 'code', 'result'),
     [
