Ignore a departure that may be of the start before

What callers would see: a target that deregisters while its daemon stands still, exits and starts again under its name gets no call any more: the daemon reads the deregistration after the announcement of the new start, and it names no start.

Change: a deregistration without a start, within 10 s after the present start became known, counts only if its sender still waits for the answer, as the kernel tells at that moment. Nobody was promised anything then, and a target that is still there sends it again. It is answered with 503 and logged as target_departure_outdated. One that names the present start, or comes from a target that never names one, counts as before.

--- a/cyclamenlift/gate/announcements.py
+++ b/cyclamenlift/gate/announcements.py
@@ -16,6 +16,9 @@
     from cyclamenlift.gate.tasks import Gate
 
 NEVER = -math.inf
+# How long after a start became known a message of the start before it may
+# still be read, in seconds. Senders wait for an answer for a second.
+OVERLAP_SECONDS = 10.0
 LOG = structlog.get_logger('gate')
 
 
@@ -80,8 +83,39 @@
         if not announcement.draining:
             gate.set_target_state(TargetState.READY)
 
-    def leave(self, incarnation: str, born_ms: int, source: str) -> None:
-        """Stop admitting calls to a target that said that it leaves."""
+    def may_be_of_start_before(self, incarnation: str, born_ms: int) -> bool:
+        """Return whether a departure may be of the start before this one.
+
+        Departures often name no start.
+        """
+        registration = self.registration
+        if born_ms or not registration.born_ms:
+            return False
+        if incarnation != registration.incarnation:
+            return False
+        return self.gate.now() < self.known_since + OVERLAP_SECONDS
+
+    def leave(
+        self,
+        incarnation: str,
+        born_ms: int,
+        source: str,
+        awaited: bool = True,
+    ) -> bool:
+        """Stop admitting calls to a target that said that it leaves.
+
+        If the sender does not wait for the answer any more (``awaited``), the
+        message may have lain here while the target started again. Returns
+        False if it is ignored for that; a target that is still there sends it
+        again.
+        """
+        if not awaited and self.may_be_of_start_before(incarnation, born_ms):
+            LOG.warning(
+                'target_departure_outdated',
+                incarnation=incarnation,
+                born_ms=self.registration.born_ms,
+            )
+            return False
         known = self.registration.leave(incarnation, born_ms)
         LOG.info(
             'target_leaves',
@@ -92,6 +126,7 @@
         )
         if known:
             self.gate.drain()
+        return True
 
     def doubt(self) -> None:
         """Note that a different target answered at the address."""
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -202,9 +202,13 @@
         incarnation: str,
         born_ms: int = UNKNOWN_START,
         source: str = 'announcement',
-    ) -> None:
-        """Stop admitting calls to a target that said that it leaves."""
-        self.announcements.leave(incarnation, born_ms, source)
+        awaited: bool = True,
+    ) -> bool:
+        """Stop admitting calls to a target that said that it leaves.
+
+        Returns False if the message is ignored as outdated.
+        """
+        return self.announcements.leave(incarnation, born_ms, source, awaited)
 
     def doubt_target(self) -> None:
         """Note that a different target answered at the address."""
--- a/cyclamenlift/platform/targets.py
+++ b/cyclamenlift/platform/targets.py
@@ -158,8 +158,13 @@
         if self.gate.is_foreign(name, str(exchange.remote)):
             reject(exchange, 503, Problem(ResultCode.NO_TARGET))
             return
-        self.gate.target_leaves(name, found.unwrap())
-        send_json(exchange, 200)
+        heeded = self.gate.target_leaves(
+            name, found.unwrap(), awaited=exchange.is_awaited()
+        )
+        if heeded:
+            send_json(exchange, 200)
+        else:
+            reject(exchange, 503, Problem(ResultCode.NO_TARGET))
 
     def refuse_invalid(
         self, exchange: Exchange, name: str, problem: Problem
--- a/tests/platform/test_targets.py
+++ b/tests/platform/test_targets.py
@@ -36,6 +36,10 @@
         self.body = body
         self.body_length = len(body)
         self.status = 0
+        self.awaited = True
+
+    def is_awaited(self) -> bool:
+        return self.awaited
 
     def read_body(self, on_body) -> None:
         on_body(self.body, True)
@@ -68,8 +72,11 @@
     return exchange.status
 
 
-def deregister(gate: Gate, name: str, body: bytes = b'') -> int:
+def deregister(
+    gate: Gate, name: str, body: bytes = b'', awaited: bool = True
+) -> int:
     exchange = FakeExchange(f'/v1/Instances.Deregister/{name}', body)
+    exchange.awaited = awaited
     TargetEndpoint(gate, 'prices').handle(exchange)
     return exchange.status
 
@@ -167,6 +174,26 @@
     assert gate.state.target_state == TargetState.DRAINING
 
 
+# Guards against the departure of a target that lay at a frozen daemon, names
+# no start, and is read after the target has started again under its name.
+def test_a_departure_that_lay_here_does_not_drain_the_next_start(gate):
+    send_heartbeat(gate, born=1000)
+    send_heartbeat(gate, born=2000, seq=1)
+    assert deregister(gate, 'i-1', awaited=False) == 503
+    assert not gate.registration.draining
+    assert deregister(gate, 'i-1') == 200
+    assert gate.registration.draining
+
+
+# Guards against a departure that is not believed though its target told it.
+@pytest.mark.parametrize('born', [0, 2000])
+def test_a_departure_that_can_be_of_this_start_alone_counts(gate, born):
+    send_heartbeat(gate, **({'born': born} if born else {}))
+    body = b'{"born":%d}' % born if born else b''
+    assert deregister(gate, 'i-1', body, awaited=False) == 200
+    assert gate.registration.draining
+
+
 @pytest.mark.parametrize(
     'body', [b'{', b'[]', b'\xff\xfe', b'{"born":"1"}', b'{"born":null}']
 )
