Don't take a leaving target for one that started again

What callers would see: a target that has left gets calls again after some five seconds, if its start was not known when it left (known by its health page alone, or told by an entry that names no start) and it goes on to announce that it is ready.

Cause: a departure without a known start set the start to the time at which it was told, later than the real one, which the target's announcements then seemed to precede for good, as after a clock that was set back.

Change: a start is only ever what the target reported. By when a target left whose start is not known is kept beside it, and an incarnation that ended says whether its start is known; only a known one proves that another start goes on. The message of a deregistration and what other sources tell come in by two functions, so that neither has an argument for the other.

Tests, failed before: two in tests/gate/test_leaving_targets.py, "is not brought back". Virtual time of the tests begins at 1 ms, as 0 stands for an unknown time.

--- a/cyclamenlift/gate/announcements.py
+++ b/cyclamenlift/gate/announcements.py
@@ -86,7 +86,9 @@
     def may_be_of_start_before(self, incarnation: str, born_ms: int) -> bool:
         """Return whether a departure may be of the start before this one.
 
-        Departures often name no start.
+        Departures often name no start. If nobody waits for the answer, one may
+        have lain here while the target started again; a target that is still
+        there sends it again.
         """
         registration = self.registration
         if born_ms or not registration.born_ms:
@@ -95,28 +97,19 @@
             return False
         return self.gate.now() < self.known_since + OVERLAP_SECONDS
 
+    def log_outdated_departure(self, incarnation: str) -> None:
+        """Log a departure that is ignored."""
+        LOG.warning(
+            'target_departure_outdated',
+            incarnation=incarnation,
+            born_ms=self.registration.born_ms,
+        )
+
     def leave(
-        self,
-        incarnation: str,
-        born_ms: int,
-        source: str,
-        awaited: bool = True,
-    ) -> bool:
-        """Stop admitting calls to a target that said that it leaves.
-
-        If the sender does not wait for the answer any more (``awaited``), the
-        message may have lain here while the target started again. Returns
-        False if it is ignored for that; a target that is still there sends it
-        again.
-        """
-        if not awaited and self.may_be_of_start_before(incarnation, born_ms):
-            LOG.warning(
-                'target_departure_outdated',
-                incarnation=incarnation,
-                born_ms=self.registration.born_ms,
-            )
-            return False
-        known = self.registration.leave(incarnation, born_ms)
+        self, incarnation: str, born_ms: int, source: str, told_by_ms: int
+    ) -> None:
+        """Stop admitting calls to a target that said that it leaves."""
+        known = self.registration.leave(incarnation, born_ms, told_by_ms)
         LOG.info(
             'target_leaves',
             source=source,
@@ -126,7 +119,6 @@
         )
         if known:
             self.gate.drain()
-        return True
 
     def doubt(self) -> None:
         """Note that a different target answered at the address."""
--- a/cyclamenlift/gate/registration.py
+++ b/cyclamenlift/gate/registration.py
@@ -61,13 +61,15 @@
 class EndedIncarnation:
     """An incarnation that has ended.
 
-    ``born_ms`` is its start or, if that was never reported, the later time at
-    which its end was noticed. ``left`` if it announced itself that it drains
-    or departs; otherwise another incarnation took its place.
+    ``born_ms`` is its start or, if that was never reported
+    (``is_start_known``), the later time at which its end was noticed.
+    ``left`` if it announced itself that it drains or departs; otherwise
+    another incarnation took its place.
     """
 
     born_ms: int
     left: bool
+    is_start_known: bool
 
 
 class Registration:
@@ -83,6 +85,8 @@
         self.unix_ms = unix_ms
         self.current: Announcement | None = None
         self.left = False
+        # By when a target left whose start is not known, in Unix milliseconds.
+        self.left_by_ms = UNKNOWN_START
         self.doubted = False
         self.earlier_start = EarlierStart()
         self.ended: collections.OrderedDict[str, EndedIncarnation] = (
@@ -152,11 +156,22 @@
         )
 
     def may_run_again(self, announcement: Announcement) -> bool:
-        """Return whether it may be of a start after the clock was set back."""
+        """Return whether it may be of a start after the clock was set back.
+
+        Only if it is certainly another start than the one that ended.
+        """
         if announcement.from_health_page or not announcement.born_ms:
             return False
         ended = self.ended.get(announcement.incarnation)
-        return ended is None or ended.born_ms != announcement.born_ms
+        if ended is None:
+            return True
+        return ended.is_start_known and ended.born_ms != announcement.born_ms
+
+    def is_after_departure(self, announcement: Announcement) -> bool:
+        """Return whether it is of a start after the current one has left."""
+        if announcement.incarnation != self.incarnation or self.born_ms:
+            return False
+        return is_older(self.left_by_ms, announcement.born_ms)
 
     # -- commands ---------------------------------------------------------
 
@@ -178,6 +193,8 @@
             return self.replace(announcement, now)
         if announcement.incarnation != current.incarnation:
             return self.replace(announcement, now)
+        if self.is_after_departure(announcement):
+            return self.replace(announcement, now)
         if is_older(current.born_ms, announcement.born_ms):
             return self.replace(announcement, now)
         return self.update_current(announcement, current, now)
@@ -212,6 +229,7 @@
         if announcement.from_health_page:
             self.ended.pop(announcement.incarnation, None)
         self.left = False
+        self.left_by_ms = UNKNOWN_START
         self.doubted = False
         self.earlier_start.forget()
         self.current = announcement
@@ -219,29 +237,40 @@
 
     def mark_ended(self, incarnation: str, born_ms: int, left: bool) -> None:
         """Remember that an incarnation has ended."""
-        born_ms = born_ms or self.unix_ms()
+        ended = EndedIncarnation(
+            born_ms or self.unix_ms(), left, is_start_known=bool(born_ms)
+        )
         known = self.ended.pop(incarnation, None)
-        if known is not None and is_older(born_ms, known.born_ms):
-            born_ms = known.born_ms
-            left = known.left
-        self.ended[incarnation] = EndedIncarnation(born_ms, left)
+        if known is not None and is_older(ended.born_ms, known.born_ms):
+            ended = known
+        self.ended[incarnation] = ended
         while len(self.ended) > MAX_ENDED:
             self.ended.popitem(last=False)
 
-    def leave(self, incarnation: str, born_ms: int = UNKNOWN_START) -> bool:
+    def leave(
+        self,
+        incarnation: str,
+        born_ms: int = UNKNOWN_START,
+        told_by_ms: int = UNKNOWN_START,
+    ) -> bool:
         """Record a departure; False if it is not the current incarnation.
 
-        The departure of an unknown incarnation is remembered, so that its
-        delayed announcements don't register it.
+        ``told_by_ms`` is by when it was told at the latest, now if not given:
+        a target that starts later under this name is another incarnation. The
+        departure of an unknown incarnation is remembered, so that its delayed
+        announcements don't register it.
         """
         if self.incarnation != incarnation:
             self.mark_ended(incarnation, born_ms, left=True)
             return False
         if self.is_earlier(incarnation, born_ms):
             return False
-        # A target that starts later under this name is another incarnation.
-        left_ms = max(born_ms, self.born_ms) or self.unix_ms()
-        self.current = dataclasses.replace(self.current, born_ms=left_ms)
+        if is_older(told_by_ms, self.born_ms):
+            return False
+        if born_ms:
+            self.current = dataclasses.replace(self.current, born_ms=born_ms)
+        elif not self.born_ms:
+            self.left_by_ms = told_by_ms or self.unix_ms()
         self.left = True
         return True
 
--- a/cyclamenlift/gate/target_reports.py
+++ b/cyclamenlift/gate/target_reports.py
@@ -11,6 +11,8 @@
 
 from cyclamenlift.gate.decision_log import log_cold
 from cyclamenlift.gate.decision_log import log_declared_limit
+from cyclamenlift.gate.registration import is_older
+from cyclamenlift.gate.registration import UNKNOWN_START
 from cyclamenlift.gate.verdicts import AnswerVerdict
 from cyclamenlift.http.headers import find_header
 from cyclamenlift.http.headers import Headers
@@ -82,14 +84,18 @@
         if statement is None:
             return
         registration = self.gate.registration
-        born_ms = statement.born_ms or self.gate.announcements.started_ms
         if statement.incarnation != registration.incarnation:
             return
-        if registration.is_earlier(statement.incarnation, born_ms):
+        if self.is_outdated(statement):
             self.log_outdated(statement)
             return
         if statement.leaving and not registration.draining:
-            self.gate.target_leaves(statement.incarnation, born_ms, 'entry')
+            self.gate.target_leaves(
+                statement.incarnation,
+                statement.born_ms or UNKNOWN_START,
+                'entry',
+                told_by_ms=self.gate.announcements.started_ms,
+            )
         rate = statement.calls_per_second
         if rate is not None:
             declared = self.gate.state.start_limits.declared
@@ -97,6 +103,16 @@
 
     # -- queries ----------------------------------------------------------
 
+    def is_outdated(self, statement: TargetStatement) -> bool:
+        """Return whether a statement is of an earlier start of the target."""
+        registration = self.gate.registration
+        if not statement.born_ms:
+            started_ms = self.gate.announcements.started_ms
+            return is_older(started_ms, registration.born_ms)
+        return registration.is_earlier(
+            statement.incarnation, statement.born_ms
+        )
+
     def statement(self) -> TargetStatement | None:
         """Return what entries are to remember of the target, if anything."""
         registration = self.gate.registration
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -202,13 +202,28 @@
         incarnation: str,
         born_ms: int = UNKNOWN_START,
         source: str = 'announcement',
-        awaited: bool = True,
-    ) -> bool:
+        told_by_ms: int = UNKNOWN_START,
+    ) -> None:
         """Stop admitting calls to a target that said that it leaves.
 
-        Returns False if the message is ignored as outdated.
+        ``told_by_ms`` is by when it said so, now if not given.
+        """
+        self.announcements.leave(incarnation, born_ms, source, told_by_ms)
+
+    def take_departure(
+        self, incarnation: str, born_ms: int, awaited: bool
+    ) -> bool:
+        """Handle a departure that was sent here; False if it is ignored.
+
+        ``awaited`` tells whether its sender still waits for the answer.
         """
-        return self.announcements.leave(incarnation, born_ms, source, awaited)
+        if not awaited and self.announcements.may_be_of_start_before(
+            incarnation, born_ms
+        ):
+            self.announcements.log_outdated_departure(incarnation)
+            return False
+        self.target_leaves(incarnation, born_ms)
+        return True
 
     def doubt_target(self) -> None:
         """Note that a different target answered at the address."""
--- a/cyclamenlift/platform/targets.py
+++ b/cyclamenlift/platform/targets.py
@@ -158,10 +158,10 @@
         if self.gate.is_foreign(name, str(exchange.remote)):
             reject(exchange, 503, Problem(ResultCode.NO_TARGET))
             return
-        heeded = self.gate.target_leaves(
-            name, found.unwrap(), awaited=exchange.is_awaited()
+        taken = self.gate.take_departure(
+            name, found.unwrap(), exchange.is_awaited()
         )
-        if heeded:
+        if taken:
             send_json(exchange, 200)
         else:
             reject(exchange, 503, Problem(ResultCode.NO_TARGET))
--- a/tests/gate/simulation.py
+++ b/tests/gate/simulation.py
@@ -57,7 +57,8 @@
         return self.time
 
     def unix_ms(self) -> int:
-        return int(self.time * 1000)
+        # 0 stands for an unknown time.
+        return int(self.time * 1000) + 1
 
     def at(self, deadline: float, callback) -> Timer:
         timer = Timer(callback)
--- a/tests/gate/test_leaving_targets.py
+++ b/tests/gate/test_leaving_targets.py
@@ -254,3 +254,32 @@
         bench.time.run_until(RESTARTED_AT + 1.5 * sequence)
     bench.time.run_until(20.0)
     assert bench.target.arrivals(12.0, 20.0) > 200
+
+
+def announce_until(bench: GateInTime, end: float, born_ms: int) -> None:
+    """Let the target announce every 1.5 s that it is ready."""
+    sequence = 10
+    while bench.time.now() < end:
+        bench.gate.announce(ready(sequence, born_ms=born_ms))
+        bench.time.run_until(bench.time.now() + 1.5)
+        sequence += 1
+
+
+# Guards against a leaving target that is taken for one that started again, as
+# its start was not known when it left and it goes on to announce itself.
+def test_a_target_that_left_is_not_brought_back_by_its_announcements():
+    bench = leaving_bench()
+    bench.load(60.0, 20.0)
+    announce_until(bench, 20.0, born_ms=FIRST_BORN_MS)
+    assert not bench.target.arrivals(SAID_AT + ANSWER_SECONDS, 20.0)
+
+
+# Guards against the same beside a new gate, if entries name no start.
+def test_a_target_that_left_is_not_brought_back_beside_a_new_gate():
+    bench = drained_bench()
+    bench.statements.find('instance-1').born_ms = None
+    bench.restart_gate()
+    bench.gate.announce(ready(1, born_ms=FIRST_BORN_MS))
+    bench.load(60.0, 20.0)
+    announce_until(bench, 20.0, born_ms=FIRST_BORN_MS)
+    assert not bench.target.arrivals(RESTARTED_AT, 20.0)
--- a/tools/mutants_calls.py
+++ b/tools/mutants_calls.py
@@ -74,7 +74,7 @@
     Mutant(
         'what an earlier start of a target said holds for the next one',
         'cyclamenlift/gate/target_reports.py',
-        'if registration.is_earlier(statement.incarnation, born_ms):',
+        'if self.is_outdated(statement):',
         'if False:',
         'tests/gate/test_leaving_targets.py',
     ),
@@ -88,7 +88,7 @@
     Mutant(
         'a departure does not record the start that left',
         'cyclamenlift/gate/registration.py',
-        'self.current = dataclasses.replace(self.current, born_ms=left_ms)',
+        'self.left_by_ms = told_by_ms or self.unix_ms()',
         'pass',
         'tests/gate/test_leaving_targets.py',
     ),
