--- a/tests/runtime/test_streamed_answers.py
+++ b/tests/runtime/test_streamed_answers.py
@@ -1,15 +1,17 @@
-"""Large answers that are streamed through a gate that goes silent.
+"""Large answers and uploads that pass through a gate that goes silent.
 
-Guards against callers that get neither the rest of an answer nor an error,
-because the entry left the end to a gate that stands still.
+Guards against callers that get neither an answer, or the rest of one, nor an
+error, because the entry left the end to a gate that stands still.
 """
 
 import time
 
 import pytest
 
+from cyclamenlift.core.codes import ResultCode
 from cyclamenlift.wire.gen.protocol.ttypes import BodyChunk
 from cyclamenlift.wire.gen.protocol.ttypes import Broken
+from cyclamenlift.wire.gen.protocol.ttypes import CallStart
 from cyclamenlift.wire.gen.protocol.ttypes import Cancel
 from cyclamenlift.wire.gen.protocol.ttypes import ClaimEnding
 from tests.runtime.builders import answer
@@ -125,3 +127,27 @@
     for part in held:
         path.calls.on_body_chunk(*part)
     assert path.calls.is_idle()
+
+
+# Guards against a gate that is kept busy by a caller that stops reading.
+def test_an_answer_whose_caller_stops_reading_ends_after_the_deadline(
+    make_path,
+):
+    path = make_path(bytes(20_000_000))
+    path.send()
+    path.run_until(lambda: any(call.relay for call in path.calls.open_calls))
+    path.run_until(path.calls.is_idle)
+    path.run_until(path.gates[0].is_idle)
+
+
+# Guards against an upload without an end at a gate that goes silent.
+@pytest.mark.parametrize('size', [100, 60_000])
+def test_an_upload_to_a_silent_gate_ends_at_the_deadline(make_path, size):
+    path = make_path(b'fine')
+    path.gates[0].network.subscribe(CallStart, lambda _link, _start: None)
+    path.gates[0].network.subscribe(Cancel, lambda _link, _cancel: None)
+    began = time.monotonic()
+    found = path.ask('POST', '/book', bytes(size), Idempotency_Key='k')
+    assert found.result == ResultCode.DEADLINE_UNKNOWN
+    assert time.monotonic() - began < DEADLINE_MS / 1000 + LATEST_SECONDS
+    assert path.calls.is_idle()
