Read unsigned integers in one place, with a bound

What callers would see: a whole answer whose Keep-Alive field has a timeout that int() refuses (a superscript two, over 4,300 digits) was never passed on, and its connection was lost to the pool; the call ended at its deadline. So did an answer with a Cold-Ms or Server-Load of that length. Seen by the review with made-up fields; no run of the platform has shown it.

Cause: isdigit() was taken for "int() reads it", with isascii() in some readers and without a bound in most. An error in what follows a whole answer (the connection's place in the pool) came after the call had been marked as done, so nobody reported it.

Settling a connection can't keep an answer from being passed on: an error closes that connection, and is logged and counted.

Tests, failed before: tests/http/test_client.py (two fields, and a planted error of the pool), test_target_answers.py, test_target_reports.py.

--- a/cyclamenlift/calls/intake.py
+++ b/cyclamenlift/calls/intake.py
@@ -9,6 +9,7 @@
 from cyclamenlift.calls.shares import WeightedRoundRobin
 from cyclamenlift.core.clock import MILLISECONDS
 from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.numbers import read_unsigned
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.http.exchange import Exchange
 from cyclamenlift.models.accounts import AccountRule
@@ -184,9 +185,7 @@
     text = exchange.header(name)
     if text is None:
         return default
-    if not (text.isascii() and text.isdigit() and len(text) <= 15):
-        return None
-    return int(text)
+    return read_unsigned(text)
 
 
 def read_deadline(exchange: Exchange, rule: ServiceRule) -> float | None:
--- a/cyclamenlift/cli/flags.py
+++ b/cyclamenlift/cli/flags.py
@@ -13,6 +13,7 @@
 from cyclamenlift.conf.settings import PREFIX
 from cyclamenlift.conf.settings import split_list
 from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.numbers import read_unsigned
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.core.streams import Address
 
@@ -49,8 +50,9 @@
     >>> parse_number('7', 'base')
     <Success: 7>
     """
-    if str(text).isascii() and str(text).isdigit():
-        return Success(int(text))
+    number = read_unsigned(str(text))
+    if number is not None:
+        return Success(number)
     return Failure(flag_problem(f'{text!r} is not a whole number', flag))
 
 
--- a/cyclamenlift/console/editing.py
+++ b/cyclamenlift/console/editing.py
@@ -12,6 +12,7 @@
 from cyclamenlift.console.forms import value_from_fields
 from cyclamenlift.console.views import blank_operation
 from cyclamenlift.console.views import blank_service
+from cyclamenlift.core.numbers import read_unsigned
 from cyclamenlift.events.publish_report import FieldProblem
 from cyclamenlift.events.request_models import Publication
 from cyclamenlift.models.document import document_from_text
@@ -29,7 +30,6 @@
 # Document parts without form fields: a hidden field carries them unchanged.
 # ``source`` is left out, because an edited document differs from its source.
 KEPT_PARTS = ('routes', 'caller_limits', 'accounts')
-MAX_DIGITS = 18
 
 
 @dataclasses.dataclass(slots=True)
@@ -100,7 +100,8 @@
     def edit_rows(self) -> bool:
         """Add or remove a row; return False if ``action`` is neither."""
         verb, _, position = self.action.partition(':')
-        indexes = [int(p) for p in position.split('.') if p.isdigit()]
+        numbers = [read_unsigned(part) for part in position.split('.')]
+        indexes = [number for number in numbers if number is not None]
         services = self.value.setdefault('services', [])
         if verb == 'add-service':
             services.append(blank_service())
@@ -144,14 +145,12 @@
         field for field in fields if field[0] not in CONTROL_FIELDS
     ]
     base_version = control_values.get('base_version', '')
-    if (
-        not (base_version.isascii() and base_version.isdigit())
-        or len(base_version) > MAX_DIGITS
-    ):
+    base_number = read_unsigned(base_version)
+    if base_number is None:
         raise FormError('base_version is not a whole number')
     value = value_from_fields(document_fields)
     value.update(parse_kept_parts(control_values.get('kept_parts', '')))
-    draft = Draft(value, int(base_version))
+    draft = Draft(value, base_number)
     draft.change_id = control_values.get('change_id', '')[:128]
     draft.operator_name = control_values.get('operator_name', '')[:128]
     draft.action = control_values.get('action', '')
--- a/cyclamenlift/console/pages.py
+++ b/cyclamenlift/console/pages.py
@@ -14,6 +14,7 @@
 from cyclamenlift.console.views import blank_document
 from cyclamenlift.console.views import FormBuilder
 from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.numbers import read_unsigned
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.events.publish_report import PublishReport
 from cyclamenlift.events.reports import DocumentReport
@@ -27,7 +28,6 @@
 
 LOG = structlog.get_logger('console')
 HISTORY_LENGTH = 50
-MAX_DIGITS = 18
 # After these results the same change may be resubmitted with its change id.
 RESUBMITTABLE_CODES = (
     ResultCode.CHANGE_UNKNOWN,
@@ -90,9 +90,7 @@
 def requested_version(request) -> int:
     """Return the version in the query, 0 (the newest) if missing."""
     text = parse_query(request).get('version', '')
-    if not (text.isascii() and text.isdigit()) or len(text) > MAX_DIGITS:
-        return 0
-    return int(text)
+    return read_unsigned(text) or 0
 
 
 def show_version(control: ControlInterface, version: int) -> Deferred:
--- a/cyclamenlift/core/streams.py
+++ b/cyclamenlift/core/streams.py
@@ -16,6 +16,7 @@
 from circuits.core.components import BaseComponent
 
 from cyclamenlift.core.clock import MILLISECONDS
+from cyclamenlift.core.numbers import read_unsigned
 
 READ_SIZE = 65536
 # Bytes passed to the kernel in one call: about what it accepts at once. The
@@ -39,11 +40,12 @@
         Address(host='127.0.0.1', port=80)
         """
         host, colon, port = text.rpartition(':')
-        if not colon or not host or not port.isdigit():
+        number = read_unsigned(port)
+        if not colon or not host or number is None:
             raise ValueError(f'{text!r} is not host:port')
-        if int(port) > 65535:
+        if number > 65535:
             raise ValueError(f'{text!r} has a port over 65535')
-        return cls(host, int(port))
+        return cls(host, number)
 
     def __str__(self) -> str:
         return f'{self.host}:{self.port}'
--- a/cyclamenlift/http/client.py
+++ b/cyclamenlift/http/client.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from cyclamenlift.core.numbers import read_unsigned
 from cyclamenlift.core.streams import Address
 from cyclamenlift.core.streams import Stream
 from cyclamenlift.core.streams import StreamOwner
@@ -62,6 +63,8 @@
         self.probe_hooks: list[Callable[[], None]] = []
         # Probe connections and the deadlines for repeating them.
         self.probes: dict[Stream, float] = {}
+        # Connections that were closed because of an error here.
+        self.failed_connections = 0
 
     # -- commands ---------------------------------------------------------
 
@@ -303,6 +306,17 @@
     def complete(self, stream: Stream, call: TargetCall) -> None:
         """Finish a call whose response is complete."""
         listener = call.finish()
+        try:
+            self.settle(stream, call)
+        except Exception:
+            # The answer is whole, whatever is wrong with the connection.
+            self.failed_connections += 1
+            LOG.exception('connection_failed', target=str(self.address))
+            self.discard(stream)
+        listener.on_end()
+
+    def settle(self, stream: Stream, call: TargetCall) -> None:
+        """Keep the connection of a finished call, or close it."""
         parser = stream.context.parser
         clean = (
             parser.keep_alive
@@ -313,7 +327,6 @@
             self.release(stream)
         else:
             self.discard(stream)
-        listener.on_end()
 
     def on_drained(self, stream: Stream) -> None:
         call = stream.context.call
@@ -402,8 +415,9 @@
             continue
         for part in value.split(','):
             key, _, number = part.partition('=')
-            if key.strip().lower() == 'timeout' and number.strip().isdigit():
-                return int(number)
+            seconds = read_unsigned(number.strip())
+            if key.strip().lower() == 'timeout' and seconds is not None:
+                return seconds
     return None
 
 
--- a/cyclamenlift/http/target_reports.py
+++ b/cyclamenlift/http/target_reports.py
@@ -9,6 +9,7 @@
 import re
 
 from cyclamenlift.core.clock import MILLISECONDS
+from cyclamenlift.core.numbers import read_unsigned
 from cyclamenlift.http.dialects import Dialect
 from cyclamenlift.http.headers import find_header
 from cyclamenlift.http.headers import Headers
@@ -125,10 +126,8 @@
     >>> parse_cold_seconds('1500'), parse_cold_seconds('soon')
     (1.5, None)
     """
-    number = (text or '').strip()
-    if not (number.isascii() and number.isdigit()):
-        return None
-    return int(number) / MILLISECONDS
+    milliseconds = read_unsigned((text or '').strip())
+    return None if milliseconds is None else milliseconds / MILLISECONDS
 
 
 def parse_load(text: str | None) -> TargetLoad | None:
@@ -142,7 +141,7 @@
     parts = (text or '').split(',')
     if len(parts) < 3:
         return None
-    numbers = [part.strip() for part in parts[:4]]
-    if not all(n.isascii() and n.isdigit() for n in numbers):
+    numbers = [read_unsigned(part.strip()) for part in parts[:4]]
+    if None in numbers:
         return None
-    return TargetLoad(*(int(number) for number in numbers))
+    return TargetLoad(*numbers)
--- a/cyclamenlift/membership/digests.py
+++ b/cyclamenlift/membership/digests.py
@@ -9,6 +9,7 @@
 
 import random
 
+from cyclamenlift.core.numbers import read_unsigned
 from cyclamenlift.membership.records import fingerprint
 from cyclamenlift.membership.records import is_live
 from cyclamenlift.membership.table import BUCKETS
@@ -106,10 +107,11 @@
     result = []
     for part in text.split(','):
         name, _, hashes = part.partition(':')
-        if not name.isdecimal() or int(name) >= BUCKETS:
+        number = read_unsigned(name)
+        if number is None or number >= BUCKETS:
             continue
         known = set(split_hashes(hashes))
-        for entry in table.buckets[int(name)].values():
+        for entry in table.buckets[number].values():
             listed = short_hash(fingerprint(entry.record)) in known
             if listed != is_live(entry.record):
                 result.append(entry)
--- a/cyclamenlift/platform/operators.py
+++ b/cyclamenlift/platform/operators.py
@@ -6,6 +6,7 @@
 import structlog
 
 from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.numbers import read_unsigned
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.core.streams import Address
 from cyclamenlift.core.tasks import Scheduler
@@ -148,16 +149,16 @@
         request.send(self.evacuation_revision())
 
     def on_change(self, exchange: Exchange, path: str, body: bytes) -> None:
-        base = exchange.header(BASE_VERSION_FIELD) or ''
+        base = read_unsigned(exchange.header(BASE_VERSION_FIELD) or '')
         version = read_version(body)
-        if not (base.isascii() and base.isdigit() and len(base) <= 15):
+        if base is None:
             problem = Problem(ResultCode.BAD_REQUEST, BASE_VERSION_FIELD)
             self.refuse_change(exchange, problem)
             return
         if isinstance(version, Failure):
             self.refuse_change(exchange, version.failure())
             return
-        order = order_from(path, int(base), version.unwrap(), body)
+        order = order_from(path, base, version.unwrap(), body)
         self.orders.handle(
             order,
             exchange.remote,
--- a/cyclamenlift/runtime/control_api.py
+++ b/cyclamenlift/runtime/control_api.py
@@ -8,6 +8,7 @@
 
 from cyclamenlift.core.codes import describe
 from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.numbers import read_unsigned
 from cyclamenlift.core.problems import Problem
 from cyclamenlift.events.commands import publish
 from cyclamenlift.events.commands import replace_storage
@@ -29,8 +30,6 @@
 from cyclamenlift.http.pages import problem_response
 from cyclamenlift.http.pages import WebResponse
 
-MAX_DIGITS = 18
-
 
 class ControlApi(Controller):
     """``/api``: every answer is a JSON report with a result code."""
@@ -103,13 +102,14 @@
 ) -> Deferred | WebResponse:
     """Read a number from the query string and run a query with it."""
     text = parse_query(page.request).get(name, str(default))
-    if not (text.isascii() and text.isdigit()) or len(text) > MAX_DIGITS:
+    number = read_unsigned(text)
+    if number is None:
         detail = f'{text[:50]!r} is no whole number'
         return problem_response(Problem(ResultCode.BAD_REQUEST, detail, name))
     deferred = Deferred()
     query(
         page.context,
-        int(text),
+        number,
         lambda report: deferred.resolve(report_answer(report)),
     )
     return deferred
--- a/cyclamenlift/standins/load.py
+++ b/cyclamenlift/standins/load.py
@@ -15,6 +15,7 @@
 
 import fire
 
+from cyclamenlift.core.numbers import read_unsigned
 from cyclamenlift.standins.answers import AnswerFault
 from cyclamenlift.standins.answers import check_answer
 from cyclamenlift.standins.answers import read_first_line
@@ -199,7 +200,7 @@
             call.kind, class_without_answer, 0, 0, seconds, call.key
         )
     text = answer.headers.get(RESULT_HEADER, '')
-    code = int(text) if text.isdigit() else 0
+    code = read_unsigned(text) or 0
     record = CallRecord(
         call.kind,
         classify_answer(call, answer, code),
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -392,3 +392,37 @@
     assert call.pending > 0
     harness.target.until(lambda: listener.drained)
     assert call.pending == 0
+
+
+# Guards against a whole answer that is never passed on, and a connection that
+# is lost to the pool, because its fields can't be read.
+@pytest.mark.parametrize('value', [b'\xb2', b'9' * 5_000])
+def test_an_answer_with_an_odd_idle_timeout_is_passed_on(value):
+    limits = dataclasses.replace(LIMITS, max_header_bytes=16_384)
+    harness = build_client_harness(limits)
+    _, listener = harness.ask()
+    connection = harness.target.wait_for_requests()
+    field = b'Keep-Alive: timeout=' + value + b'\r\n'
+    connection.send(SIZED[:17] + field + WHOLE[17:])
+    harness.over(listener)
+    assert (listener.ended, listener.body) == (1, b'abc')
+    assert len(harness.client.idle) == 1
+
+
+# Guards against the same after any other error of the pool.
+def test_an_answer_is_passed_on_whatever_happens_to_its_connection(
+    monkeypatch,
+):
+    harness = build_client_harness()
+
+    def fail(_stream) -> None:
+        raise RuntimeError('planted')
+
+    monkeypatch.setattr(harness.client, 'record_idle', fail)
+    harness.client.idle.clear()
+    _, listener = harness.ask()
+    harness.target.wait_for_requests().send(WHOLE)
+    harness.over(listener)
+    assert (listener.ended, listener.body) == (1, b'abc')
+    assert harness.client.failed_connections == 1
+    assert not harness.client.streams
--- a/tests/http/test_target_answers.py
+++ b/tests/http/test_target_answers.py
@@ -59,7 +59,14 @@
 
 @pytest.mark.parametrize(
     ('value', 'seconds'),
-    [('timeout=10', 10), ('max=5, timeout=3', 3), ('timeout=x', None)],
+    [
+        ('timeout=10', 10),
+        ('max=5, timeout=3', 3),
+        ('timeout=x', None),
+        # Guards against digits that int() refuses, and that it reads.
+        ('timeout=\u00b2', None),
+        ('timeout=' + '9' * 5_000, None),
+    ],
 )
 def test_keep_alive_timeout_is_parsed(value, seconds):
     assert keep_alive_seconds([('keep-alive', value)]) == seconds
--- a/tests/http/test_target_reports.py
+++ b/tests/http/test_target_reports.py
@@ -3,6 +3,8 @@
 import pytest
 
 from cyclamenlift.http.dialects import DEFAULT_DIALECT
+from cyclamenlift.http.target_reports import parse_cold_seconds
+from cyclamenlift.http.target_reports import parse_load
 from cyclamenlift.http.target_reports import parse_report
 from cyclamenlift.http.target_reports import TargetLoad
 from cyclamenlift.http.target_reports import TargetReport
@@ -73,3 +75,10 @@
     # Guards against fields of another dialect taken for statements.
     headers = [('x-limit', '2.5'), ('x-leaving', '1')]
     assert parse_report(headers, DEFAULT_DIALECT) == TargetReport()
+
+
+# Guards against fields whose digits int() refuses to read.
+@pytest.mark.parametrize('number', ['9' * 5_000, '\u00b2', '\u0663'])
+def test_numbers_that_can_not_be_read_are_no_report(number):
+    assert parse_cold_seconds(number) is None
+    assert parse_load(f'1,0,{number}') is None
