Let an error in one call's handling end that call alone

What callers saw: one request with the method M-SEARCH closed the link between its entry and a gate, and all calls on that link, of any caller, ended with an unknown outcome.

Cause: the gate took "letters only" for a method that may be sent, and raised in place of refusing. An error in a receiver of the peer network closes the link, as for a faulty peer, whatever call it was about; at the end of one call it could also be that of the next one, which was beginning.

Change: a method is a token (RFC 9110), so whatever the parser at the entry takes passes to the target; a method that it does not know gets 501 with a number of its own (400 before), bytes that are no request 400 as before. Behind it, each step of a call at the gate and each message for a call at the entry runs within a boundary: an error is logged with the call's id and counted, and ends this call with an outcome of its own, as not run only if nothing reached the target.

--- a/cyclamenlift/calls/call.py
+++ b/cyclamenlift/calls/call.py
@@ -373,6 +373,20 @@
         code = self.state.final_code()
         self.give_up(Problem(code, '', '', '', self.state.retry_after_ms))
 
+    def fail(self) -> None:
+        """End the call after an error in its handling here.
+
+        A target may have run it. If what it answered can't be passed on, the
+        caller gets an error in its place, or a broken connection.
+        """
+        if self.answered:
+            return
+        self.tries.cancel(Outcome.CANCELLED)
+        if self.relay is not None:
+            self.abort_relay()
+        else:
+            self.give_up(Problem(ResultCode.BAD_TARGET_ANSWER))
+
     def on_deadline(self) -> None:
         if self.answered:
             return
--- a/cyclamenlift/calls/tasks.py
+++ b/cyclamenlift/calls/tasks.py
@@ -144,6 +144,8 @@
         self.parent_of: Callable[[str], Parent | None] = lambda _id: None
         self.account_limits: PassageLimits = NoLimits()
         self.keys_refused = 0
+        # Calls that were ended by an error in their handling here.
+        self.failed_calls = 0
         # Returns whether the client accounts known here still hold.
         self.accounts_hold: Callable[[], bool] = lambda: True
 
@@ -406,6 +408,18 @@
             return None
         return call, attempt
 
+    def run_step(self, call: Call, step: Callable, *arguments) -> None:
+        """Run a step of a call; an error ends this call alone.
+
+        The link carries the calls of other callers as well.
+        """
+        try:
+            step(*arguments)
+        except Exception:
+            self.failed_calls += 1
+            LOG.exception('call_failed', call_id=call.request.call_id)
+            call.fail()
+
     def note_work(self, call: Call, answer: AnswerStart) -> None:
         """Learn a route's usual service time from an answer."""
         route = call.request.route_name
@@ -446,26 +460,27 @@
         if found is not None:
             call, attempt = found
             self.note_work(call, answer)
-            call.on_answer_start(attempt, answer)
+            self.run_step(call, call.on_answer_start, attempt, answer)
             self.note_answer_load(call, attempt, answer.load)
 
     def on_body_chunk(self, link, chunk: BodyChunk) -> None:
         found = self.find(link, chunk.call_id)
         if found is not None:
             call, attempt = found
-            call.on_answer_body(attempt, chunk)
+            self.run_step(call, call.on_answer_body, attempt, chunk)
 
     def on_credit(self, link, credit: Credit) -> None:
         found = self.find(link, credit.call_id)
         if found is not None:
-            found[1].add_credit(credit.bytes_allowed)
+            call, attempt = found
+            self.run_step(call, attempt.add_credit, credit.bytes_allowed)
 
     def on_refused(self, link, refused: Refused) -> None:
         found = self.find(link, refused.call_id)
         if found is not None:
             call, attempt = found
             self.note_load(call, attempt, refused.load)
-            call.on_refused(attempt, refused)
+            self.run_step(call, call.on_refused, attempt, refused)
 
     def on_broken(self, link, broken: Broken) -> None:
         if broken.end is not None:
@@ -475,13 +490,13 @@
         if found is not None:
             call, attempt = found
             self.note_load(call, attempt, broken.load)
-            call.on_broken(attempt, broken)
+            self.run_step(call, call.on_broken, attempt, broken)
 
     def on_cancelled(self, link, cancelled: Cancelled) -> None:
         found = self.find(link, cancelled.call_id)
         if found is not None:
             call, attempt = found
-            call.on_cancelled(attempt, cancelled)
+            self.run_step(call, call.on_cancelled, attempt, cancelled)
 
     def on_probe_answer(self, _link, answer: ProbeAnswer) -> None:
         probe = self.probes.pop(answer.probe_id, None)
--- a/cyclamenlift/core/codes.py
+++ b/cyclamenlift/core/codes.py
@@ -41,6 +41,7 @@
     ACCOUNT_IN_DOUBT = 2021
     PARENT_UNKNOWN = 2022
     ACCOUNTS_STALE = 2023
+    GATE_FAILED = 2024
 
     TARGET_BROKE_OFF = 3000
     PEER_LOST = 3001
@@ -70,6 +71,7 @@
     ACCOUNT_KEY_MISSING = 4015
     ACCOUNT_KEY_UNKNOWN = 4016
     ACCOUNT_KEY_REPEATED = 4017
+    METHOD_UNKNOWN = 4018
 
     CHANGE_ACCEPTED = 5000
     VERSION_CONFLICT = 5001
@@ -207,6 +209,11 @@
         'no control instance has confirmed the client accounts lately',
         _RETRY,
     ),
+    ResultCode.GATE_FAILED: (
+        503,
+        'the gate could not handle the call, which has not run',
+        _RETRY,
+    ),
     ResultCode.EVACUATED: (
         503,
         'the only targets left are in an evacuated data centre',
@@ -315,6 +322,11 @@
         'more than one key, or an empty one',
         _CORRECT,
     ),
+    ResultCode.METHOD_UNKNOWN: (
+        501,
+        'the method is not implemented',
+        _CORRECT,
+    ),
     ResultCode.CHANGE_ACCEPTED: (200, 'change accepted', 'Nothing to do.'),
     ResultCode.VERSION_CONFLICT: (
         409,
--- a/cyclamenlift/core/metrics.py
+++ b/cyclamenlift/core/metrics.py
@@ -83,6 +83,12 @@
         '{call}',
         'calls that entered here and are not yet answered',
     ),
+    MetricInfo(
+        'cyclamenlift.calls.errors',
+        MetricKind.COUNTER,
+        '{call}',
+        'calls that an error of this entry ended',
+    ),
     MetricInfo(
         'cyclamenlift.gate.refused',
         MetricKind.COUNTER,
@@ -95,6 +101,12 @@
         '{call}',
         'calls that this gate sent to the local target',
     ),
+    MetricInfo(
+        'cyclamenlift.gate.errors',
+        MetricKind.COUNTER,
+        '{error}',
+        'calls and connections that an error of this gate ended',
+    ),
     MetricInfo(
         'cyclamenlift.gate.target_limit',
         MetricKind.GAUGE,
--- a/cyclamenlift/gate/admission_control.py
+++ b/cyclamenlift/gate/admission_control.py
@@ -8,6 +8,7 @@
 
 from cyclamenlift.core.clock import MICROSECONDS
 from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.gate.call_boundary import run_step
 from cyclamenlift.gate.decision_log import log_hold
 from cyclamenlift.gate.state import Admission
 from cyclamenlift.gate.state import DequeueResult
@@ -44,7 +45,7 @@
         gate = self.gate
         if self.needs_pace_query(call, gate.now()):
             if gate.pace_queries.defer(
-                call.key, lambda: resume(call, gate.now())
+                call.key, lambda: run_step(call, resume, call, gate.now())
             ):
                 return
         resume(call, gate.now())
--- a/cyclamenlift/gate/gate_call.py
+++ b/cyclamenlift/gate/gate_call.py
@@ -13,6 +13,7 @@
 from cyclamenlift.gate.admission import AdmissionRequest
 from cyclamenlift.gate.admission import retry_after_refusal
 from cyclamenlift.gate.answer_transfers import ANSWER_WINDOW
+from cyclamenlift.gate.call_boundary import run_step
 from cyclamenlift.gate.decision_log import log_refusal
 from cyclamenlift.gate.decision_log import log_slots_chosen
 from cyclamenlift.gate.decision_log import log_unknown_outcome
@@ -74,6 +75,8 @@
         self.nested_since = 0.0
         self.nested_seconds = 0.0
         self.ended = False
+        # Whether the entry has been sent an outcome, or all of an answer.
+        self.outcome_sent = False
         self.body: list[bytes] = [start.body] if start.body else []
         self.body_received = start.body_complete
         self.is_buffering = False
@@ -280,6 +283,10 @@
         return self.gate.answer_transfers.small_answer(self, INLINE_ANSWER)
 
     def on_end(self) -> None:
+        run_step(self, self.end)
+
+    def end(self) -> None:
+        """Pass the end of the answer on and give the slot back."""
         seconds = self.gate.now() - self.started_at
         if self.verdict is not AnswerVerdict.ANSWER:
             self.end_without_answer()
@@ -296,7 +303,9 @@
             self.finish_streaming()
             return
         body = b''.join(self.answer)
-        self.link.send(self.head(body, True, seconds))
+        message = self.head(body, True, seconds)
+        self.outcome_sent = True
+        self.link.send(message)
         if not self.is_local:
             self.gate.answer_transfers.note_small_answer(len(body))
 
@@ -389,6 +398,7 @@
 
     def finish_streaming(self) -> None:
         """Send the end of a large answer, after all of it."""
+        self.outcome_sent = True
         if self.gate.answer_transfers.takes_turns(self):
             self.gate.answer_transfers.finish(self)
         else:
@@ -399,6 +409,7 @@
     ) -> None:
         """Report that the call did not run: nothing reached the target."""
         self.gate.refused += 1
+        self.outcome_sent = True
         log_refusal(self.gate, self, code, detail, wait)
         message = Refused(
             call_id=self.start.call_id,
@@ -416,6 +427,7 @@
         end: EndReport | None = None,
     ) -> None:
         """Report that the call may have run, and a target's end if known."""
+        self.outcome_sent = True
         log_unknown_outcome(self.gate, self, code, detail)
         message = Broken(
             call_id=self.start.call_id,
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -15,6 +15,7 @@
 from cyclamenlift.gate.announcements import Announcements
 from cyclamenlift.gate.answer_transfers import AnswerTransfers
 from cyclamenlift.gate.body_transfers import BodyTransfers
+from cyclamenlift.gate.call_boundary import run_step
 from cyclamenlift.gate.cold_start import ColdRate
 from cyclamenlift.gate.cold_start import NO_LIMIT
 from cyclamenlift.gate.gate_call import GateCall
@@ -94,6 +95,8 @@
         self.refused = 0
         # Calls sent to the target since the start.
         self.sent = 0
+        # Calls that were ended by an error in their handling here.
+        self.failed_calls = 0
         # Whether nothing may be sent to the target, as its data centre is
         # evacuated.
         self.evacuated = False
@@ -359,7 +362,7 @@
         call.timer = self.scheduler.at(
             call.deadline, lambda: self.on_deadline(call)
         )
-        self.admission_control.admit_new(call)
+        run_step(call, self.admission_control.admit_new, call)
 
     def transit_delay(self, link, start: CallStart) -> float:
         """Return a call's transit delay; 0 if its sender gave no timestamp."""
@@ -373,12 +376,12 @@
     def on_body_chunk(self, link, chunk: BodyChunk) -> None:
         call = self.calls.get((link.number, chunk.call_id))
         if call is not None:
-            call.receive_body(chunk.data, chunk.last)
+            run_step(call, call.receive_body, chunk.data, chunk.last)
 
     def on_credit(self, link, credit: Credit) -> None:
         call = self.calls.get((link.number, credit.call_id))
         if call is not None:
-            call.add_credit(credit.bytes_allowed)
+            run_step(call, call.add_credit, credit.bytes_allowed)
 
     def on_cancel(self, link, cancel: Cancel) -> None:
         """Confirm a cancellation; only an unsent call is proven not run."""
@@ -454,7 +457,7 @@
         for key in result.started:
             call = self.calls.get(key)
             if call is not None:
-                call.begin(self.now())
+                run_step(call, call.begin, self.now())
         self.admission_control.start_when_allowed()
 
     def check_idle(self) -> None:
--- a/cyclamenlift/http/request_parser.py
+++ b/cyclamenlift/http/request_parser.py
@@ -10,6 +10,7 @@
 import re
 
 from httptools import HttpParserError
+from httptools import HttpParserInvalidMethodError
 from httptools import HttpParserUpgrade
 from httptools import HttpRequestParser
 
@@ -19,6 +20,7 @@
 from cyclamenlift.http.limits import HttpLimits
 
 HOST_PATTERN = re.compile(r'[A-Za-z0-9._~:\[\]-]*')
+REQUEST_LINE_PATTERN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+ \S+ HTTP/1")
 FIELD_OVERHEAD = len(': \r\n')
 VERSIONS = {'1.1': 1, '1.0': 0}
 
@@ -97,10 +99,10 @@
         except HttpParserUpgrade:
             self.stopped = True
         except HttpParserError as error:
-            self.stop_on_error(error)
+            self.stop_on_error(error, data)
         self.limit_unparsed(len(data))
 
-    def stop_on_error(self, error: HttpParserError) -> None:
+    def stop_on_error(self, error: HttpParserError, data: bytes) -> None:
         """Record a parser error unless parsing has already stopped."""
         if self.stopped:
             return
@@ -108,6 +110,8 @@
         cause = error.__context__
         if isinstance(cause, RequestRejected):
             self.problem = cause.problem
+        elif is_unknown_method(error, data):
+            self.problem = Problem(ResultCode.METHOD_UNKNOWN, str(error))
         else:
             self.problem = Problem(ResultCode.BAD_FRAMING, str(error))
 
@@ -238,6 +242,17 @@
         return length
 
 
+def is_unknown_method(error: HttpParserError, data: bytes) -> bool:
+    """Return whether a request line failed for a method that is a token.
+
+    llhttp knows the methods that are registered, and has the same error for
+    bytes that are no request. A token that came in pieces counts as such.
+    """
+    if not isinstance(error, HttpParserInvalidMethodError):
+        return False
+    return REQUEST_LINE_PATTERN.match(data) is not None
+
+
 def reject(detail: str) -> None:
     """Raise RequestRejected for invalid framing."""
     raise RequestRejected(ResultCode.BAD_FRAMING, detail)
--- a/cyclamenlift/http/target.py
+++ b/cyclamenlift/http/target.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import re
 from typing import Protocol
 
 from cyclamenlift.http.headers import FRAMING
@@ -9,6 +10,8 @@
 from cyclamenlift.http.headers import Headers
 from cyclamenlift.http.headers import render_head
 
+# A method is a token (RFC 9110, section 5.6.2).
+METHOD_PATTERN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 REPLACED_FIELDS = FRAMING | {'expect'}
 
 
@@ -35,7 +38,9 @@
         >>> TargetRequest('GET', '/', [('host', 'a')]).head()
         b'GET / HTTP/1.1\\r\\nhost: a\\r\\n\\r\\n'
         """
-        if not self.method.isalpha() or ' ' in self.path or not self.path:
+        if METHOD_PATTERN.fullmatch(self.method) is None:
+            raise HeaderError('the method is no token')
+        if ' ' in self.path or not self.path:
             raise HeaderError('the request line is malformed')
         fields = [
             field for field in self.headers if field[0] not in REPLACED_FIELDS
--- a/cyclamenlift/runtime/call_metrics.py
+++ b/cyclamenlift/runtime/call_metrics.py
@@ -83,6 +83,9 @@
             'cyclamenlift.requests.quarantined',
             lambda: quarantined(state.history, state.now()),
         )
+        self.metrics.watch(
+            'cyclamenlift.calls.errors', lambda: node.calls.failed_calls
+        )
         if node.gate is not None:
             self.watch_gate(node.gate)
 
@@ -111,6 +114,10 @@
         watch = self.metrics.watch
         watch('cyclamenlift.gate.refused', lambda: gate.refused)
         watch('cyclamenlift.gate.sent', lambda: gate.sent)
+        watch(
+            'cyclamenlift.gate.errors',
+            lambda: gate.failed_calls + gate.client.failed_connections,
+        )
         watch(
             'cyclamenlift.gate.target_limit',
             lambda: limit_figure(
--- a/tests/http/test_border.py
+++ b/tests/http/test_border.py
@@ -17,6 +17,7 @@
 FRAMING = (400, 4007)
 SIZE = (431, 4006)
 BODY = (413, 4005)
+METHOD_UNKNOWN = (501, 4018)
 FIELDS = {'code', 'title', 'detail', 'run', 'hint', 'retry_after_ms'}
 
 
@@ -152,7 +153,9 @@
     refused('bad first line', UNNUMBERED, b'HELLO\r\n\r\n'),
     refused('no version', UNNUMBERED, b'GET /\r\n\r\n'),
     refused('unknown version', SILENT, get(line='GET / HTTP/2.0')),
-    refused('unknown method', ACCEPTED, get(line='FOO / HTTP/1.1')),
+    refused(
+        'unknown method', ACCEPTED, get(line='FOO / HTTP/1.1'), METHOD_UNKNOWN
+    ),
     refused('bare LF', SILENT, b'GET / HTTP/1.1\nHost: a\n\n'),
     refused(
         'bare LF in the head',
