--- a/review/7/case.py
+++ b/review/7/case.py
@@ -25,6 +25,8 @@
 # The time of day jumps back by 2,400 ms, the dose of the site files.
 STEP_MS = 2400
 DRAIN_SECONDS = 2.0
+# ``stability_window``: so long after the jump a machine is not in touch.
+STABLE_SECONDS = 3.0
 READY_SECONDS = 20.0
 # How long the upstream is down and up: it goes down and up each second.
 DOWN_SECONDS = 0.4
@@ -132,6 +134,7 @@
     await second.end()
     await asyncio.sleep(DOWN_SECONDS)
     step_ms = STEP_MS if TROUBLE else 0
+    stepped_at = time.monotonic()
     again = restarted(second, clock_ms() - step_ms)
     await again.start()
     await asyncio.sleep(2.0)
@@ -145,6 +148,7 @@
         (moment, attempt)
         for moment, attempt, _ in again.ran
         if moment > confirmed_at + DRAIN_SECONDS
+        and moment > stepped_at + STABLE_SECONDS
     ]
     for moment, attempt in late:
         record.write(
