Log how a control instance catches up after it lost its disk

The logs did not tell whether the entries arrive late, are synced late or are applied late, nor when an empty storage counts again.

New lines: voters_changed (each voter set, and whether this storage counts), entries_applied (a run that held the event loop for 0.1 s or longer), snapshot_taken and snapshot_installed (index and bytes).

--- a/cyclamenlift/replication/effect_handlers.py
+++ b/cyclamenlift/replication/effect_handlers.py
@@ -20,6 +20,9 @@
 
 LOG = structlog.get_logger('replication')
 EFFECT_HANDLERS: Registry = Registry('effect')
+# Applying a run of entries is logged from this duration on, in seconds: the
+# event loop answers nothing meanwhile.
+SLOW_APPLY_SECONDS = 0.1
 
 
 @EFFECT_HANDLERS.register('Send')
@@ -32,6 +35,7 @@
 @EFFECT_HANDLERS.register('Apply')
 def apply(replica: 'Replica', effect: Apply) -> None:
     """Apply committed commands and answer their proposers."""
+    began = replica.now()
     for entry in effect.entries:
         answer = b''
         if entry.kind == KIND_COMMAND:
@@ -40,17 +44,37 @@
             )
         replica.applied_index = entry.index
         replica.pending.finish_entry(entry, answer)
+    seconds = replica.now() - began
+    if seconds >= SLOW_APPLY_SECONDS:
+        LOG.info(
+            'entries_applied',
+            count=len(effect.entries),
+            index=replica.applied_index,
+            seconds=round(seconds, 3),
+        )
 
 
 @EFFECT_HANDLERS.register('TakeSnapshot')
 def take_snapshot(replica: 'Replica', effect: TakeSnapshot) -> None:
+    began = replica.now()
     data = replica.machine.snapshot()
     snapshot_taken(replica.state, effect.index, data)
+    LOG.info(
+        'snapshot_taken',
+        index=effect.index,
+        bytes=len(data),
+        seconds=round(replica.now() - began, 3),
+    )
 
 
 @EFFECT_HANDLERS.register('RestoreMachine')
 def restore(replica: 'Replica', effect: RestoreMachine) -> None:
     restore_machine(replica, effect.snapshot)
+    LOG.info(
+        'snapshot_installed',
+        index=effect.snapshot.index,
+        bytes=len(effect.snapshot.data),
+    )
 
 
 def restore_machine(replica: 'Replica', snapshot: Snapshot) -> None:
--- a/cyclamenlift/replication/tasks.py
+++ b/cyclamenlift/replication/tasks.py
@@ -96,6 +96,7 @@
         self.pending = PendingOperations()
         self.initial_machine_state = b''
         self.reported_leader = ''
+        self.reported_voters_index = 0
         # Called with the name of each new leader, '' if there is none.
         self.leader_hooks: list[Callable[[str], None]] = []
         self.register(root)
@@ -414,6 +415,22 @@
         finally:
             self.handling = False
         self.notify_leader_change()
+        self.log_voters_change()
+
+    def log_voters_change(self) -> None:
+        """Log the newest voter set in the log when it has changed."""
+        latest = self.state.voters.latest
+        index = latest.index if latest else 0
+        if index == self.reported_voters_index:
+            return
+        self.reported_voters_index = index
+        LOG.info(
+            'voters_changed',
+            index=index,
+            final=latest is not None and latest.final,
+            voters=dict(latest.storage_ids) if latest else {},
+            counts=self.state.may_vote,
+        )
 
     def notify_leader_change(self) -> None:
         if self.leader != self.reported_leader:
