Bound what an empty disk has to apply by bytes, and answer meanwhile

Every read and order got 503 for good; what was acknowledged was gone.

Cause: a storage counts once it holds all committed entries, and an empty one got them from the first on. All entries of a batch were applied in one turn of the event loop, so the instance stored and acknowledged nothing meanwhile. A repair took 28 ms for each change ever made.

--- a/cyclamenlift/conf/settings.py
+++ b/cyclamenlift/conf/settings.py
@@ -306,6 +306,11 @@
     snapshot_entries: int = pydantic.Field(
         5_000, ge=10, description='number of log entries between snapshots'
     )
+    snapshot_bytes: int = pydantic.Field(
+        512 * 1024,
+        ge=4096,
+        description='bytes of log entries between snapshots',
+    )
     recorded_answer_bytes: int = pydantic.Field(
         16 * 1024,
         ge=0,
--- a/cyclamenlift/events/state.py
+++ b/cyclamenlift/events/state.py
@@ -20,12 +20,16 @@
 from cyclamenlift.models.document import document_from_bytes
 from cyclamenlift.models.document import EventDocument
 from cyclamenlift.models.document import MAX_CANONICAL_BYTES
+from cyclamenlift.models.rules import end_unix_ms
 from cyclamenlift.models.rules import EventRules
 from cyclamenlift.models.rules import rules_from_document
 
 CHANGE_IDS_KEPT = 4096
 VERSIONS_KEPT = 4096
 DOCUMENTS_KEPT = 64
+# Most bytes of the compressed documents that are kept; the current one is
+# kept whatever its size. Bounds memory and the size of a snapshot.
+DOCUMENT_BYTES_KEPT = 1024 * 1024
 MAX_ID_LENGTH = 128
 BYTES_AS_BASE64 = pydantic.ConfigDict(
     ser_json_bytes='base64', val_json_bytes='base64'
@@ -125,10 +129,11 @@
 class EventStore:
     """Holds the current document, the version history and known change ids.
 
-    Documents are kept for the last ``DOCUMENTS_KEPT`` versions; version
-    records and the outcomes of change ids for the last 4,096. These limits are
-    constants rather than settings because instances with different limits
-    would return different outcomes.
+    Documents are kept for the last ``DOCUMENTS_KEPT`` versions, and for fewer
+    if they take over ``DOCUMENT_BYTES_KEPT``; version records and the
+    outcomes of change ids for the last 4,096. The limits of what outcomes
+    depend on are constants rather than settings because instances with
+    different limits would return different outcomes.
     """
 
     def __init__(self) -> None:
@@ -140,7 +145,7 @@
         # Compressed documents by version: 64 large uncompressed ones would
         # take tens of megabytes.
         self.documents: dict[int, bytes] = {}
-        self.rules: EventRules | None = None
+        self.ends_at_unix_ms = 0
 
     # -- commands ---------------------------------------------------------
 
@@ -232,9 +237,16 @@
         self.version = record.version
         self.versions.append(record)
         self.documents[record.version] = compress(document)
-        while len(self.documents) > DOCUMENTS_KEPT:
-            del self.documents[next(iter(self.documents))]
-        self.rules = rules_from_document(parsed, record.version)
+        self.evict_documents()
+        self.ends_at_unix_ms = end_unix_ms(parsed)
+
+    def evict_documents(self) -> None:
+        """Evict the oldest documents, but never the current one."""
+        size = sum(len(packed) for packed in self.documents.values())
+        while len(self.documents) > 1 and (
+            len(self.documents) > DOCUMENTS_KEPT or size > DOCUMENT_BYTES_KEPT
+        ):
+            size -= len(self.documents.pop(next(iter(self.documents))))
 
     def record_change(self, record: ChangeRecord) -> None:
         """Record the outcome of a change id and evict the oldest ones."""
@@ -263,7 +275,18 @@
 
     def ends_unix_ms(self) -> int:
         """Return when the current event ends, 0 without a document."""
-        return self.rules.ends_unix_ms if self.rules else 0
+        return self.ends_at_unix_ms
+
+    @property
+    def rules(self) -> EventRules | None:
+        """The rules of the current document, None without one.
+
+        They are made anew by each call, as control routes no calls.
+        """
+        current = self.document()
+        if current is None:
+            return None
+        return rules_from_document(document_from_bytes(current), self.version)
 
     # -- snapshots --------------------------------------------------------
 
@@ -290,9 +313,8 @@
             k.version: k.document if k.packed else compress(k.document)
             for k in state.documents
         }
+        self.evict_documents()
         current = self.document()
-        self.rules = None
+        self.ends_at_unix_ms = 0
         if current is not None:
-            self.rules = rules_from_document(
-                document_from_bytes(current), self.version
-            )
+            self.ends_at_unix_ms = end_unix_ms(document_from_bytes(current))
--- a/cyclamenlift/models/rules.py
+++ b/cyclamenlift/models/rules.py
@@ -167,7 +167,7 @@
         version=version,
         event=document.event,
         starts_unix_ms=int(document.starts_at.timestamp() * MILLISECONDS),
-        ends_unix_ms=int(document.ends_at.timestamp() * MILLISECONDS),
+        ends_unix_ms=end_unix_ms(document),
         services={s.name: rule_from_service(s) for s in document.services},
         routes=route_table(document.routes),
         caller_limits=limits_from_model(document.caller_limits),
@@ -175,6 +175,11 @@
     )
 
 
+def end_unix_ms(document: EventDocument) -> int:
+    """Return when the event ends."""
+    return int(document.ends_at.timestamp() * MILLISECONDS)
+
+
 def route_table(routes: tuple[RouteModel, ...]) -> RouteTable | None:
     """Return the table of a document's routes, None without routes."""
     if not routes:
--- a/cyclamenlift/replication/commits.py
+++ b/cyclamenlift/replication/commits.py
@@ -6,9 +6,12 @@
 from cyclamenlift.replication.snapshots import Snapshot
 from cyclamenlift.replication.state import ReplicaState
 
-# ``snapshot_entries`` divided by this is the number of covered entries that
-# stay in the in-memory log.
+# The limits between snapshots divided by this are the limits of the covered
+# entries that stay in the in-memory log.
 KEPT_LOG_DIVISOR = 4
+# A snapshot is due only after commands of its size divided by this, so that
+# writing large ones takes a bounded part of all that is written.
+SNAPSHOT_SIZE_DIVISOR = 4
 
 
 def may_commit(state: ReplicaState, index: int) -> bool:
@@ -58,23 +61,39 @@
     """Apply the entries up to ``index`` and take a snapshot when due."""
     entries = state.log.between(state.commit_index, index)
     state.commit_index = index
+    state.uncovered_bytes += sum(len(entry.command) for entry in entries)
     state.outbox.add(Apply(tuple(entries)))
-    entries_since_snapshot = index - state.snapshot_index
-    if (
-        entries_since_snapshot >= state.limits.snapshot_entries
-        and not state.snapshot_writes
-    ):
+    if is_snapshot_due(state):
+        state.snapshot_requested = True
         state.outbox.add(TakeSnapshot(index))
 
 
+def is_snapshot_due(state: ReplicaState) -> bool:
+    """Return whether enough was committed since the last snapshot.
+
+    Both limits bound how long it takes to apply what no snapshot covers,
+    after a restart or on an empty disk.
+    """
+    if state.snapshot_requested or state.snapshot_writes:
+        return False
+    entries = state.commit_index - state.snapshot_index
+    if entries >= state.limits.snapshot_entries:
+        return True
+    size = len(state.snapshot.data) if state.snapshot else 0
+    return state.uncovered_bytes >= max(
+        state.limits.snapshot_bytes, size // SNAPSHOT_SIZE_DIVISOR
+    )
+
+
 def snapshot_taken(state: ReplicaState, index: int, data: bytes) -> None:
     """Persist the state machine's state at ``index``.
 
     Everything in a snapshot is committed, so its configuration is final.
 
     Call this while handling the ``TakeSnapshot`` effect: no later entry
-    may have been applied.
+    may have been applied, but later ones may have been committed.
     """
+    state.snapshot_requested = False
     if state.snapshot_writes or index <= state.log.base_index:
         return
     configuration = state.voters.at(index)
@@ -87,10 +106,11 @@
     )
     ticket = state.outbox.next_ticket()
     state.snapshot_writes[ticket] = snapshot
+    state.uncovered_bytes = state.log.bytes_between(index, state.commit_index)
     state.outbox.add(PersistSnapshot(ticket, snapshot, keep_log=True))
 
 
-def snapshots_synced(state: ReplicaState, ticket: int) -> None:
+def snapshots_synced(state: ReplicaState, ticket: int, now: float) -> None:
     """Compact the in-memory log after a snapshot is synced.
 
     Some covered entries are kept, so that an instance that lags slightly
@@ -101,5 +121,25 @@
         if snapshot.index <= state.snapshot_index:
             continue
         state.snapshot = snapshot
-        kept = state.limits.snapshot_entries // KEPT_LOG_DIVISOR
-        state.log.compact(snapshot.index - kept)
+        state.log.compact(last_index_to_drop(state, now))
+
+
+def last_index_to_drop(state: ReplicaState, now: float) -> int:
+    """Return up to which entry the in-memory log is no longer needed.
+
+    An instance that is receiving a snapshot needs the entries after it.
+    """
+    limits = state.limits
+    start = state.log.start_of_tail(
+        state.snapshot_index,
+        limits.snapshot_entries // KEPT_LOG_DIVISOR,
+        limits.snapshot_bytes // KEPT_LOG_DIVISOR,
+    )
+    if state.leadership is None:
+        return start
+    sending = [
+        progress.transfer.snapshot.index
+        for progress in state.leadership.progress.values()
+        if progress.transfer and progress.is_reachable(now, limits.election)
+    ]
+    return min([start, *sending])
--- a/cyclamenlift/replication/effect_handlers.py
+++ b/cyclamenlift/replication/effect_handlers.py
@@ -6,7 +6,6 @@
 
 from cyclamenlift.core.registry import Registry
 from cyclamenlift.replication.commits import snapshot_taken
-from cyclamenlift.replication.effects import Apply
 from cyclamenlift.replication.effects import LeadershipLost
 from cyclamenlift.replication.effects import ReadReady
 from cyclamenlift.replication.effects import RestoreMachine
@@ -14,15 +13,13 @@
 from cyclamenlift.replication.effects import TakeSnapshot
 from cyclamenlift.replication.log import KIND_COMMAND
 from cyclamenlift.replication.snapshots import Snapshot
+from cyclamenlift.wire.gen.protocol.ttypes import LogEntry
 
 if TYPE_CHECKING:
     from cyclamenlift.replication.tasks import Replica
 
 LOG = structlog.get_logger('replication')
 EFFECT_HANDLERS: Registry = Registry('effect')
-# Applying a run of entries is logged from this duration on, in seconds: the
-# event loop answers nothing meanwhile.
-SLOW_APPLY_SECONDS = 0.1
 
 
 @EFFECT_HANDLERS.register('Send')
@@ -32,26 +29,15 @@
         replica.network.send(address, effect.message)
 
 
-@EFFECT_HANDLERS.register('Apply')
-def apply(replica: 'Replica', effect: Apply) -> None:
-    """Apply committed commands and answer their proposers."""
-    began = replica.now()
-    for entry in effect.entries:
-        answer = b''
-        if entry.kind == KIND_COMMAND:
-            answer = replica.machine.apply(
-                entry.index, entry.stamp_unix_ms, entry.command
-            )
-        replica.applied_index = entry.index
-        replica.pending.finish_entry(entry, answer)
-    seconds = replica.now() - began
-    if seconds >= SLOW_APPLY_SECONDS:
-        LOG.info(
-            'entries_applied',
-            count=len(effect.entries),
-            index=replica.applied_index,
-            seconds=round(seconds, 3),
+def apply_entry(replica: 'Replica', entry: LogEntry) -> None:
+    """Apply a committed entry and answer its proposer."""
+    answer = b''
+    if entry.kind == KIND_COMMAND:
+        answer = replica.machine.apply(
+            entry.index, entry.stamp_unix_ms, entry.command
         )
+    replica.applied_index = entry.index
+    replica.pending.finish_entry(entry, answer)
 
 
 @EFFECT_HANDLERS.register('TakeSnapshot')
--- a/cyclamenlift/replication/inputs.py
+++ b/cyclamenlift/replication/inputs.py
@@ -34,7 +34,7 @@
     """Process the completion of all writes up to ``ticket``."""
     state.log.synced(ticket)
     state.outbox.synced(ticket)
-    snapshots_synced(state, ticket)
+    snapshots_synced(state, ticket, now)
     vote_synced(state, ticket, now)
     if state.leadership is not None:
         advance_commit(state)
--- a/cyclamenlift/replication/installing.py
+++ b/cyclamenlift/replication/installing.py
@@ -69,6 +69,7 @@
     state.refresh_peers()
     state.snapshot = snapshot
     state.commit_index = snapshot.index
+    state.uncovered_bytes = 0
     state.last_stamp = max(state.last_stamp, snapshot.stamp_unix_ms)
     state.outbox.add(PersistSnapshot(ticket, snapshot, keep_log))
     state.outbox.add(RestoreMachine(snapshot))
--- a/cyclamenlift/replication/log.py
+++ b/cyclamenlift/replication/log.py
@@ -60,6 +60,23 @@
         start = after - self.base_index
         return self.entries[start : last - self.base_index]
 
+    def bytes_between(self, after: int, last: int) -> int:
+        """Return the size of the commands after ``after`` up to ``last``."""
+        return sum(len(e.command) for e in self.between(after, last))
+
+    def start_of_tail(self, last: int, limit: int, size: int) -> int:
+        """Return the index after which the entries up to ``last`` are few.
+
+        They are at most ``limit``, with commands of ``size`` bytes at most.
+        """
+        index = last
+        while index > max(self.base_index, last - limit):
+            size -= len(self.entries[index - self.base_index - 1].command)
+            if size < 0:
+                break
+            index -= 1
+        return index
+
     def first_of_term(self, index: int) -> int:
         """Return the first known index of the term of entry ``index``."""
         term = self.term_at(index)
--- a/cyclamenlift/replication/progress.py
+++ b/cyclamenlift/replication/progress.py
@@ -38,6 +38,10 @@
         """Return whether entries or a snapshot chunk may be sent now."""
         return self.retry_at is None and not self.probing
 
+    def is_reachable(self, now: float, election: float) -> bool:
+        """Return whether the instance answered within ``election`` s."""
+        return now - self.contact_at < election
+
     def reset_on_new_storage(self, storage_id: str, next_index: int) -> None:
         """Reset the progress if the instance has a different storage."""
         if storage_id == self.storage_id:
--- a/cyclamenlift/replication/queries.py
+++ b/cyclamenlift/replication/queries.py
@@ -121,7 +121,7 @@
         progress = state.leadership.progress[name]
         storage_id = progress.storage_id
         match_index = progress.match_index
-        reachable = now - progress.contact_at < state.limits.election
+        reachable = progress.is_reachable(now, state.limits.election)
     voter_storage_id = voters.storage_ids.get(name, '') if voters else ''
     counts = bool(voters) and voters.final and storage_id == voter_storage_id
     return InstanceStatus(
--- a/cyclamenlift/replication/settings.py
+++ b/cyclamenlift/replication/settings.py
@@ -4,6 +4,7 @@
 import pathlib
 
 from cyclamenlift.core.streams import Address
+from cyclamenlift.replication.state import SNAPSHOT_BYTES
 
 ELECTION_MS = 600
 HEARTBEAT_MS = 100
@@ -20,8 +21,10 @@
     in forming a new cluster, which needs every instance; it has no effect
     in an established one. An instance that is not a ``founder`` waits until
     the leader adds it. With ``wanted_voters`` above 0 the leader adds,
-    replaces and removes voters by itself, down to that number.
-    ``own_address`` is the address at which peers reach this instance.
+    replaces and removes voters by itself, down to that number. A snapshot is
+    taken after ``snapshot_entries`` entries or ``snapshot_bytes`` bytes of
+    commands. ``own_address`` is the address at which peers reach this
+    instance.
     """
 
     instance: str
@@ -30,6 +33,7 @@
     election_ms: int = ELECTION_MS
     heartbeat_ms: int = HEARTBEAT_MS
     snapshot_entries: int = SNAPSHOT_ENTRIES
+    snapshot_bytes: int = SNAPSHOT_BYTES
     bootstrap: bool = False
     founder: bool = True
     own_address: str = ''
--- a/cyclamenlift/replication/state.py
+++ b/cyclamenlift/replication/state.py
@@ -26,6 +26,9 @@
 
 MAX_BATCH_ENTRIES = 1024
 MAX_BATCH_BYTES = 1024 * 1024
+# Bytes of commands between snapshots. Applying them again has to take far
+# less than the 4 s in which an instance with an empty disk catches up.
+SNAPSHOT_BYTES = 512 * 1024
 # How long a replica that restarted with a log waits for a leader before it
 # starts a pre-vote, as a fraction of the election timeout: long enough for
 # a heartbeat of an existing leader, and for the two rounds of messages and
@@ -49,6 +52,7 @@
     election: float
     heartbeat: float
     snapshot_entries: int
+    snapshot_bytes: int = SNAPSHOT_BYTES
     wanted_voters: int = 0
     batch_entries: int = MAX_BATCH_ENTRIES
     batch_bytes: int = MAX_BATCH_BYTES
@@ -123,6 +127,9 @@
         self.peers: tuple[str, ...] = peers
         self.snapshot = recovered.snapshot
         self.snapshot_writes: dict[int, Snapshot] = {}
+        self.snapshot_requested = False
+        # Bytes of the committed commands that no snapshot covers.
+        self.uncovered_bytes = 0
         self.campaign: Campaign | None = None
         self.incoming: IncomingSnapshot | None = None
         self.leader_contact_at = float('-inf')
--- a/cyclamenlift/replication/tasks.py
+++ b/cyclamenlift/replication/tasks.py
@@ -22,6 +22,8 @@
 from cyclamenlift.replication.inputs import synced
 from cyclamenlift.replication.inputs import tick
 from cyclamenlift.replication.machine import StateMachine
+from cyclamenlift.replication.machine_effects import MACHINE_EFFECTS
+from cyclamenlift.replication.machine_effects import MachineEffects
 from cyclamenlift.replication.message_handlers import InvariantError
 from cyclamenlift.replication.pending_operations import PendingOperations
 from cyclamenlift.replication.pending_operations import Proposal
@@ -94,6 +96,7 @@
         self.flush_scheduled = False
         self.disk_stalled = False
         self.pending = PendingOperations()
+        self.machine_effects = MachineEffects(self)
         self.initial_machine_state = b''
         self.reported_leader = ''
         self.reported_voters_index = 0
@@ -194,6 +197,7 @@
         if self.sync is None:
             return
         self.active = False
+        self.machine_effects.clear()
         self.sync.stop()
         self.sync = None
         self.pending.fail_all(self.not_leader())
@@ -318,6 +322,7 @@
         """Stop taking part, since state or storage may be inconsistent."""
         LOG.error('replica_halted', code=int(problem.code), why=problem.line())
         self.active = False
+        self.machine_effects.clear()
         self.pending.fail_all(self.not_leader())
 
     def schedule_reopen(self) -> None:
@@ -398,17 +403,20 @@
     # -- effects ----------------------------------------------------------
 
     def handle_effects(self) -> None:
-        """Execute the collected effects in order.
+        """Execute the collected effects.
 
-        Callbacks may call this recursively; the outermost call handles the
-        effects they add, so that the order is preserved.
+        Those on the state machine keep their order and may be executed in
+        later iterations of the event loop. Callbacks may call this
+        recursively; the outermost call handles the effects they add, so that
+        the order is preserved.
         """
         if self.handling:
             return
         self.handling = True
         try:
-            while self.active and self.state.outbox.effects:
-                self.handle_batch(self.state.outbox.take())
+            self.handle_outbox()
+            while self.active and self.machine_effects.run_slice():
+                self.handle_outbox()
         except Exception as error:
             LOG.exception('effect_failed')
             self.halt(Problem(ResultCode.STORAGE_FAILED, repr(error)))
@@ -439,12 +447,18 @@
             for hook in self.leader_hooks:
                 hook(self.leader)
 
+    def handle_outbox(self) -> None:
+        while self.active and self.state.outbox.effects:
+            self.handle_batch(self.state.outbox.take())
+
     def handle_batch(self, effects: list) -> None:
         writes = [e for e in effects if hasattr(e, 'ticket')]
         if writes:
             self.sync.write(writes)
         for effect in effects:
-            if not hasattr(effect, 'ticket'):
+            if isinstance(effect, MACHINE_EFFECTS):
+                self.machine_effects.add(effect)
+            elif not hasattr(effect, 'ticket'):
                 EFFECT_HANDLERS.get(type(effect).__name__)(self, effect)
 
 
@@ -453,5 +467,6 @@
         election=settings.election_ms / MILLISECONDS,
         heartbeat=settings.heartbeat_ms / MILLISECONDS,
         snapshot_entries=settings.snapshot_entries,
+        snapshot_bytes=settings.snapshot_bytes,
         wanted_voters=settings.wanted_voters,
     )
--- a/cyclamenlift/replication/voter_changes.py
+++ b/cyclamenlift/replication/voter_changes.py
@@ -57,8 +57,7 @@
     """Return whether a storage is reachable and fully caught up."""
     if not progress.storage_id:
         return False
-    seconds_unreachable = now - progress.contact_at
-    if seconds_unreachable >= state.limits.election:
+    if not progress.is_reachable(now, state.limits.election):
         return False
     return progress.match_index >= state.commit_index
 
--- a/cyclamenlift/runtime/control.py
+++ b/cyclamenlift/runtime/control.py
@@ -125,6 +125,7 @@
             election_ms=settings.election_ms,
             heartbeat_ms=settings.heartbeat_ms,
             snapshot_entries=settings.snapshot_entries,
+            snapshot_bytes=settings.snapshot_bytes,
             bootstrap=settings.bootstrap,
             founder=settings.instance in peers,
             own_address=settings.peer_listen,
--- a/tests/replication/test_tasks.py
+++ b/tests/replication/test_tasks.py
@@ -27,7 +27,7 @@
 class ReplicaHarness:
     """A single replica on an event loop that the test runs."""
 
-    def __init__(self, folder, peers=None, machine=None):
+    def __init__(self, folder, peers=None, machine=None, snapshot_entries=10):
         self.loop = build_root()
         self.loop._running = True
         network = PeerNetwork(self.loop.poller, 'a', 'dc', 'test')
@@ -39,7 +39,7 @@
             peers or {},
             election_ms=40,
             heartbeat_ms=10,
-            snapshot_entries=10,
+            snapshot_entries=snapshot_entries,
             bootstrap=True,
         )
         rng = random.Random(1)
