Let a target drain whose clock was set back before it started

Cause: starts of one name are told apart by their start times, so this start seems to be earlier than the one that ended. It is taken for running only after it has announced itself for 5 s. Until then everything it says is stale, and a drain or a departure is confirmed all the same: the confirmation comes from another place than the decision.

Change: the registration knows which starts were current. A drain, or a departure, of a start of the current name that never was, and whose sender still waits for the answer, takes effect at once. A start that was known and replaced has ended; what it says stays without effect, as before. If such a start had ended after all, the one that runs is used again once it has announced itself for 5 s; before it would have been refused for good.

Why it holds: nothing that is confirmed to a waiting sender is without effect unless its start is known to have ended.

--- a/cyclamenlift/gate/announcements.py
+++ b/cyclamenlift/gate/announcements.py
@@ -37,12 +37,17 @@
         self.known_since = NEVER
         self.doubt_hooks: list[Callable[[], None]] = []
 
-    def announce(self, announcement: Announcement) -> AnnouncementOutcome:
-        """Process an announcement; a stale one changes nothing."""
+    def announce(
+        self, announcement: Announcement, awaited: bool = False
+    ) -> AnnouncementOutcome:
+        """Process an announcement; a stale one changes nothing.
+
+        ``awaited`` tells that its sender certainly waits for the answer.
+        """
         gate = self.gate
         before = self.registration.incarnation
         draining = self.registration.draining
-        outcome = self.registration.announce(announcement, gate.now())
+        outcome = self.registration.announce(announcement, gate.now(), awaited)
         if outcome is AnnouncementOutcome.STALE:
             self.log(announcement, outcome)
             return outcome
@@ -88,10 +93,13 @@
 
         Departures often name no start. If nobody waits for the answer, one may
         have lain here while the target started again; a target that is still
-        there sends it again.
+        there sends it again. So does one whose start seems to be earlier and
+        was never known here.
         """
         registration = self.registration
-        if born_ms or not registration.born_ms:
+        if born_ms:
+            return registration.is_earlier_unknown_start(incarnation, born_ms)
+        if not registration.born_ms:
             return False
         if incarnation != registration.incarnation:
             return False
@@ -106,10 +114,17 @@
         )
 
     def leave(
-        self, incarnation: str, born_ms: int, source: str, told_by_ms: int
+        self,
+        incarnation: str,
+        born_ms: int,
+        source: str,
+        told_by_ms: int,
+        awaited: bool = False,
     ) -> None:
         """Stop admitting calls to a target that said that it leaves."""
-        known = self.registration.leave(incarnation, born_ms, told_by_ms)
+        known = self.registration.leave(
+            incarnation, born_ms, told_by_ms, awaited
+        )
         LOG.info(
             'target_leaves',
             source=source,
--- a/cyclamenlift/gate/registration.py
+++ b/cyclamenlift/gate/registration.py
@@ -15,6 +15,7 @@
 from cyclamenlift.gate.earlier_start import EarlierStart
 
 MAX_ENDED = 64
+MAX_KNOWN_STARTS = 64
 # Start time of an incarnation that was not reported: health pages don't
 # contain it, and some targets never send it.
 UNKNOWN_START = 0
@@ -92,6 +93,10 @@
         self.ended: collections.OrderedDict[str, EndedIncarnation] = (
             collections.OrderedDict()
         )
+        # The starts that were current, by name and start time, oldest first.
+        self.known_starts: collections.OrderedDict[tuple[str, int], None] = (
+            collections.OrderedDict()
+        )
 
     # -- queries ----------------------------------------------------------
 
@@ -140,6 +145,15 @@
         ended = self.ended.get(incarnation)
         return ended is not None and UNKNOWN_START < born_ms <= ended.born_ms
 
+    def is_earlier_unknown_start(self, incarnation: str, born_ms: int) -> bool:
+        """Return whether such a start seems to be earlier than the current.
+
+        It has ended, or it runs and the clock was set back before it.
+        """
+        return self.is_unknown_start(incarnation, born_ms) and self.is_earlier(
+            incarnation, born_ms
+        )
+
     def is_current_start(self, announcement: Announcement) -> bool:
         """Return whether an announcement is certainly of the current start."""
         if announcement.born_ms == UNKNOWN_START:
@@ -158,14 +172,29 @@
     def may_run_again(self, announcement: Announcement) -> bool:
         """Return whether it may be of a start after the clock was set back.
 
-        Only if it is certainly another start than the one that ended.
+        Only if it is certainly another start than the one that ended, or if
+        that one was only replaced by a start that seems to be earlier.
         """
         if announcement.from_health_page or not announcement.born_ms:
             return False
         ended = self.ended.get(announcement.incarnation)
         if ended is None:
             return True
-        return ended.is_start_known and ended.born_ms != announcement.born_ms
+        if not ended.is_start_known:
+            return False
+        if ended.born_ms != announcement.born_ms:
+            return True
+        return not ended.left and is_older(self.born_ms, ended.born_ms)
+
+    def is_unknown_start(self, incarnation: str, born_ms: int) -> bool:
+        """Return whether a start of the current name was never current.
+
+        If it seems to be earlier than the current one, it may be of a target
+        that started again after its clock was set back.
+        """
+        if incarnation != self.incarnation or born_ms == UNKNOWN_START:
+            return False
+        return (incarnation, born_ms) not in self.known_starts
 
     def is_after_departure(self, announcement: Announcement) -> bool:
         """Return whether it is of a start after the current one has left."""
@@ -176,14 +205,19 @@
     # -- commands ---------------------------------------------------------
 
     def announce(
-        self, announcement: Announcement, now: float
+        self, announcement: Announcement, now: float, awaited: bool = False
     ) -> AnnouncementOutcome:
-        """Process an announcement; STALE changes nothing."""
+        """Process an announcement; STALE changes nothing.
+
+        ``awaited`` tells that its sender certainly waits for the answer.
+        """
         current = self.current
         if self.is_current_start(announcement):
             self.earlier_start.forget()
             return self.update_current(announcement, current, now)
         if self.is_outdated(announcement):
+            if self.drains_unknown_start(announcement, awaited):
+                return self.replace(announcement, now)
             if not self.may_run_again(announcement):
                 return AnnouncementOutcome.STALE
             if not self.earlier_start.is_running(announcement, now):
@@ -199,6 +233,22 @@
             return self.replace(announcement, now)
         return self.update_current(announcement, current, now)
 
+    def drains_unknown_start(
+        self, announcement: Announcement, awaited: bool
+    ) -> bool:
+        """Return whether a start that was never current drains for certain.
+
+        Its sender waits for the confirmation, after which it must get no
+        calls, so this is not put off until it has proved that it runs.
+        """
+        return (
+            awaited
+            and announcement.draining
+            and self.is_unknown_start(
+                announcement.incarnation, announcement.born_ms
+            )
+        )
+
     def update_current(
         self, announcement: Announcement, current: Announcement, now: float
     ) -> AnnouncementOutcome:
@@ -217,9 +267,20 @@
             announcement = dataclasses.replace(
                 announcement, born_ms=current.born_ms
             )
-        self.current = announcement
+        self.set_current(announcement)
         return AnnouncementOutcome.UPDATED
 
+    def set_current(self, announcement: Announcement) -> None:
+        """Make this the newest announcement of the current incarnation."""
+        self.current = announcement
+        if not announcement.born_ms:
+            return
+        start = (announcement.incarnation, announcement.born_ms)
+        self.known_starts[start] = None
+        self.known_starts.move_to_end(start)
+        while len(self.known_starts) > MAX_KNOWN_STARTS:
+            self.known_starts.popitem(last=False)
+
     def replace(
         self, announcement: Announcement, now: float
     ) -> AnnouncementOutcome:
@@ -232,7 +293,7 @@
         self.left_by_ms = UNKNOWN_START
         self.doubted = False
         self.earlier_start.forget()
-        self.current = announcement
+        self.set_current(announcement)
         return AnnouncementOutcome.NEW
 
     def mark_ended(self, incarnation: str, born_ms: int, left: bool) -> None:
@@ -252,23 +313,31 @@
         incarnation: str,
         born_ms: int = UNKNOWN_START,
         told_by_ms: int = UNKNOWN_START,
+        awaited: bool = False,
     ) -> bool:
         """Record a departure; False if it is not the current incarnation.
 
         ``told_by_ms`` is by when it was told at the latest, now if not given:
         a target that starts later under this name is another incarnation. The
         departure of an unknown incarnation is remembered, so that its delayed
-        announcements don't register it.
+        announcements don't register it. ``awaited`` tells that its sender
+        certainly waits for the answer: a start that was never current then
+        leaves, also if it seems to be earlier.
         """
         if self.incarnation != incarnation:
             self.mark_ended(incarnation, born_ms, left=True)
             return False
         if self.is_earlier(incarnation, born_ms):
-            return False
+            unknown = self.is_unknown_start(incarnation, born_ms)
+            if not (awaited and unknown):
+                return False
+            self.mark_ended(incarnation, self.born_ms, self.draining)
         if is_older(told_by_ms, self.born_ms):
             return False
         if born_ms:
-            self.current = dataclasses.replace(self.current, born_ms=born_ms)
+            self.set_current(
+                dataclasses.replace(self.current, born_ms=born_ms)
+            )
         elif not self.born_ms:
             self.left_by_ms = told_by_ms or self.unix_ms()
         self.left = True
--- a/cyclamenlift/gate/tasks.py
+++ b/cyclamenlift/gate/tasks.py
@@ -196,9 +196,14 @@
             LOG.info('check_in_of_another', incarnation=incarnation[:60])
         return foreign
 
-    def announce(self, announcement: Announcement) -> AnnouncementOutcome:
-        """Handle an announcement of the target."""
-        return self.announcements.announce(announcement)
+    def announce(
+        self, announcement: Announcement, awaited: bool = False
+    ) -> AnnouncementOutcome:
+        """Handle an announcement of the target.
+
+        ``awaited`` tells that its sender certainly waits for the answer.
+        """
+        return self.announcements.announce(announcement, awaited)
 
     def target_leaves(
         self,
@@ -206,12 +211,16 @@
         born_ms: int = UNKNOWN_START,
         source: str = 'announcement',
         told_by_ms: int = UNKNOWN_START,
+        awaited: bool = False,
     ) -> None:
         """Stop admitting calls to a target that said that it leaves.
 
-        ``told_by_ms`` is by when it said so, now if not given.
+        ``told_by_ms`` is by when it said so, now if not given; ``awaited``
+        that it certainly waits for the answer.
         """
-        self.announcements.leave(incarnation, born_ms, source, told_by_ms)
+        self.announcements.leave(
+            incarnation, born_ms, source, told_by_ms, awaited
+        )
 
     def take_departure(
         self, incarnation: str, born_ms: int, awaited: bool
@@ -225,7 +234,7 @@
         ):
             self.announcements.log_outdated_departure(incarnation)
             return False
-        self.target_leaves(incarnation, born_ms)
+        self.target_leaves(incarnation, born_ms, awaited=awaited)
         return True
 
     def doubt_target(self) -> None:
--- a/cyclamenlift/platform/targets.py
+++ b/cyclamenlift/platform/targets.py
@@ -145,7 +145,7 @@
         if self.gate.is_foreign(name, announcement.address):
             reject(exchange, 503, Problem(ResultCode.NO_TARGET))
             return
-        self.gate.announce(announcement)
+        self.gate.announce(announcement, exchange.is_awaited())
         send_json(exchange, 200)
 
     def on_deregistration(
--- a/tests/gate/test_registration.py
+++ b/tests/gate/test_registration.py
@@ -280,3 +280,71 @@
     assert not registration.leave('a', 9000)
     assert not registration.draining
     assert registration.leave('a', 4000)
+
+
+def drain(
+    registration: Registration,
+    born_ms: int,
+    now: float = 102.0,
+    awaited: bool = True,
+) -> AnnouncementOutcome:
+    """Let a start of the target say that it drains."""
+    announcement = started('a', born_ms, 3, draining=True)
+    return registration.announce(announcement, now, awaited)
+
+
+def running_registration(*starts: int) -> Registration:
+    """Return a registration that knows these starts; the last one runs."""
+    registration = Registration()
+    for born_ms in starts:
+        registration.announce(started('a', born_ms, 1), 0.0)
+    return registration
+
+
+# Guards against a drain that is confirmed but has no effect, as the clock of
+# the target was set back before it started.
+def test_a_drain_of_an_earlier_start_that_waits_for_the_answer_counts():
+    registration = running_registration(9000)
+    registration.announce(started('a', 4000, 1), 100.0, True)
+    assert registration.born_ms == 9000
+    assert drain(registration, 4000) is AnnouncementOutcome.NEW
+    assert registration.draining and registration.born_ms == 4000
+    late = started('a', 9000, 2)
+    assert registration.announce(late, 103.0, True) is (
+        AnnouncementOutcome.STALE
+    )
+
+
+# Guards against the same with a target that leaves without a drain before.
+def test_a_departure_of_an_earlier_start_that_waits_counts():
+    registration = running_registration(9000)
+    registration.announce(started('a', 4000, 1), 100.0, True)
+    assert registration.leave('a', 4000, awaited=True)
+    assert registration.draining and registration.born_ms == 4000
+
+
+# Guards against a drain of a start that ended, which was delayed and drains
+# the one that runs; or whose sender is gone.
+def test_a_late_drain_of_a_start_that_was_replaced_drains_nothing():
+    registration = running_registration(1000, 3000, 9000)
+    for born_ms in (1000, 3000):
+        assert drain(registration, born_ms) is AnnouncementOutcome.STALE
+        assert not registration.leave('a', born_ms, awaited=True)
+    assert drain(registration, 4000, awaited=False) is (
+        AnnouncementOutcome.STALE
+    )
+    assert not registration.leave('a', 4000)
+    assert not registration.draining
+
+
+# Guards against a start that runs and is refused for good, as a drain of an
+# earlier one, which the gate had never known, came late.
+def test_a_start_that_goes_on_after_such_a_drain_is_used_again():
+    registration = running_registration(9000)
+    drain(registration, 4000, now=99.0)
+    outcome = AnnouncementOutcome.STALE
+    for number in range(6):
+        announcement = started('a', 9000, number + 2)
+        outcome = registration.announce(announcement, 100.0 + 1.5 * number)
+    assert outcome is AnnouncementOutcome.UPDATED
+    assert not registration.draining and registration.born_ms == 9000
--- a/tests/gate/test_restarted_targets.py
+++ b/tests/gate/test_restarted_targets.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from cyclamenlift.gate.registration import Announcement
 from cyclamenlift.wire.gen.protocol.ttypes import TargetState
 from cyclamenlift.wire.gen.protocol.ttypes import TargetStatement
 from tests.gate.departures import AGAIN_BORN_MS
@@ -20,6 +21,7 @@
 from tests.gate.departures import ready
 from tests.gate.departures import RESTARTED_AT
 from tests.gate.departures import SAID_AT
+from tests.gate.simulation import GateInTime
 from tests.gate.simulation import INSTANCE
 
 
@@ -144,3 +146,30 @@
     bench.load(60.0, 20.0)
     announce_until(bench, 20.0, born_ms=FIRST_BORN_MS)
     assert not bench.target.arrivals(RESTARTED_AT, 20.0)
+
+
+def draining(born_ms: int) -> Announcement:
+    return Announcement(
+        'i-1', 'prices', 6, draining=True, sequence=9, born_ms=born_ms
+    )
+
+
+# Guards against calls that reach a target after its drain or its departure
+# was confirmed, as its clock had been set back before it started.
+@pytest.mark.parametrize('departs', [False, True])
+@pytest.mark.parametrize('known', [True, False])
+def test_a_drain_after_the_clock_was_set_back_takes_effect(departs, known):
+    bench = GateInTime()
+    bench.load(60.0, 20.0)
+    bench.time.run_until(1.0)
+    bench.gate.announce(ready(1, born_ms=AGAIN_BORN_MS), True)
+    bench.time.run_until(SAID_AT)
+    if known:
+        bench.gate.announce(ready(1, born_ms=FIRST_BORN_MS), True)
+    bench.time.run_until(RESTARTED_AT)
+    if departs:
+        assert bench.gate.take_departure('i-1', FIRST_BORN_MS, awaited=True)
+    else:
+        bench.gate.announce(draining(FIRST_BORN_MS), True)
+    bench.time.run_until(20.0)
+    assert not bench.target.arrivals(RESTARTED_AT + ANSWER_SECONDS, 20.0)
