Drain a start whose first announcement says that it drains

Cause: a new start resets the gate, and the gate was drained only if the start before it was not draining. After one that had left, a start whose first announcement drains stayed in the state of a start that is not known yet. Since a drain of a start that was never current takes effect at once, this happens when a target left, started again after its clock was set back, and leaves within 5 s.

Change: a new start that drains drains the gate, whatever the one before it did.

--- a/cyclamenlift/gate/announcements.py
+++ b/cyclamenlift/gate/announcements.py
@@ -59,7 +59,8 @@
             self.note_cold(announcement.warm_up_seconds)
         if announcement.slots and announcement.slots != gate.state.slots:
             gate.set_slots(announcement.slots)
-        if announcement.draining and not draining:
+        is_new = outcome is AnnouncementOutcome.NEW
+        if announcement.draining and (is_new or not draining):
             self.log(announcement, outcome)
             gate.drain()
         return outcome
--- a/tests/gate/test_restarted_targets.py
+++ b/tests/gate/test_restarted_targets.py
@@ -173,3 +173,14 @@
         bench.gate.announce(draining(FIRST_BORN_MS), True)
     bench.time.run_until(20.0)
     assert not bench.target.arrivals(RESTARTED_AT + ANSWER_SECONDS, 20.0)
+
+
+# Guards against a start that is taken for ready, as it says that it drains
+# right after the one before it has left.
+def test_a_start_that_drains_at_once_after_a_departure_gets_no_calls():
+    bench = drained_bench()
+    bench.gate.announce(draining(AGAIN_BORN_MS), True)
+    bench.load(60.0, 5.0)
+    bench.time.run_until(8.0)
+    assert bench.gate.state.target_state == TargetState.DRAINING
+    assert not bench.target.arrivals(RESTARTED_AT, 8.0)
