End calls and pages at once whose target sends bytes without an end

What callers saw: nothing was reported; new on the users' pages: a target in trouble may send bytes that are no answer without an end, in a head or a body, until its connection is closed.

Cause: whatever completes a head or carries body bytes counted as progress, and what is not passed on had no bound of its own: * interim heads (100, 103), one after the other, * the body of an answer to another call, which is skipped, * the body of a response that is not passed on: without proof, or a refusal, of which all is known when its head is there, * the body of a health page.

Change: interim heads count as input that completes no head (64 KiB); what is skipped before the expected answer is at most 8 MiB; the rest of a response that is not passed on is read up to 64 KiB and for 0.1 s, so that its connection can be kept, and then the call ends as it would have at its end; a page of over 256 KiB is a failed one. The connection is closed each time. What a caller is told stays: a refusal has not run, all else may have.

Why it holds: each byte read of a target now counts toward a limit of its head, of its skipped or ignored part, or is passed on to a caller, whose deadline ends it.

--- a/cyclamenlift/gate/gate_call.py
+++ b/cyclamenlift/gate/gate_call.py
@@ -48,6 +48,10 @@
 # queue places.
 MAX_BUFFERED_BODY = 256 * 1024
 CHUNK = 64 * 1024
+# A response that is not passed on is read to its end, so that its connection
+# can be used again, but only up to this size and for this time, in seconds.
+MAX_IGNORED_BODY = 64 * 1024
+IGNORED_BODY_SECONDS = 0.1
 SERVER_ERROR = 500
 
 
@@ -92,6 +96,7 @@
         self.outgoing_complete = False
         self.sent_bytes = 0
         self.verdict = AnswerVerdict.ANSWER
+        self.ignored_bytes = 0
         self.window = WINDOW
         self.owed_credit = 0
 
@@ -260,6 +265,7 @@
         self.gate.reports.note_answer(headers, self.started_at, self.verdict)
         self.status = status
         if self.verdict is not AnswerVerdict.ANSWER:
+            self.gate.scheduler.after(IGNORED_BODY_SECONDS, self.stop_reading)
             return
         self.headers = [Header(n, v) for n, v in end_to_end(headers)]
         self.length = length
@@ -268,6 +274,9 @@
 
     def on_body(self, data: bytes) -> None:
         if self.verdict is not AnswerVerdict.ANSWER:
+            self.ignored_bytes += len(data)
+            if self.ignored_bytes > MAX_IGNORED_BODY:
+                self.stop_reading()
             return
         if self.streaming:
             self.stream(data)
@@ -277,6 +286,13 @@
         if self.answer_size > self.small_answer:
             self.start_streaming()
 
+    def stop_reading(self) -> None:
+        """End a response that is not passed on and whose end does not come."""
+        if self.target_call.done:
+            return
+        self.target_call.cancel()
+        run_step(self, self.end)
+
     @property
     def small_answer(self) -> int:
         """Up to how many bytes an answer is sent in one frame."""
--- a/cyclamenlift/gate/health.py
+++ b/cyclamenlift/gate/health.py
@@ -29,6 +29,8 @@
 # inform entries.
 MAX_LOAD_AGE_PERIODS = 6.0
 GOOD_STATUS = range(200, 400)
+# A longer page is no answer: it may have no end.
+MAX_PAGE_BYTES = 256 * 1024
 
 
 class HealthCheck:
@@ -49,6 +51,7 @@
         self.call = None
         self.timer = None
         self.status = 0
+        self.page_bytes = 0
 
     def start(self) -> None:
         """Begin polling; without a page the target counts as ready.
@@ -125,6 +128,7 @@
             self.settings.health_timeout_seconds, self.on_timeout
         )
         self.status = 0
+        self.page_bytes = 0
         self.call = self.client.request(request, self)
         self.call.send_body(b'', True)
         return True
@@ -191,8 +195,14 @@
         )
         return outcome is AnnouncementOutcome.NEW
 
-    def on_body(self, _data: bytes) -> None:
-        """Ignore the content of the page: only its status counts."""
+    def on_body(self, data: bytes) -> None:
+        """Ignore the content of the page, but not that it has no end."""
+        self.page_bytes += len(data)
+        if self.page_bytes <= MAX_PAGE_BYTES:
+            return
+        LOG.warning('health_page_too_long', status=self.status)
+        self.call.cancel()
+        self.record_result(False)
 
     def on_end(self) -> None:
         self.record_result(self.status in GOOD_STATUS)
--- a/cyclamenlift/http/limits.py
+++ b/cyclamenlift/http/limits.py
@@ -37,7 +37,8 @@
     ``unsized_answers`` accepts responses that end with the connection; by
     default they are rejected, since truncation can't be detected.
     ``call_id_field`` is the header in which the target echoes the call ID;
-    a response with another ID is skipped. ``idle_seconds`` is how long an
+    a response with another ID is skipped, of all such responses
+    ``max_skipped_bytes`` at most. ``idle_seconds`` is how long an
     idle connection is reused when the target declares no timeout, and
     ``idle_margin_seconds`` is subtracted from a declared one to allow for a
     request in transit. ``fresh_seconds`` limits the idle time of a
@@ -50,6 +51,7 @@
     rewarm_seconds: float = 0.5
     max_header_bytes: int = 64 * KIBIBYTE
     max_headers: int = 200
+    max_skipped_bytes: int = 8 * KIBIBYTE**2
     unsized_answers: bool = False
     call_id_field: str = ''
     idle_seconds: float = 60.0
--- a/cyclamenlift/http/response_parser.py
+++ b/cyclamenlift/http/response_parser.py
@@ -33,6 +33,7 @@
         'call_id',
         'chunks',
         'complete',
+        'skipped_bytes',
         'skipping',
         'head_bytes',
         'head_ready',
@@ -57,6 +58,7 @@
         self.method = ''
         self.call_id = ''
         self.bodiless = False
+        self.skipped_bytes = 0
         self.reset_response()
 
     def reset_response(self) -> None:
@@ -86,6 +88,7 @@
             # llhttp would wait for the body that a HEAD response announces.
             self.parser = HttpResponseParser(self)
         self.method = method
+        self.skipped_bytes = 0
         self.reset_response()
 
     def feed(self, data: bytes) -> None:
@@ -145,7 +148,6 @@
             raise ResponseRejected('it has too many header fields')
 
     def on_headers_complete(self) -> None:
-        self.progress = True
         if self.parser.get_http_version() not in VERSIONS:
             raise ResponseRejected('its HTTP version is not spoken here')
         self.status = self.parser.get_status_code()
@@ -153,7 +155,9 @@
         if self.interim:
             if self.status == SWITCHING_PROTOCOLS:
                 raise ResponseRejected('it switched to another protocol')
+            # Interim heads count as input that completes no head.
             return
+        self.progress = True
         self.determine_framing()
         if self.is_for_other_call():
             self.skip_response()
@@ -166,14 +170,18 @@
         if self.complete:
             raise ResponseRejected('bytes after the answer')
         self.progress = True
-        if not self.skipping:
+        if self.skipping:
+            self.count_skipped(len(data))
+        else:
             self.chunks.append(data)
 
     def on_message_complete(self) -> None:
+        if self.interim:
+            return
         self.progress = True
         if self.skipping:
             self.reset_response()
-        elif not self.interim:
+        else:
             self.complete = True
 
     # -- validation of the head -------------------------------------------
@@ -195,6 +203,13 @@
         if self.until_close:
             raise ResponseRejected('it answers another call')
         self.skipping = True
+        self.count_skipped(self.head_bytes)
+
+    def count_skipped(self, size: int) -> None:
+        """Limit what is skipped before the expected response."""
+        self.skipped_bytes += size
+        if self.skipped_bytes > self.limits.max_skipped_bytes:
+            raise ResponseRejected('it answers other calls without an end')
 
     def determine_framing(self) -> None:
         """Determine the body length and how the end is marked."""
