--- a/tests/events/test_state.py
+++ b/tests/events/test_state.py
@@ -5,6 +5,8 @@
 import pytest
 
 from cyclamenlift.core.codes import ResultCode
+from cyclamenlift.core.compression import compress
+from cyclamenlift.events import state
 from cyclamenlift.events.state import CHANGE_IDS_KEPT
 from cyclamenlift.events.state import DOCUMENTS_KEPT
 from cyclamenlift.events.state import EventStore
@@ -127,3 +129,18 @@
     assert restored.document() == A
     assert restored.packed_document() == store.packed_document()
     assert len(restored.packed_document()) < len(A)
+
+
+# Guards against large documents whose old versions fill the memory and each
+# snapshot, and against the current one that is evicted with them.
+def test_large_documents_are_kept_up_to_a_size(monkeypatch):
+    monkeypatch.setattr(state, 'DOCUMENT_BYTES_KEPT', 3 * len(compress(A)))
+    store = EventStore()
+    for number in range(6):
+        store.publish(f'c{number}', number, A, 'eden', number)
+    assert sorted(store.documents) == [4, 5, 6]
+    assert sorted(restarted(store).documents) == [4, 5, 6]
+    monkeypatch.setattr(state, 'DOCUMENT_BYTES_KEPT', 1)
+    store.publish('c6', 6, A, 'eden', 6)
+    assert list(store.documents) == [7]
+    assert store.document() == A
