Spare a cold target whose start is not recognized yet

What callers saw: nothing was measured; found on the paths beside the drain without effect.

Cause: an announcement of a start that seems to be earlier has no effect for 5 s. A target that started again after its clock was set back is cold in just that time, and got the calls of the warm start before until its health page was asked.

Change: if the sender waits for the answer and its start was never current, its cold time binds at once. The next announcement of the known start ends it.

Test, failed before: test_a_cold_start_with_an_earlier_clock_is_spared.

Why it holds: at worst a warm target gets the calls of a cold one until it announces itself again, 1.5 s later.

--- a/cyclamenlift/gate/announcements.py
+++ b/cyclamenlift/gate/announcements.py
@@ -50,6 +50,8 @@
         outcome = self.registration.announce(announcement, gate.now(), awaited)
         if outcome is AnnouncementOutcome.STALE:
             self.log(announcement, outcome)
+            if awaited:
+                self.note_cold_in_doubt(announcement)
             return outcome
         if outcome is AnnouncementOutcome.NEW:
             if before and not draining:
@@ -65,6 +67,15 @@
             gate.drain()
         return outcome
 
+    def note_cold_in_doubt(self, announcement: Announcement) -> None:
+        """Spare the target while a start that says it is cold may run."""
+        if announcement.warm_up_seconds and (
+            self.registration.is_earlier_unknown_start(
+                announcement.incarnation, announcement.born_ms
+            )
+        ):
+            self.note_cold(announcement.warm_up_seconds)
+
     def note_cold(self, cold_seconds: float) -> None:
         """Record how much longer the target says that it is cold."""
         gate = self.gate
--- a/tests/gate/test_restarted_targets.py
+++ b/tests/gate/test_restarted_targets.py
@@ -5,6 +5,8 @@
 and is taken for another start.
 """
 
+import dataclasses
+
 import pytest
 
 from cyclamenlift.gate.registration import Announcement
@@ -184,3 +186,20 @@
     bench.time.run_until(8.0)
     assert bench.gate.state.target_state == TargetState.DRAINING
     assert not bench.target.arrivals(RESTARTED_AT, 8.0)
+
+
+# Guards against a cold target that ends under the calls of a warm one, as its
+# clock was set back and its start is not recognized yet.
+@pytest.mark.parametrize('awaited', [True, False])
+def test_a_cold_start_with_an_earlier_clock_is_spared(awaited):
+    bench = GateInTime()
+    bench.gate.announce(ready(1, born_ms=AGAIN_BORN_MS), True)
+    cold = bench.gate.state.start_limits.cold
+    assert not cold.told_cold
+    announcement = dataclasses.replace(
+        ready(1, born_ms=FIRST_BORN_MS), warm_up_seconds=3.0
+    )
+    bench.gate.announce(announcement, awaited)
+    assert bool(cold.told_cold) is awaited
+    bench.gate.announce(ready(2, born_ms=AGAIN_BORN_MS), True)
+    assert not cold.told_cold
