--- a/tests/replication/builders.py
+++ b/tests/replication/builders.py
@@ -1,5 +1,6 @@
 """Builders for replica states, and a simulated cluster with memory disks."""
 
+import collections
 import dataclasses
 import json
 import random
@@ -32,6 +33,10 @@
 MAX_MESSAGES = 80
 
 
+# Effects that are executed in order, perhaps later than the others.
+MACHINE_EFFECTS = [Apply, TakeSnapshot, RestoreMachine, ReadReady]
+
+
 class SafetyViolation(AssertionError):
     """A safety property of the replicated log is violated."""
 
@@ -92,6 +97,9 @@
         self.state.election_deadline += self.now
         self.unsynced: list = []
         self.applied: list = []
+        # Effects on the state machine that wait while it is behind.
+        self.is_behind = False
+        self.waiting: collections.deque = collections.deque()
         if self.disk.found.snapshot:
             self.applied = json.loads(self.disk.found.snapshot.data)
 
@@ -238,10 +246,35 @@
         node = self.nodes[name]
         while node.state.outbox.effects:
             for effect in node.state.outbox.take():
-                self.handle(node, effect)
+                self.execute(node, effect)
         if self.leads(name):
             self.check_leader(node)
 
+    def execute(self, node: Node, effect) -> None:
+        """Handle an effect now, or later if its state machine is behind."""
+        later = node.is_behind and type(effect) in MACHINE_EFFECTS
+        if not later:
+            self.handle(node, effect)
+        elif isinstance(effect, Apply):
+            node.waiting.extend(Apply((entry,)) for entry in effect.entries)
+        else:
+            node.waiting.append(effect)
+
+    def fall_behind(self, name: str) -> None:
+        """Let the state machine of a node wait from now on."""
+        self.nodes[name].is_behind = True
+
+    def catch_up(self, name: str, count: int | None = None) -> None:
+        """Handle the first ``count`` effects that wait (default all)."""
+        node = self.nodes[name]
+        for _ in range(len(node.waiting) if count is None else count):
+            if not node.waiting:
+                break
+            self.handle(node, node.waiting.popleft())
+            self.process_effects(name)
+        if not node.waiting:
+            node.is_behind = False
+
     def handle(self, node: Node, effect) -> None:
         if isinstance(effect, Send):
             self.messages.append((node.name, effect.to, effect.message))
@@ -255,6 +288,8 @@
             node.applied = json.loads(effect.snapshot.data)
         elif isinstance(effect, ReadReady):
             self.reads_done += 1
+            if len(node.applied) < effect.index:
+                raise SafetyViolation(f'{node.name} read what it lacks')
             if effect.index < self.read_floors[effect.token]:
                 raise SafetyViolation(f'{node.name} served a stale read')
         elif hasattr(effect, 'ticket'):
--- a/tests/replication/model.py
+++ b/tests/replication/model.py
@@ -133,6 +133,18 @@
         messages[:] = [m for m in messages if name not in m[:2]]
 
 
+class LaggingModel(Model):
+    """Also with state machines that apply entries later than they commit."""
+
+    @stateful.rule(name=NODES)
+    def fall_behind(self, name):
+        self.cluster.fall_behind(name)
+
+    @stateful.rule(name=NODES, count=strategies.sampled_from((1, 3, None)))
+    def catch_up(self, name, count):
+        self.cluster.catch_up(name, count)
+
+
 def run_model(examples, model=Model):
     settings = hypothesis.settings(
         derandomize=True,
--- a/tests/replication/test_model.py
+++ b/tests/replication/test_model.py
@@ -10,6 +10,8 @@
 import pytest
 
 import cyclamenlift.replication.commits as commits
+from cyclamenlift.replication.effects import ReadReady
+from cyclamenlift.replication.effects import TakeSnapshot
 import cyclamenlift.replication.elections as elections
 import cyclamenlift.replication.following as following
 from cyclamenlift.replication.log import Log
@@ -17,7 +19,10 @@
 from cyclamenlift.replication.progress import Leadership
 from cyclamenlift.replication.voters import Configuration
 from cyclamenlift.replication.voters import Voters
+from tests.replication import builders
+from tests.replication.builders import MACHINE_EFFECTS
 from tests.replication.builders import SafetyViolation
+from tests.replication.model import LaggingModel
 from tests.replication.model import Model
 from tests.replication.model import run_model
 
@@ -26,6 +31,20 @@
     run_model(300)
 
 
+# Guards against snapshots, reads and installed states that are out of order
+# with entries that are committed and not applied yet.
+def test_safety_holds_while_state_machines_are_behind():
+    run_model(300, LaggingModel)
+
+
+@pytest.mark.parametrize('effect', [TakeSnapshot, ReadReady])
+def test_model_detects_an_effect_out_of_order(monkeypatch, effect):
+    others = [kind for kind in MACHINE_EFFECTS if kind is not effect]
+    monkeypatch.setattr(builders, 'MACHINE_EFFECTS', others)
+    with pytest.raises(SafetyViolation):
+        run_model(300, LaggingModel)
+
+
 def always(*_args):
     return True
 
