Let commands wait for the voters that the settings want

Cause: the log is founded by three instances, and the other two become voters 0.1 s apart. Until then a change is committed by two of three storages.

Change: the leader appends no commands until the committed, final voter set has wanted_voters storages, for 0.8 s of each term at most, so that fewer instances still answer. few_voters then says how many losses a change survives. Reads do not wait. Without wanted_voters nothing changes.

Why it holds: an entry behind a final set of five is on three storages, and after any two are lost three voters are left, one of which has it.

--- a/cyclamenlift/replication/leading.py
+++ b/cyclamenlift/replication/leading.py
@@ -11,6 +11,7 @@
 from cyclamenlift.replication.sending import replicate
 from cyclamenlift.replication.sending import start_round
 from cyclamenlift.replication.state import ReplicaState
+from cyclamenlift.replication.voter_changes import AWAIT_VOTERS_SECONDS
 from cyclamenlift.replication.voter_changes import change_voters
 from cyclamenlift.replication.voters import Configuration
 from cyclamenlift.wire.gen.protocol.ttypes import AppendAnswer
@@ -31,6 +32,7 @@
     state.leadership = Leadership(
         start_index=next_index,
         heartbeat_at=now,
+        voters_deadline=now + AWAIT_VOTERS_SECONDS,
         progress={
             peer: Progress(
                 storage_id=votes.get(peer, ''),
--- a/cyclamenlift/replication/progress.py
+++ b/cyclamenlift/replication/progress.py
@@ -97,12 +97,14 @@
     """State of a leader in one term.
 
     ``start_index`` is its first own entry. Once that is committed, all
-    entries of earlier terms are committed as well.
+    entries of earlier terms are committed as well. Until
+    ``voters_deadline`` commands may wait for further voters.
     """
 
     start_index: int
     progress: dict[str, Progress]
     heartbeat_at: float
+    voters_deadline: float = 0.0
     round_id: int = 0
     round_started: dict[int, float] = dataclasses.field(default_factory=dict)
     reads: list[Read] = dataclasses.field(default_factory=list)
--- a/cyclamenlift/replication/tasks.py
+++ b/cyclamenlift/replication/tasks.py
@@ -40,6 +40,7 @@
 from cyclamenlift.replication.sync import SyncDone
 from cyclamenlift.replication.sync import SyncFailed
 from cyclamenlift.replication.sync import SyncTask
+from cyclamenlift.replication.voter_changes import awaits_voters
 from cyclamenlift.wire.gen.protocol.ttypes import AppendAnswer
 from cyclamenlift.wire.gen.protocol.ttypes import AppendRequest
 from cyclamenlift.wire.gen.protocol.ttypes import SnapshotAnswer
@@ -100,6 +101,7 @@
         self.initial_machine_state = b''
         self.reported_leader = ''
         self.reported_voters_index = 0
+        self.few_voters_term = 0
         # Called with the name of each new leader, '' if there is none.
         self.leader_hooks: list[Callable[[str], None]] = []
         self.register(root)
@@ -283,6 +285,7 @@
             tick(self.state, self.now())
             self.log_disk_state()
             self.handle_effects()
+            self.flush()
 
     def log_disk_state(self) -> None:
         """Log when the disk stalls and when it recovers."""
@@ -386,6 +389,9 @@
             return
         if not self.state.outbox.is_synced:
             return
+        if awaits_voters(self.state, self.now()):
+            return
+        self.log_few_voters()
         batch = self.pending.take_batch(self.state.limits.batch_entries)
         first = append_commands(
             self.state,
@@ -397,6 +403,23 @@
             self.pending.record_appended(index, self.state.term, proposal.done)
         self.handle_effects()
 
+    def log_few_voters(self) -> None:
+        """Log, once a term, that commands survive fewer losses than wanted."""
+        state = self.state
+        voters = len(state.voters.latest.storage_ids)
+        if voters >= state.limits.wanted_voters:
+            return
+        if state.term == self.few_voters_term:
+            return
+        self.few_voters_term = state.term
+        LOG.warning(
+            'few_voters',
+            voters=voters,
+            wanted=state.limits.wanted_voters,
+            survives=(voters - 1) // 2,
+            term=state.term,
+        )
+
     def not_leader(self) -> Problem:
         return Problem(ResultCode.NOT_LEADER, where=self.leader)
 
--- a/cyclamenlift/replication/voter_changes.py
+++ b/cyclamenlift/replication/voter_changes.py
@@ -18,6 +18,28 @@
 # instance: longer than a process restart takes, shorter than the time in which
 # a repair must be complete (4 s).
 UNREACHABLE_SECONDS = 2.0
+# How long commands wait for enough voters, from the start of a term, in
+# seconds: several times what adding them takes, and shorter than an operator
+# waits for an answer (1 s).
+AWAIT_VOTERS_SECONDS = 0.8
+
+
+def awaits_voters(state: ReplicaState, now: float) -> bool:
+    """Return whether commands wait until there are enough voters.
+
+    A cluster is founded by a few instances, and what they commit survives
+    fewer losses than it will with all voters. The others are added within
+    some heartbeats, so commands wait for them, for a bounded time in each
+    term: fewer instances may run for good.
+    """
+    if not state.limits.wanted_voters or state.leadership is None:
+        return False
+    if now >= state.leadership.voters_deadline:
+        return False
+    committed = state.voters.at(state.commit_index)
+    if committed is None or not committed.final:
+        return True
+    return len(committed.storage_ids) < state.limits.wanted_voters
 
 
 def change_voters(state: ReplicaState, now: float) -> None:
--- a/tests/platform/test_repairs.py
+++ b/tests/platform/test_repairs.py
@@ -8,6 +8,7 @@
 from tests.platform.builders import configuration
 from tests.platform.builders import route
 from tests.platform.fleet import Fleet
+from tests.platform.fleet import GET
 from tests.platform.fleet import PATCH
 from tests.platform.fleet import REPLACE
 
@@ -18,6 +19,8 @@
 # Their log takes the empty disk longer than that to apply, one by one.
 CHANGES = 200
 ORDER_SECONDS = 10.0
+# ``recover``: when all is served again after the last loss, in seconds.
+RECOVER_SECONDS = 15.0
 
 
 def large_configuration() -> dict:
@@ -75,3 +78,23 @@
         assert counting_storage(fleet, leader, lost) == storage_id
     finally:
         fleet.close()
+
+
+# Guards against a first configuration that is lost with two disks right after
+# its confirmation, as only three of the five instances were voters by then.
+def test_two_disks_lost_after_the_first_confirmation_lose_nothing(tmp_path):
+    fleet = Fleet(tmp_path, control=5, daemons=0)
+    try:
+        leader = fleet.publish_first()
+        other = next(h for h in fleet.control[:3] if h != leader)
+        for host in (leader, other):
+            lose_disk(fleet, host)
+        deadline = time.monotonic() + RECOVER_SECONDS
+        versions = set()
+        while not versions and time.monotonic() < deadline:
+            answers = [fleet.ask(host, GET) for host in fleet.control]
+            versions = {a.value['version'] for a in answers if a.status == 200}
+            time.sleep(0.1)
+        assert versions == {1}
+    finally:
+        fleet.close()
--- a/tests/replication/test_tasks.py
+++ b/tests/replication/test_tasks.py
@@ -18,6 +18,7 @@
 from cyclamenlift.replication.settings import ReplicaSettings
 from cyclamenlift.replication.tasks import MAX_COMMAND_BYTES
 from cyclamenlift.replication.tasks import Replica
+from cyclamenlift.replication.voter_changes import AWAIT_VOTERS_SECONDS
 from cyclamenlift.wire.tasks import PeerNetwork
 
 NOBODY = {'b': Address('127.0.0.1', 1)}
@@ -27,7 +28,14 @@
 class ReplicaHarness:
     """A single replica on an event loop that the test runs."""
 
-    def __init__(self, folder, peers=None, machine=None, snapshot_entries=10):
+    def __init__(
+        self,
+        folder,
+        peers=None,
+        machine=None,
+        snapshot_entries=10,
+        wanted_voters=0,
+    ):
         self.loop = build_root()
         self.loop._running = True
         network = PeerNetwork(self.loop.poller, 'a', 'dc', 'test')
@@ -41,6 +49,7 @@
             heartbeat_ms=10,
             snapshot_entries=snapshot_entries,
             bootstrap=True,
+            wanted_voters=wanted_voters,
         )
         rng = random.Random(1)
         self.replica = Replica(self.loop, network, settings, self.machine, rng)
@@ -175,3 +184,17 @@
 
 def refusals(logs) -> int:
     return sum(e['event'] == 'disk_still_refuses' for e in logs)
+
+
+# Guards against an operator who gets no answer where too few instances run,
+# and against one who is not told how many losses a change survives.
+def test_a_command_is_answered_with_fewer_voters_than_wanted(tmp_path):
+    harness = ReplicaHarness(tmp_path, wanted_voters=3).lead()
+    began = time.monotonic()
+    with capture_logs() as logs:
+        assert harness.ask('propose', b'x') == Success(b'1')
+        assert harness.ask('propose', b'x') == Success(b'2')
+    assert time.monotonic() - began < AWAIT_VOTERS_SECONDS + 0.5
+    (line,) = [entry for entry in logs if entry['event'] == 'few_voters']
+    assert (line['voters'], line['wanted'], line['survives']) == (1, 3, 0)
+    harness.replica.stop()
--- a/tests/replication/test_voter_changes.py
+++ b/tests/replication/test_voter_changes.py
@@ -1,9 +1,14 @@
 """Voters that the leader adds, replaces and removes automatically."""
 
+import math
+
 import pytest
 
 from cyclamenlift.replication.inputs import tick
 from cyclamenlift.replication.message_handlers import InvariantError
+from cyclamenlift.replication.state import ReplicaState
+from cyclamenlift.replication.voter_changes import AWAIT_VOTERS_SECONDS
+from cyclamenlift.replication.voter_changes import awaits_voters
 from cyclamenlift.replication.voters import Configuration
 from tests.replication.builders import SafetyViolation
 from tests.replication.voter_change_explorer import ALL
@@ -116,3 +121,34 @@
             cluster.recover(60)
             cluster.run(STEPS)
             cluster.recover()
+
+
+def founded_cluster() -> tuple[GrowingCluster, ReplicaState]:
+    """Return a cluster whose founders have just elected a leader."""
+    cluster = GrowingCluster(0)
+    cluster.down = set(JOINERS)
+    pass_time(cluster)
+    leader = next(name for name in ALL if cluster.leads(name))
+    state = cluster.nodes[leader].state
+    state.leadership.voters_deadline = cluster.now + AWAIT_VOTERS_SECONDS
+    return cluster, state
+
+
+# Guards against a change that is confirmed by two of three founders and is
+# lost with their disks, though two lost disks have to be borne.
+def test_commands_wait_for_the_voters_that_are_wanted():
+    cluster, state = founded_cluster()
+    assert len(cluster.voters()) < state.limits.wanted_voters
+    assert awaits_voters(state, cluster.now)
+    cluster.down = set()
+    pass_time(cluster)
+    state.leadership.voters_deadline = math.inf
+    assert len(cluster.voters()) >= state.limits.wanted_voters
+    assert not awaits_voters(state, cluster.now)
+
+
+# Guards against commands that wait for good for instances that never start.
+def test_commands_do_not_wait_for_voters_beyond_a_bound():
+    cluster, state = founded_cluster()
+    cluster.now += AWAIT_VOTERS_SECONDS
+    assert not awaits_voters(state, cluster.now)
