Let an answer to an earlier term confirm no round

Cause: the answer to a request of an earlier term carried the newer term and the round of the request. If the sender of that request leads again in the newer term, the same number may be that of another round, and a read could be confirmed by a quorum that did not answer it.

Test, failed before: test_an_answer_to_an_earlier_term_confirms_no_round.

Why it holds: a round is confirmed only by answers whose request was of the term that the answer names.

--- a/cyclamenlift/replication/following.py
+++ b/cyclamenlift/replication/following.py
@@ -107,12 +107,17 @@
     match_index: int,
     hint_index: int = 0,
 ) -> AppendAnswer:
+    """Return an answer in the current term.
+
+    It confirms a round only of that term: rounds of an earlier term have the
+    numbers of others if their leader leads again.
+    """
     return AppendAnswer(
         term=state.term,
         follower=state.instance,
         storage_id=state.storage_id,
         accepted=accepted,
         match_index=match_index,
-        round_id=request.round_id,
+        round_id=request.round_id if request.term == state.term else 0,
         hint_index=hint_index,
     )
--- a/cyclamenlift/replication/installing.py
+++ b/cyclamenlift/replication/installing.py
@@ -79,6 +79,7 @@
 def make_answer(
     state: ReplicaState, chunk: SnapshotChunk, offset: int, installed: bool
 ) -> SnapshotAnswer:
+    """Return an answer in the current term; it confirms only its rounds."""
     return SnapshotAnswer(
         term=state.term,
         follower=state.instance,
@@ -86,5 +87,5 @@
         last_index=chunk.last_index,
         next_offset=offset,
         installed=installed,
-        round_id=chunk.round_id,
+        round_id=chunk.round_id if chunk.term == state.term else 0,
     )
--- a/tests/replication/test_state.py
+++ b/tests/replication/test_state.py
@@ -19,6 +19,7 @@
 from cyclamenlift.replication.voters import Configuration
 from cyclamenlift.replication.voters import Voters
 from cyclamenlift.wire.gen.protocol.ttypes import AppendRequest
+from cyclamenlift.wire.gen.protocol.ttypes import SnapshotChunk
 from cyclamenlift.wire.gen.protocol.ttypes import VoteRequest
 from tests.replication.builders import Cluster
 from tests.replication.builders import ELECTION
@@ -317,3 +318,23 @@
         peer.contact_at = cluster.now
     tick(cluster.nodes['a'].state, cluster.now)
     assert cluster.leads('a')
+
+
+# Guards against a read that is confirmed by an answer to a request of an
+# earlier term, whose round had the same number, of a leader that leads again.
+@pytest.mark.parametrize('chunk', [False, True])
+def test_an_answer_to_an_earlier_term_confirms_no_round(chunk):
+    state = make_state(term=3, entries=tuple(make_entries(1)))
+    if chunk:
+        old = SnapshotChunk(1, 'b', 9, 1, 0, b'x', False, 7)
+    else:
+        old = AppendRequest(1, 'b', 0, 0, [], commit_index=0, round_id=7)
+    receive(state, 'b', old, 0.0)
+    (answer,) = sent(state)
+    assert (answer.term, answer.round_id) == (3, 0)
+    leader = bootstrapped_cluster().nodes['a'].state
+    leader.term = 3
+    before = leader.leadership.progress['b'].acked_round
+    answer.follower, answer.storage_id = 'b', 'b-1'
+    receive(leader, 'b', answer, 0.0)
+    assert leader.leadership.progress['b'].acked_round == before
