--- a/cyclamenlift/replication/tasks.py
+++ b/cyclamenlift/replication/tasks.py
@@ -36,6 +36,7 @@
 from cyclamenlift.replication.settings import ReplicaSettings
 from cyclamenlift.replication.state import Limits
 from cyclamenlift.replication.state import ReplicaState
+from cyclamenlift.replication.state_log import StateLog
 from cyclamenlift.replication.storage import open_storage
 from cyclamenlift.replication.sync import SyncDone
 from cyclamenlift.replication.sync import SyncFailed
@@ -95,13 +96,11 @@
         self.active = False
         self.handling = False
         self.flush_scheduled = False
-        self.disk_stalled = False
         self.pending = PendingOperations()
         self.machine_effects = MachineEffects(self)
+        self.state_log = StateLog()
         self.initial_machine_state = b''
         self.reported_leader = ''
-        self.reported_voters_index = 0
-        self.few_voters_term = 0
         # Called with the name of each new leader, '' if there is none.
         self.leader_hooks: list[Callable[[str], None]] = []
         self.register(root)
@@ -283,18 +282,12 @@
         self.schedule_tick()
         if self.active:
             tick(self.state, self.now())
-            self.log_disk_state()
+            self.state_log.note_disk(
+                self.state, self.reported_leader, self.now()
+            )
             self.handle_effects()
             self.flush()
 
-    def log_disk_state(self) -> None:
-        """Log when the disk stalls and when it recovers."""
-        stalled = self.state.is_stalled(self.now())
-        if stalled != self.disk_stalled:
-            self.disk_stalled = stalled
-            event = 'disk_stalled' if stalled else 'disk_goes_on'
-            LOG.warning(event, term=self.state.term, led=self.reported_leader)
-
     def on_message(self, link: Link, message) -> None:
         """Process a message from the instance named in its hello."""
         if not self.active or link.hello is None:
@@ -391,7 +384,7 @@
             return
         if awaits_voters(self.state, self.now()):
             return
-        self.log_few_voters()
+        self.state_log.note_commands(self.state)
         batch = self.pending.take_batch(self.state.limits.batch_entries)
         first = append_commands(
             self.state,
@@ -403,23 +396,6 @@
             self.pending.record_appended(index, self.state.term, proposal.done)
         self.handle_effects()
 
-    def log_few_voters(self) -> None:
-        """Log, once a term, that commands survive fewer losses than wanted."""
-        state = self.state
-        voters = len(state.voters.latest.storage_ids)
-        if voters >= state.limits.wanted_voters:
-            return
-        if state.term == self.few_voters_term:
-            return
-        self.few_voters_term = state.term
-        LOG.warning(
-            'few_voters',
-            voters=voters,
-            wanted=state.limits.wanted_voters,
-            survives=(voters - 1) // 2,
-            term=state.term,
-        )
-
     def not_leader(self) -> Problem:
         return Problem(ResultCode.NOT_LEADER, where=self.leader)
 
@@ -446,22 +422,7 @@
         finally:
             self.handling = False
         self.notify_leader_change()
-        self.log_voters_change()
-
-    def log_voters_change(self) -> None:
-        """Log the newest voter set in the log when it has changed."""
-        latest = self.state.voters.latest
-        index = latest.index if latest else 0
-        if index == self.reported_voters_index:
-            return
-        self.reported_voters_index = index
-        LOG.info(
-            'voters_changed',
-            index=index,
-            final=latest is not None and latest.final,
-            voters=dict(latest.storage_ids) if latest else {},
-            counts=self.state.may_vote,
-        )
+        self.state_log.note_voters(self.state)
 
     def notify_leader_change(self) -> None:
         if self.leader != self.reported_leader:
