Log which members and messages of the log went unanswered

Two control instances that came back with empty disks knew no leader for over four seconds while one led on, and no log line told why: their last lines were replica_started and control_started. Two hypotheses could not be told apart: nobody tells them of the leader, or its messages come and have no effect.

Nothing else changes.

--- a/cyclamenlift/core/metrics.py
+++ b/cyclamenlift/core/metrics.py
@@ -149,6 +149,12 @@
         '{packet}',
         'membership packets of strangers or malformed ones',
     ),
+    MetricInfo(
+        'cyclamenlift.gossip.withheld',
+        MetricKind.COUNTER,
+        '{record}',
+        'records that answers to members left out for want of budget',
+    ),
     MetricInfo(
         'cyclamenlift.wire.far',
         MetricKind.COUNTER,
--- a/cyclamenlift/membership/packet_handlers.py
+++ b/cyclamenlift/membership/packet_handlers.py
@@ -5,8 +5,10 @@
 from cyclamenlift.core.registry import Registry
 from cyclamenlift.membership.digests import select_entries
 from cyclamenlift.membership.packets import EndsDigest
+from cyclamenlift.membership.packets import MAX_PACKET_BYTES
 from cyclamenlift.membership.packets import Outgoing
 from cyclamenlift.membership.probing import RELAY_PERIODS
+from cyclamenlift.membership.table import Entry
 from cyclamenlift.wire.gen.protocol.ttypes import GossipKind
 from cyclamenlift.wire.gen.protocol.ttypes import GossipPacket
 from cyclamenlift.wire.gen.protocol.ttypes import MemberRecord
@@ -197,6 +199,7 @@
     required = receiver.correction(packet)
     newcomer = receiver.sender_is_new or not packet.subject
     room = state.budget.answer_allowance(now, newcomer)
+    state.counters.withheld += count_withheld(entries, room)
     if not required and not (entries and room):
         return []
     answer = state.packet_builder.answer(
@@ -205,6 +208,20 @@
     return [answer]
 
 
+def count_withheld(entries: list[Entry], room: int) -> int:
+    """Return how many records the budget alone keeps out of a packet."""
+    if room >= MAX_PACKET_BYTES:
+        return 0
+    used = 0
+    for number, entry in enumerate(entries):
+        used += entry.size
+        if used > MAX_PACKET_BYTES:
+            return 0
+        if used > room:
+            return len(entries) - number
+    return 0
+
+
 @HANDLERS.register('SYNC')
 def on_sync(receiver, packet, now):
     """Do nothing: the records of the packet have already been merged."""
--- a/cyclamenlift/membership/state.py
+++ b/cyclamenlift/membership/state.py
@@ -59,6 +59,8 @@
     refutations: int = 0
     suspicions: int = 0
     deaths: int = 0
+    # Records that answers to pulls left out because the budget was spent.
+    withheld: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cyclamenlift/membership/tasks.py
+++ b/cyclamenlift/membership/tasks.py
@@ -51,6 +51,7 @@
         self.state: MembershipState | None = None
         self.timer = None
         self.join_steps = JOIN_STEPS
+        self.next_withheld_log_at = 0.0
         self.record_hooks: list[RecordHook] = []
         self.version_hooks: list[VersionHook] = []
         self.end_hooks: list[EndHook] = []
@@ -241,11 +242,28 @@
             return
         now = self.loop.scheduler.clock.now()
         refuted = counters.refutations
+        withheld = counters.withheld
         outgoing = self.state.on_packet(packet, now)
         if counters.refutations > refuted:
             LOG.info('gossip_refuted', sender=packet.sender)
+        if counters.withheld > withheld:
+            self.log_withheld(packet, counters.withheld - withheld)
         self.dispatch(outgoing)
 
+    def log_withheld(self, packet: GossipPacket, records: int) -> None:
+        """Log, once a period, that an answer was cut for want of budget."""
+        now = self.loop.scheduler.clock.now()
+        if now < self.next_withheld_log_at:
+            return
+        self.next_withheld_log_at = now + self.settings.period
+        LOG.info(
+            'gossip_answer_cut',
+            sender=packet.sender,
+            records=records,
+            knew_none=not packet.subject,
+            tokens=int(self.state.budget.tokens),
+        )
+
     def dispatch(self, outgoing: list[Outgoing]) -> None:
         """Send the resulting packets and notify subscribers."""
         for item in outgoing:
--- a/cyclamenlift/replication/state_log.py
+++ b/cyclamenlift/replication/state_log.py
@@ -14,6 +14,9 @@
         self.disk_stalled = False
         self.voters_index = 0
         self.few_voters_term = 0
+        # Senders whose messages were dropped, and the peers at that time.
+        self.strangers: set[str] = set()
+        self.strangers_peers: tuple[str, ...] = ()
 
     def note_disk(self, state: ReplicaState, led: str, now: float) -> None:
         """Log when the disk stalls and when it recovers.
@@ -26,6 +29,27 @@
             event = 'disk_stalled' if stalled else 'disk_goes_on'
             LOG.warning(event, term=state.term, led=led)
 
+    def note_stranger(self, state: ReplicaState, sender: str, message) -> None:
+        """Log, once a sender, that a message is not of a known peer.
+
+        It is logged again after the known peers have changed.
+        """
+        if sender in state.peers:
+            return
+        if state.peers != self.strangers_peers:
+            self.strangers_peers = state.peers
+            self.strangers.clear()
+        if sender in self.strangers:
+            return
+        self.strangers.add(sender)
+        LOG.info(
+            'message_of_stranger',
+            sender=sender,
+            kind=type(message).__name__,
+            term=message.term,
+            peers=list(state.peers),
+        )
+
     def note_voters(self, state: ReplicaState) -> None:
         """Log the newest voter set in the log when it has changed."""
         latest = state.voters.latest
--- a/cyclamenlift/replication/tasks.py
+++ b/cyclamenlift/replication/tasks.py
@@ -292,8 +292,10 @@
         """Process a message from the instance named in its hello."""
         if not self.active or link.hello is None:
             return
+        sender = link.hello.instance
+        self.state_log.note_stranger(self.state, sender, message)
         try:
-            receive(self.state, link.hello.instance, message, self.now())
+            receive(self.state, sender, message, self.now())
         except InvariantError as error:
             self.halt(Problem(ResultCode.STORAGE_DAMAGED, str(error)))
             return
--- a/cyclamenlift/runtime/call_metrics.py
+++ b/cyclamenlift/runtime/call_metrics.py
@@ -67,6 +67,9 @@
             'cyclamenlift.gossip.refused',
             lambda: members.counters.strangers + members.counters.malformed,
         )
+        watch(
+            'cyclamenlift.gossip.withheld', lambda: members.counters.withheld
+        )
         self.metrics.observe(
             INFO['cyclamenlift.wire.far'],
             lambda: [
--- a/cyclamenlift/runtime/control.py
+++ b/cyclamenlift/runtime/control.py
@@ -35,6 +35,7 @@
 from cyclamenlift.replication.settings import ReplicaSettings
 from cyclamenlift.replication.tasks import Replica
 from cyclamenlift.runtime.control_metrics import ControlMetrics
+from cyclamenlift.runtime.control_metrics import WITHHELD
 from cyclamenlift.runtime.peers import parse_peers
 from cyclamenlift.runtime.state_machine import ControlStateMachine
 from cyclamenlift.wire.gen.protocol.ttypes import MemberRecord
@@ -165,6 +166,7 @@
         self.evacuations.join(self.membership)
         # Control instances keep the quarantine while all daemons restart.
         self.quarantine.join(self.network, self.membership)
+        self.metrics.watch(WITHHELD, lambda: self.membership.counters.withheld)
         self.machine.subscribe_version(
             lambda version: self.membership.announce(config_version=version)
         )
--- a/cyclamenlift/runtime/control_metrics.py
+++ b/cyclamenlift/runtime/control_metrics.py
@@ -74,6 +74,12 @@
     '{data_centre}',
     'data centres that are evacuated, as this instance has applied the log',
 )
+WITHHELD = MetricInfo(
+    'cyclamenlift.control.gossip.withheld',
+    MetricKind.COUNTER,
+    '{record}',
+    'records that answers to members left out for want of budget',
+)
 CONTROL_METRICS = (
     COMMITS,
     TERM,
@@ -84,6 +90,7 @@
     CLAIMS_ANSWERED,
     VERSION,
     EVACUATED,
+    WITHHELD,
 )
 
 
