Keep a reserve of the gossip budget for answers to newcomers

Two control instances that lost their disks were not repaired in the 4 s of catch_up; the next lost disk then took the configuration: every read and change gets 503 for good.

Cause: each member pushes each version of the configuration to up to eight members, whatever is left of its byte budget (1,900 bytes a period). An instance with an empty disk knows its seeds alone. The only seed that runs tells it two members, once; from then on it is no newcomer, and an overdrawn member answers it nothing. If the leader is no seed, its record does not come, and its messages are dropped as those of a stranger.

Change: announcements (pushes of versions, of changes of targets, of ended targets, of evacuations) are sent as before but never charge the budget below 40,000 bytes, a table of some 250 members. Answers to pulls and requests for them always find that reserve. Reports of others and urgent changes are forwarded only from what is above it.

Why it holds: whoever is asked spends the reserve on answers alone (and on its one probe a period, which the refill covers), so the number of changes no longer decides whether a newcomer is told.

--- a/cyclamenlift/membership/budget.py
+++ b/cyclamenlift/membership/budget.py
@@ -14,6 +14,9 @@
 # With a smaller budget, only pulls of newcomers are answered.
 MIN_ANSWER_BYTES = 400
 MAX_OVERDRAFT_BYTES = 20_000
+# What announcements leave of the budget, however many there are: a table of
+# some 250 members for those that start or come back.
+RESERVE_BYTES = 40_000
 
 
 class ByteBudget:
@@ -57,8 +60,30 @@
             )
         return REFERRAL_BYTES if self.tokens > -MAX_OVERDRAFT_BYTES else 0
 
+    def spend(self, size: int, lowest: int = -MAX_OVERDRAFT_BYTES) -> None:
+        """Charge a sent packet of ``size`` payload bytes.
+
+        It doesn't take the budget below ``lowest``.
+        """
+        left = self.tokens - size - IP_UDP_BYTES
+        self.tokens = max(left, min(self.tokens, lowest))
+
+
+class AnnouncementBudget:
+    """The part of a budget that announcements may use up.
+
+    They are sent at every change, however many there are, and never wait for
+    the budget. Members that know nothing yet must still be answered, so the
+    reserve is not charged for them.
+    """
+
+    def __init__(self, budget: ByteBudget) -> None:
+        self.budget = budget
+
+    def available(self, now: float) -> int:
+        """Return the number of bytes above the reserve."""
+        return max(0, self.budget.available(now) - RESERVE_BYTES)
+
     def spend(self, size: int) -> None:
-        """Charge a sent packet of ``size`` payload bytes."""
-        self.tokens = max(
-            -MAX_OVERDRAFT_BYTES, self.tokens - size - IP_UDP_BYTES
-        )
+        """Charge a sent announcement of ``size`` payload bytes."""
+        self.budget.spend(size, lowest=RESERVE_BYTES)
--- a/cyclamenlift/membership/packet_handlers.py
+++ b/cyclamenlift/membership/packet_handlers.py
@@ -47,7 +47,7 @@
         if any_new and is_transfer(packet):
             result.extend(self.pull_more(packet, now))
             result.extend(self.state.introduce(now))
-        if urgent and self.state.budget.available(now):
+        if urgent and self.state.announcement_budget.available(now):
             result.extend(self.state.push(urgent, FORWARD_FANOUT, now))
         return result
 
--- a/cyclamenlift/membership/packets.py
+++ b/cyclamenlift/membership/packets.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from cyclamenlift.core.streams import Address
+from cyclamenlift.membership.budget import AnnouncementBudget
 from cyclamenlift.membership.budget import ByteBudget
 from cyclamenlift.membership.dissemination import DisseminationQueue
 from cyclamenlift.membership.dissemination import TableSlice
@@ -154,18 +155,20 @@
         required: Iterable[MemberRecord],
         now: float,
         piggyback: bool = True,
+        budget: ByteBudget | AnnouncementBudget | None = None,
     ) -> Outgoing:
         """Fill a packet, charge its bytes and return it for sending.
 
         Records in ``required`` are included regardless of the budget; they are
         few.
         """
+        budget = budget or self.budget
         room = MAX_PACKET_BYTES - self.overhead(packet)
         room = self.add(packet, required, room)
-        room = min(room, self.piggyback_bytes, self.budget.available(now))
+        room = min(room, self.piggyback_bytes, budget.available(now))
         if piggyback and room > 0:
             self.add_piggyback(packet, room)
-        return self.encode(address, packet)
+        return self.encode(address, packet, budget)
 
     def add_piggyback(self, packet: GossipPacket, room: int) -> None:
         for record in self.queue.take(self.table, room):
@@ -173,9 +176,14 @@
             room -= self.table.entries[record.instance].size
         packet.records.extend(self.slice.take(self.table, room))
 
-    def encode(self, address: str, packet: GossipPacket) -> Outgoing:
+    def encode(
+        self,
+        address: str,
+        packet: GossipPacket,
+        budget: ByteBudget | AnnouncementBudget,
+    ) -> Outgoing:
         data = encode_packet(packet)
-        self.budget.spend(len(data))
+        budget.spend(len(data))
         return Outgoing(Address.parse(address), packet, data)
 
     def answer(
@@ -192,4 +200,4 @@
         room = self.add(packet, required, room)
         room = min(room, limit)
         self.add(packet, (entry.record for entry in entries), room)
-        return self.encode(address, packet)
+        return self.encode(address, packet, self.budget)
--- a/cyclamenlift/membership/state.py
+++ b/cyclamenlift/membership/state.py
@@ -9,6 +9,7 @@
 import dataclasses
 import random
 
+from cyclamenlift.membership.budget import AnnouncementBudget
 from cyclamenlift.membership.budget import ByteBudget
 from cyclamenlift.membership.budget import BYTES_PER_PERIOD
 from cyclamenlift.membership.contacts import Contacts
@@ -89,6 +90,7 @@
         self.queue = DisseminationQueue()
         rate = BYTES_PER_PERIOD / settings.period
         self.budget = ByteBudget(now, rate)
+        self.announcement_budget = AnnouncementBudget(self.budget)
         self.packet_builder = PacketBuilder(
             settings, address, self.table, self.queue, self.budget
         )
@@ -282,12 +284,29 @@
         result = []
         for member in self.sample_nearby(fanout):
             packet = self.packet_builder.new_packet(GossipKind.SYNC, 0)
-            sent = self.packet_builder.finish(
-                member.gossip_address, packet, records, now
-            )
-            result.append(sent)
+            result.append(self.finish_push(member, packet, records, now))
         return result
 
+    def finish_push(
+        self,
+        member: MemberRecord,
+        packet: GossipPacket,
+        records: list[MemberRecord],
+        now: float,
+    ) -> Outgoing:
+        """Finish a packet that leaves the budget's reserve to answers.
+
+        Others' records are piggybacked only on pushed records.
+        """
+        return self.packet_builder.finish(
+            member.gossip_address,
+            packet,
+            records,
+            now,
+            piggyback=bool(records),
+            budget=self.announcement_budget,
+        )
+
     def push_ends(
         self, report: EndReport, fanout: int, now: float, own: bool
     ) -> list[Outgoing]:
@@ -297,16 +316,13 @@
         budget is spent: when many targets end together, every member forwards
         all of them.
         """
-        if not own and not self.budget.available(now):
+        if not own and not self.announcement_budget.available(now):
             return []
         result = []
         for member in self.sample_nearby(fanout):
             packet = self.packet_builder.new_packet(GossipKind.SYNC, 0)
             packet.ends = [report]
-            address = member.gossip_address
-            result.append(
-                self.packet_builder.finish(address, packet, [], now, False)
-            )
+            result.append(self.finish_push(member, packet, [], now))
         return result
 
     def push_evacuations(self, fanout: int, now: float) -> list[Outgoing]:
@@ -317,10 +333,7 @@
         result = []
         for member in self.sample_nearby(fanout):
             packet = self.packet_builder.new_packet(GossipKind.SYNC, 0)
-            address = member.gossip_address
-            result.append(
-                self.packet_builder.finish(address, packet, [], now, False)
-            )
+            result.append(self.finish_push(member, packet, [], now))
         return result
 
     def announce(
