Follow a leader that membership has not named yet

Cause: a replica dropped every message of an instance that is none of its peers, and an empty one knows as peers its seeds and what membership has told it. The leader knows it all the while, from the voter set, and sends it a heartbeat every 0.1 s. Nor could it have answered: it has no address of the leader.

An answer goes back over the connection that brought the message while the sender's address is unknown.

--- a/cyclamenlift/replication/effect_handlers.py
+++ b/cyclamenlift/replication/effect_handlers.py
@@ -24,9 +24,7 @@
 
 @EFFECT_HANDLERS.register('Send')
 def send(replica: 'Replica', effect: Send) -> None:
-    address = replica.address_of(effect.to)
-    if address is not None:
-        replica.network.send(address, effect.message)
+    replica.send(effect.to, effect.message)
 
 
 def apply_entry(replica: 'Replica', entry: LogEntry) -> None:
--- a/cyclamenlift/replication/inputs.py
+++ b/cyclamenlift/replication/inputs.py
@@ -11,11 +11,28 @@
 from cyclamenlift.replication.message_handlers import MESSAGE_HANDLERS
 from cyclamenlift.replication.queries import Role
 from cyclamenlift.replication.state import ReplicaState
+from cyclamenlift.wire.gen.protocol.ttypes import AppendRequest
+from cyclamenlift.wire.gen.protocol.ttypes import SnapshotChunk
+
+
+# What only the leader of a term sends.
+LEADER_MESSAGES = (AppendRequest, SnapshotChunk)
+
+
+def accepts(state: ReplicaState, sender: str, message) -> bool:
+    """Return whether a message from ``sender`` is processed.
+
+    Votes and answers count only from known peers. A leader is followed even
+    if it is unknown here: a majority of some voter set elected it. An
+    instance with an empty disk knows its seeds alone, and what membership
+    has told it so far.
+    """
+    return sender in state.peers or isinstance(message, LEADER_MESSAGES)
 
 
 def receive(state: ReplicaState, sender: str, message, now: float) -> None:
     """Process a message from the instance ``sender``."""
-    if sender in state.peers:
+    if accepts(state, sender, message):
         MESSAGE_HANDLERS.get(type(message).__name__)(
             state, sender, message, now
         )
--- a/cyclamenlift/replication/state_log.py
+++ b/cyclamenlift/replication/state_log.py
@@ -30,12 +30,10 @@
             LOG.warning(event, term=state.term, led=led)
 
     def note_stranger(self, state: ReplicaState, sender: str, message) -> None:
-        """Log, once a sender, that a message is not of a known peer.
+        """Log that a message has no effect, as its sender is unknown.
 
-        It is logged again after the known peers have changed.
+        It is logged once a sender, and again when the known peers changed.
         """
-        if sender in state.peers:
-            return
         if state.peers != self.strangers_peers:
             self.strangers_peers = state.peers
             self.strangers.clear()
--- a/cyclamenlift/replication/tasks.py
+++ b/cyclamenlift/replication/tasks.py
@@ -17,6 +17,7 @@
 from cyclamenlift.replication.commands import replace_storage
 from cyclamenlift.replication.effect_handlers import EFFECT_HANDLERS
 from cyclamenlift.replication.effect_handlers import restore_machine
+from cyclamenlift.replication.inputs import accepts
 from cyclamenlift.replication.inputs import connection_lost
 from cyclamenlift.replication.inputs import receive
 from cyclamenlift.replication.inputs import synced
@@ -99,6 +100,9 @@
         self.pending = PendingOperations()
         self.machine_effects = MachineEffects(self)
         self.state_log = StateLog()
+        # The connection of each sender's last message: the way to answer a
+        # leader whose address is not known yet.
+        self.links: dict[str, Link] = {}
         self.initial_machine_state = b''
         self.reported_leader = ''
         # Called with the name of each new leader, '' if there is none.
@@ -145,6 +149,16 @@
 
     # -- commands ---------------------------------------------------------
 
+    def send(self, instance: str, message) -> None:
+        """Send a message to an instance; it may be lost."""
+        address = self.address_of(instance)
+        if address is not None:
+            self.network.send(address, message)
+            return
+        link = self.links.get(instance)
+        if link is not None:
+            link.send(message)
+
     def update_peer(self, instance: str, address: Address, live: bool) -> None:
         """Add an instance that may become a voter, or remove it."""
         if not self.active:
@@ -293,7 +307,10 @@
         if not self.active or link.hello is None:
             return
         sender = link.hello.instance
-        self.state_log.note_stranger(self.state, sender, message)
+        if not accepts(self.state, sender, message):
+            self.state_log.note_stranger(self.state, sender, message)
+            return
+        self.links[sender] = link
         try:
             receive(self.state, sender, message, self.now())
         except InvariantError as error:
@@ -302,7 +319,11 @@
         self.handle_effects()
 
     def on_link_lost(self, link: Link) -> None:
-        if self.active and link.hello is not None:
+        if link.hello is None:
+            return
+        if self.links.get(link.hello.instance) is link:
+            del self.links[link.hello.instance]
+        if self.active:
             connection_lost(self.state, link.hello.instance, self.now())
 
     def on_sync_outcome(self, outcome: SyncDone | SyncFailed) -> None:
--- a/tests/replication/test_tasks.py
+++ b/tests/replication/test_tasks.py
@@ -35,20 +35,23 @@
         machine=None,
         snapshot_entries=10,
         wanted_voters=0,
+        name='a',
+        bootstrap=True,
     ):
         self.loop = build_root()
         self.loop._running = True
-        network = PeerNetwork(self.loop.poller, 'a', 'dc', 'test')
+        network = PeerNetwork(self.loop.poller, name, 'dc', 'test')
         network.register(self.loop)
+        self.network = network
         self.machine = machine or CountMachine()
         settings = ReplicaSettings(
-            'a',
+            name,
             folder,
             peers or {},
             election_ms=40,
             heartbeat_ms=10,
             snapshot_entries=snapshot_entries,
-            bootstrap=True,
+            bootstrap=bootstrap,
             wanted_voters=wanted_voters,
         )
         rng = random.Random(1)
@@ -198,3 +201,22 @@
     (line,) = [entry for entry in logs if entry['event'] == 'few_voters']
     assert (line['voters'], line['wanted'], line['survives']) == (1, 3, 0)
     harness.replica.stop()
+
+
+# Guards against an empty disk that a leader can't repair, as its instance
+# knows no address to answer that leader at.
+def test_a_leader_that_is_not_known_is_answered_where_it_asks(tmp_path):
+    empty = ReplicaHarness(tmp_path / 'b', name='b', bootstrap=False)
+    address = empty.network.listen(Address('127.0.0.1', 0))
+    leader = ReplicaHarness(tmp_path / 'a', wanted_voters=2).lead()
+    assert leader.ask('propose', b'x') == Success(b'1')
+    leader.replica.update_peer('b', address, True)
+
+    def has_caught_up() -> bool:
+        empty.loop.tick(0.001)
+        return empty.machine.count == 1 and empty.replica.state.may_vote
+
+    leader.run_until(has_caught_up)
+    assert empty.replica.leader == 'a'
+    leader.replica.stop()
+    empty.replica.stop()
--- a/tests/replication/test_voter_changes.py
+++ b/tests/replication/test_voter_changes.py
@@ -67,6 +67,21 @@
     assert set(after) == set(before)
 
 
+# Guards against an empty disk that is never repaired, as the instance knows
+# its seeds alone and drops the messages of a leader that is none of them.
+@pytest.mark.parametrize('leader', JOINERS)
+def test_a_lost_disk_is_replaced_by_a_leader_that_is_not_known(leader):
+    cluster = bootstrapped_cluster()
+    cluster.elect(leader, ALL)
+    assert cluster.leads(leader)
+    before = cluster.voters()
+    cluster.wipe_if_tolerable('a')
+    cluster.untold.add('a')
+    cluster.recover()
+    assert cluster.leads(leader)
+    assert cluster.voters()['a'] != before['a']
+
+
 def test_unreachable_voter_is_removed_down_to_the_wanted_number():
     cluster = bootstrapped_cluster()
     gone = next(n for n in ALL if not cluster.leads(n))
--- a/tests/replication/voter_change_explorer.py
+++ b/tests/replication/voter_change_explorer.py
@@ -3,7 +3,8 @@
 Three instances bootstrap the cluster and others join. Meanwhile messages
 are lost, duplicated and reordered, processes crash with torn writes, links
 are cut and disks are lost, though never so many that a voter set in some
-log loses its majority.
+log loses its majority. Membership tells only some of the instances with an
+empty disk of the others; the rest know the founders alone.
 """
 
 import dataclasses
@@ -55,10 +56,14 @@
         self.cut: set[tuple[str, str]] = set()
         self.lost: set[str] = set()
         self.wipes = 0
+        # Instances that membership tells of no other.
+        self.untold: set[str] = set()
         for node in self.nodes.values():
             self.announce_all(node)
 
     def announce_all(self, node: GrowingNode) -> None:
+        if node.name in self.untold:
+            return
         for name in ALL:
             node.state.add_peer(name, f'{name}:1')
 
@@ -141,6 +146,9 @@
         node.boot()
         self.nodes[name] = node
         self.down.add(name)
+        self.untold.discard(name)
+        if self.wipes % 2:
+            self.untold.add(name)
 
     def keeps_majorities(self, lost: set[str]) -> bool:
         """Return whether each voter set in a log keeps a majority."""
