Replace all storages that are ready in one voter change

Each lost storage became a voter by a change of its own, one after the other, and each change is a joint and a final entry with a sync each.

Now the leader counts all storages that hold every committed entry in one joint change. Joint consensus allows any change: until the final entry, a majority of the old voters and of the new ones is needed, and each new storage holds what is committed. The same goes for founders to which the others are added.

Test: two disks lost at once are replaced by one joint and one final entry (failed before: two of each).

Not measured in seconds here: on a fast disk a sync takes under a millisecond, and the time goes into starting the process.

--- a/cyclamenlift/replication/voter_changes.py
+++ b/cyclamenlift/replication/voter_changes.py
@@ -1,9 +1,10 @@
 """Automatic voter set changes by the leader; performs no I/O.
 
 The cluster is bootstrapped by a few configured instances. The leader then
-adds the others one at a time, replaces the storage of a voter whose disk was
-lost, and removes voters that are gone. Each change is a log entry and needs
-a majority of the voters before and after it. A storage becomes a voter only
+adds the others, replaces the storages of voters whose disks were lost, and
+removes voters that are gone. Each change is a log entry and needs a majority
+of the voters before and after it; all storages that are ready become voters
+in one change. A storage becomes a voter only
 after it holds every committed entry, so that no change reduces the
 durability of committed entries.
 """
@@ -61,18 +62,33 @@
 ) -> Configuration | None:
     """Return the next voter set, None if no change is needed."""
     latest = state.voters.latest
+    changed = latest
     for name, progress in sorted(state.leadership.progress.items()):
-        if not can_become_voter(state, progress, now):
-            continue
-        voting_storage_id = latest.storage_ids.get(name)
-        if voting_storage_id == progress.storage_id:
-            continue
-        if voting_storage_id is not None:
-            return latest.replaced(name, progress.storage_id)
-        return add_voter(state, name, progress.storage_id, now)
+        if can_become_voter(state, progress, now):
+            changed = count_storage(
+                state, changed, name, progress.storage_id, now
+            )
+    if changed is not latest:
+        return changed
     return remove_voter(state, now)
 
 
+def count_storage(
+    state: ReplicaState,
+    voters: Configuration,
+    name: str,
+    storage_id: str,
+    now: float,
+) -> Configuration:
+    """Return ``voters`` with this storage, unchanged if that can't be."""
+    voting_storage_id = voters.storage_ids.get(name)
+    if voting_storage_id == storage_id:
+        return voters
+    if voting_storage_id is not None:
+        return voters.replaced(name, storage_id)
+    return add_voter(state, voters, name, storage_id, now)
+
+
 def can_become_voter(
     state: ReplicaState, progress: Progress, now: float
 ) -> bool:
@@ -85,35 +101,40 @@
 
 
 def add_voter(
-    state: ReplicaState, name: str, storage_id: str, now: float
-) -> Configuration | None:
+    state: ReplicaState,
+    voters: Configuration,
+    name: str,
+    storage_id: str,
+    now: float,
+) -> Configuration:
     """Add a voter, replacing an unreachable one if there are enough."""
-    latest = state.voters.latest
     address = state.addresses.get(name, '')
-    unreachable = longest_unreachable(state, now)
-    has_enough_voters = len(latest.storage_ids) >= state.limits.wanted_voters
+    unreachable = longest_unreachable(state, voters, now)
+    has_enough_voters = len(voters.storage_ids) >= state.limits.wanted_voters
     if unreachable and has_enough_voters:
-        return latest.without(unreachable).joined(name, storage_id, address)
-    if len(latest.storage_ids) >= MAX_VOTERS:
-        return None
-    return latest.joined(name, storage_id, address)
+        return voters.without(unreachable).joined(name, storage_id, address)
+    if len(voters.storage_ids) >= MAX_VOTERS:
+        return voters
+    return voters.joined(name, storage_id, address)
 
 
 def remove_voter(state: ReplicaState, now: float) -> Configuration | None:
     """Remove an unreachable voter if enough remain."""
     latest = state.voters.latest
-    unreachable = longest_unreachable(state, now)
+    unreachable = longest_unreachable(state, latest, now)
     if unreachable and len(latest.storage_ids) > state.limits.wanted_voters:
         return latest.without(unreachable)
     return None
 
 
-def longest_unreachable(state: ReplicaState, now: float) -> str:
+def longest_unreachable(
+    state: ReplicaState, voters: Configuration, now: float
+) -> str:
     """Return the voter unreachable for longest, '' if there is none."""
     contacts = {
         name: progress.contact_at
         for name, progress in state.leadership.progress.items()
-        if name in state.voters.latest.storage_ids
+        if name in voters.storage_ids
         and now - progress.contact_at >= UNREACHABLE_SECONDS
     }
     return min(contacts, key=contacts.__getitem__) if contacts else ''
--- a/tests/replication/test_voter_changes.py
+++ b/tests/replication/test_voter_changes.py
@@ -82,6 +82,32 @@
     assert cluster.voters()['a'] != before['a']
 
 
+def lose_two_disks(cluster: GrowingCluster) -> list[str]:
+    """Return two followers that come back with empty disks at once."""
+    lost = [n for n in cluster.voters() if not cluster.leads(n)][:2]
+    for name in lost:
+        cluster.wipe_if_tolerable(name)
+        cluster.lost.clear()
+    return lost
+
+
+# Guards against a repair whose time grows with the number of lost disks, as
+# each storage becomes a voter by a change, and two syncs, of its own.
+def test_two_lost_disks_are_replaced_by_one_change():
+    cluster = bootstrapped_cluster()
+    leader = next(n for n in ALL if cluster.leads(n))
+    before = cluster.voters()
+    history = len(cluster.nodes[leader].state.voters.history)
+    lost = lose_two_disks(cluster)
+    cluster.recover()
+    after = cluster.voters()
+    assert all(after[name] != before[name] for name in lost)
+    state = cluster.nodes[leader].state
+    assert cluster.leads(leader)
+    changes = state.voters.history[history:]
+    assert [change.final for change in changes] == [False, True]
+
+
 def test_unreachable_voter_is_removed_down_to_the_wanted_number():
     cluster = bootstrapped_cluster()
     gone = next(n for n in ALL if not cluster.leads(n))
