Let every storage with a log vote, whatever its own log says of voters

What operators would see: 503 for every read and change, for good, with a majority of voters intact.

Cause: a storage granted votes and was a candidate only if the latest voter set in its own log names it. Two kinds that others need refused:

* A voter whose removal is under way.
Until the final entry a majority of the old voters is needed as well.
* A storage that became a voter without holding the entry that says so: three old voters of five may commit the joint and the final entry of two new storages.
If one of the three is lost before the new ones have stored it, the two refuse, and two of five are left.

A vote is counted by who asks, under the voter sets of its own log and the voter's storage id, and compares the logs. So a storage with a log may always vote, and one that a set in force names may be a candidate. An empty log votes only to found a cluster, as before.

--- a/cyclamenlift/replication/elections.py
+++ b/cyclamenlift/replication/elections.py
@@ -14,7 +14,7 @@
     if now < state.election_deadline:
         return
     state.schedule_pre_vote(now)
-    if state.may_vote and not state.is_stalled(now):
+    if state.may_campaign and not state.is_stalled(now):
         start_pre_vote(state, now)
 
 
--- a/cyclamenlift/replication/state.py
+++ b/cyclamenlift/replication/state.py
@@ -166,16 +166,27 @@
 
     @property
     def may_vote(self) -> bool:
-        """Return whether this storage may vote and be a candidate.
+        """Return whether this storage may grant votes.
 
-        The configuration in its own log must name it: an instance whose
-        disk came back empty waits until its storage was replaced and it
-        has caught up to that entry. An empty log votes only with
+        A candidate counts the vote only if its own log makes this storage a
+        voter. That entry need not be in the log here: a majority may have
+        committed it without this storage. An empty log votes only with
         ``bootstrap``.
         """
         if self.voters.latest is None:
             return self.bootstrap and self.instance in self.voters.names
-        return self.voters.names_storage(self.instance, self.storage_id)
+        return True
+
+    @property
+    def may_campaign(self) -> bool:
+        """Return whether this storage may be a candidate.
+
+        It must be a voter by a configuration in its own log that is in
+        force; while voters are changed, that includes the old ones.
+        """
+        if self.voters.latest is None:
+            return self.may_vote
+        return self.voters.counts_storage(self.instance, self.storage_id)
 
     @property
     def term_is_durable(self) -> bool:
@@ -195,7 +206,7 @@
             'term': self.term,
             'last_index': self.log.last_index,
             'snapshot_index': self.snapshot_index,
-            'may_vote': self.may_vote,
+            'counts': self.may_campaign,
         }
 
     # -- commands ---------------------------------------------------------
--- a/cyclamenlift/replication/state_log.py
+++ b/cyclamenlift/replication/state_log.py
@@ -60,7 +60,7 @@
             index=index,
             final=latest is not None and latest.final,
             voters=dict(latest.storage_ids) if latest else {},
-            counts=state.may_vote,
+            counts=state.may_campaign,
         )
 
     def note_commands(self, state: ReplicaState) -> None:
--- a/cyclamenlift/replication/voters.py
+++ b/cyclamenlift/replication/voters.py
@@ -181,3 +181,10 @@
         if latest is None:
             return False
         return latest.storage_ids.get(instance) == storage_id
+
+    def counts_storage(self, instance: str, storage_id: str) -> bool:
+        """Return whether any configuration in force names this storage."""
+        return any(
+            configuration.storage_ids.get(instance) == storage_id
+            for configuration in self.active
+        )
