Hold large answers while other calls of the connection are under way

Cause: look-ups behind a call are passed on at once; an answer over 256 KiB is streamed, and a break of it can only end the connection, with all answers that wait behind it.

Change: with other calls of the connection under way, an answer up to 1 MiB is held until it is whole, within the memory for bodies, so a break is an error of that call alone, which may be tried again. Behind an answer that is being streamed nothing more is passed on: what waits there has not run if the connection ends.

--- a/cyclamenlift/calls/attempt.py
+++ b/cyclamenlift/calls/attempt.py
@@ -37,6 +37,8 @@
     answering: bool = False
     buffered: list[bytes] = dataclasses.field(default_factory=list)
     buffered_size: int = 0
+    # Bytes that are reserved to hold a large answer until it is whole.
+    held: int = 0
     start_frame: bytes = b''
     body_frames: list[bytes] = dataclasses.field(default_factory=list)
 
--- a/cyclamenlift/calls/budgets.py
+++ b/cyclamenlift/calls/budgets.py
@@ -116,10 +116,11 @@
 
 
 class BodyBudget:
-    """Limits the bytes of request bodies that this entry buffers.
+    """Limits the bytes of bodies that this entry buffers.
 
-    A body is kept until the target has answered, so that an upload proven not
-    run can be sent to another target.
+    A request's body is kept until the target has answered, so that an upload
+    proven not run can be sent to another target. A large answer is held until
+    it is whole if other calls of its connection depend on it.
     """
 
     def __init__(self, limit: int):
--- a/cyclamenlift/calls/call.py
+++ b/cyclamenlift/calls/call.py
@@ -43,6 +43,9 @@
 # Gates end what their targets still send at the deadline; what a target had
 # finished by then is delivered.
 LATE_ANSWER_SECONDS = 0.2
+# The largest answer that is held until it is whole for the sake of other
+# calls on its connection.
+MAX_HELD_ANSWER_BYTES = 1024 * 1024
 OVERLOAD_HEADER = 'cyclamenlift-overloaded'
 
 
@@ -258,7 +261,7 @@
             attempt.buffered_size = len(answer.body)
         if answer.body_complete:
             self.end_answered(attempt)
-        elif answer.body_length > self.request.rule.whole_answer_bytes:
+        elif self.must_stream(attempt, answer.body_length):
             self.start_relay(attempt)
 
     def on_answer_body(self, attempt: Try, chunk: BodyChunk) -> None:
@@ -270,11 +273,28 @@
             attempt.buffered_size += len(chunk.data)
         if chunk.last:
             self.end_answered(attempt)
-        elif attempt.buffered_size > self.request.rule.whole_answer_bytes:
+        elif self.must_stream(attempt, attempt.buffered_size):
             self.start_relay(attempt)
         else:
             self.calls.credit(attempt, len(chunk.data))
 
+    def must_stream(self, attempt: Try, size: int) -> bool:
+        """Return whether an answer of this size is too large to be held.
+
+        With other calls on the same connection, larger ones are held: those
+        calls would get no answer if a streamed one broke off.
+        """
+        if size <= self.request.rule.whole_answer_bytes:
+            return False
+        if not self.exchange.shares_connection:
+            return True
+        if size > MAX_HELD_ANSWER_BYTES:
+            return True
+        if not self.reserve(size - attempt.held):
+            return True
+        attempt.held = size
+        return False
+
     def end_answered(self, attempt: Try) -> None:
         """Handle a whole answer; an idempotent call may retry an error."""
         failed = attempt.status >= SERVER_ERROR
--- a/cyclamenlift/calls/relay.py
+++ b/cyclamenlift/calls/relay.py
@@ -1,7 +1,8 @@
 """Relays an answer from a gate to the caller, whole or not at all.
 
 Answers up to the service's limit are buffered before their first byte is sent,
-so that a broken one can still be replaced. Larger ones are streamed with their
+so that a broken one can still be replaced. So are larger ones while other
+calls of the same connection are under way. All others are streamed with their
 exact length. If a stream breaks, the caller's connection is closed, so that a
 partial answer cannot pass for a whole one.
 """
--- a/cyclamenlift/http/connection.py
+++ b/cyclamenlift/http/connection.py
@@ -34,7 +34,8 @@
 
     Pipelined requests stay in the parser's queue, and reading is paused
     until the previous request has been answered. Safe requests without a
-    body may be processed in parallel; their responses are sent in order.
+    body may be processed in parallel, unless a streamed response is before
+    them; their responses are sent in order.
     """
 
     __slots__ = (
@@ -138,12 +139,17 @@
         self.server.handle_request(self.active)
 
     def start_pipelined(self) -> None:
-        """Start requests that needn't wait for earlier responses."""
+        """Start requests that needn't wait for earlier responses.
+
+        None is started behind a streamed response: if that breaks off, the
+        connection ends, and what wasn't started is certain not to run.
+        """
         limit = self.server.limits.max_pipelined - 1
         last = self.pipelined[-1] if self.pipelined else self.active
         while (
             self.parser.queue
             and len(self.pipelined) < limit
+            and not self.is_streaming()
             and last.request.complete
             and last.request.keep_alive
             and is_pipelinable(self.parser.queue[0])
@@ -155,6 +161,12 @@
             if not self.stream.open:
                 return
 
+    def is_streaming(self) -> bool:
+        """Return whether a response that was started is a streamed one."""
+        return any(
+            exchange.streams for exchange in (self.active, *self.pipelined)
+        )
+
     def abandon_pipelined(self) -> None:
         """Abandon pipelined requests whose responses can't be sent."""
         while self.pipelined:
--- a/cyclamenlift/http/exchange.py
+++ b/cyclamenlift/http/exchange.py
@@ -73,6 +73,7 @@
         'remote',
         'request',
         'state',
+        'streams',
         'without_body',
     )
 
@@ -103,6 +104,9 @@
         self.remaining: int | None = None
         self.chunked = False
         self.without_body = False
+        # Whether a streamed response was started: its connection is reset if
+        # that response breaks off.
+        self.streams = False
         # Output deferred until earlier responses are sent; None if none is.
         self.deferred: list[Callable[[], None]] | None = [] if early else None
 
@@ -127,6 +131,14 @@
         """Whether the response is complete or the caller disconnected."""
         return self.state is ResponseState.DONE
 
+    @property
+    def shares_connection(self) -> bool:
+        """Whether others of this connection are processed as well.
+
+        They would get no response if this one broke off.
+        """
+        return self.deferred is not None or bool(self.connection.pipelined)
+
     def is_awaited(self) -> bool:
         """Return whether the caller is still connected at this moment.
 
@@ -244,6 +256,7 @@
         """
         if self.state is not ResponseState.NONE:
             return
+        self.streams = True
         if self.defer(lambda: self.start(status, headers, length)):
             return
         self.without_body = forbids_body(self.method, status)
--- a/tests/http/test_pipelining.py
+++ b/tests/http/test_pipelining.py
@@ -112,6 +112,38 @@
     assert harness.caller.closed or harness.caller.reset
 
 
+# Guards against requests that run and get no response, as the streamed one
+# before them breaks off and ends the connection.
+def test_requests_behind_a_streamed_response_are_not_started():
+    harness = PipeliningHarness()
+    harness.send(GET % 1)
+    first = harness.exchanges[0]
+    first.start(200, [], 6)
+    first.send(b'body-')
+    harness.send(GET % 2, POST % 3)
+    assert harness.paths() == ['/1']
+    first.send(b'1')
+    first.finish()
+    harness.settle()
+    assert harness.paths() == ['/1', '/2']
+    harness.answer(2)
+    assert harness.received() == '12'
+
+
+# Guards against the same where some were started before the stream was.
+def test_no_further_requests_are_started_behind_a_streamed_response():
+    harness = PipeliningHarness()
+    harness.send(GET % 1, GET % 2)
+    first = harness.exchanges[0]
+    assert first.shares_connection
+    first.start(200, [], 100)
+    harness.send(GET % 3)
+    assert harness.paths() == ['/1', '/2']
+    first.abort()
+    harness.settle()
+    assert harness.paths() == ['/1', '/2']
+
+
 def test_early_streamed_response_is_deferred_completely():
     harness = PipeliningHarness()
     harness.send(GET % 1, GET % 2)
