Begin a log with a majority of the founders after a while

Cause: a candidate with an empty log needs the vote of every founder, and voters are changed only by a leader. Unanimity keeps founders that lost their disks, and so forgot their votes and entries, from beginning a second log. The platform gives them no bootstrap: "`bootstrap` is true only when the whole system starts for the first time, with empty disks" (DEPLOY.md), so there a majority is as safe.

Change: `founding_seconds`, 0 (all founders, as before) unless given, 2 s in the adapter. After it a majority of the founders may begin a log. The first voter set names all of them, the absent ones without a storage; they count for the size of a majority and for nobody's vote, so whoever votes to begin a log and whoever holds what one commits overlap.

--- a/cyclamenlift/conf/settings.py
+++ b/cyclamenlift/conf/settings.py
@@ -275,6 +275,14 @@
         False,
         description='create a new cluster; all listed peers must take part',
     )
+    founding_seconds: float = pydantic.Field(
+        0.0,
+        ge=0,
+        le=3600,
+        description='time after which a majority of the listed peers may '
+        'create a new cluster; 0: never. Only where no instance that lost its '
+        'disk is started with bootstrap',
+    )
     data_centres: NameList = pydantic.Field(
         (),
         description='all data centres, which may be evacuated; those of known '
--- a/cyclamenlift/platform/settings.py
+++ b/cyclamenlift/platform/settings.py
@@ -28,6 +28,9 @@
 # Maximum age of a target's load report before the target is polled, in
 # seconds: a sixth of the time that a machine usually stays slow.
 LOAD_MAX_AGE_SECONDS = 0.08
+# How long founders wait for each other, in seconds: machines start within
+# 0.3 s of each other, and an order of the operator may wait for 4 s.
+FOUNDING_SECONDS = 2.0
 # Fields that name a data centre each, with its region as value.
 DATA_CENTRE_PREFIX = 'zones.'
 Fields = Mapping[str, str]
@@ -158,7 +161,9 @@
         'peers': tuple(
             f'{seed}={internal_address(fields, seed)}' for seed in seeds
         ),
+        # Set at the first start of the whole system alone.
         'bootstrap': fields.get('bootstrap') == 'true',
+        'founding_seconds': FOUNDING_SECONDS,
         'data_centres': tuple(
             name.removeprefix(DATA_CENTRE_PREFIX)
             for name in fields
--- a/cyclamenlift/replication/elections.py
+++ b/cyclamenlift/replication/elections.py
@@ -14,6 +14,7 @@
     if now < state.election_deadline:
         return
     state.schedule_pre_vote(now)
+    state.voters.majority_founds = now >= state.founding_deadline
     if state.may_campaign and not state.is_stalled(now):
         start_pre_vote(state, now)
 
--- a/cyclamenlift/replication/leading.py
+++ b/cyclamenlift/replication/leading.py
@@ -13,7 +13,6 @@
 from cyclamenlift.replication.state import ReplicaState
 from cyclamenlift.replication.voter_changes import AWAIT_VOTERS_SECONDS
 from cyclamenlift.replication.voter_changes import change_voters
-from cyclamenlift.replication.voters import Configuration
 from cyclamenlift.wire.gen.protocol.ttypes import AppendAnswer
 from cyclamenlift.wire.gen.protocol.ttypes import SnapshotAnswer
 
@@ -43,12 +42,9 @@
         },
     )
     if state.voters.latest is None:
-        initial = Configuration(
-            0,
-            dict(votes),
-            addresses={n: a for n, a in state.addresses.items() if n in votes},
+        state.append_configuration(
+            state.voters.first_configuration(votes, state.addresses)
         )
-        state.append_configuration(initial)
     else:
         state.append([state.make_entry(KIND_NO_OP, b'')])
     start_round(state, now)
--- a/cyclamenlift/replication/settings.py
+++ b/cyclamenlift/replication/settings.py
@@ -18,8 +18,9 @@
     ``peers`` maps every other control instance to its peer address.
     ``election_ms`` is the minimum election timeout; each timeout is random
     between it and its double. ``bootstrap`` lets an empty folder take part
-    in forming a new cluster, which needs every instance; it has no effect
-    in an established one. An instance that is not a ``founder`` waits until
+    in forming a new cluster, which needs every instance, or after
+    ``founding_seconds`` (0: never) a majority of them; it has no effect in an
+    established one. An instance that is not a ``founder`` waits until
     the leader adds it. With ``wanted_voters`` above 0 the leader adds,
     replaces and removes voters by itself, down to that number. A snapshot is
     taken after ``snapshot_entries`` entries or ``snapshot_bytes`` bytes of
@@ -38,3 +39,4 @@
     founder: bool = True
     own_address: str = ''
     wanted_voters: int = 0
+    founding_seconds: float = 0.0
--- a/cyclamenlift/replication/state.py
+++ b/cyclamenlift/replication/state.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import math
 import random
 
 from cyclamenlift.replication.disk_stalls import DiskStallDetector
@@ -45,8 +46,9 @@
 class Limits:
     """Timeouts in seconds and sizes in entries and bytes.
 
-    With ``wanted_voters`` above 0 the leader changes the voter set by
-    itself.
+    ``founding`` is how long a founder waits for all others before a majority
+    of them may begin a log, 0 for ever. With ``wanted_voters`` above 0 the
+    leader changes the voter set by itself.
     """
 
     election: float
@@ -54,6 +56,7 @@
     snapshot_entries: int
     snapshot_bytes: int = SNAPSHOT_BYTES
     wanted_voters: int = 0
+    founding: float = 0.0
     batch_entries: int = MAX_BATCH_ENTRIES
     batch_bytes: int = MAX_BATCH_BYTES
     chunk_bytes: int = 256 * 1024
@@ -136,6 +139,7 @@
         self.election_deadline = 0.0
         self.load(recovered)
         self.restarted_with_log = self.log.last_index > 0
+        self.founding_deadline = now + (limits.founding or math.inf)
         self.schedule_pre_vote(now)
 
     def load(self, recovered: RecoveredState) -> None:
--- a/cyclamenlift/replication/state_log.py
+++ b/cyclamenlift/replication/state_log.py
@@ -65,16 +65,16 @@
 
     def note_commands(self, state: ReplicaState) -> None:
         """Log, once a term, that commands survive fewer losses than wanted."""
-        voters = len(state.voters.latest.storage_ids)
-        if voters >= state.limits.wanted_voters:
+        latest = state.voters.latest
+        if latest.storages >= state.limits.wanted_voters:
             return
         if state.term == self.few_voters_term:
             return
         self.few_voters_term = state.term
         LOG.warning(
             'few_voters',
-            voters=voters,
+            voters=latest.storages,
             wanted=state.limits.wanted_voters,
-            survives=(voters - 1) // 2,
+            survives=latest.storages - latest.majority,
             term=state.term,
         )
--- a/cyclamenlift/replication/tasks.py
+++ b/cyclamenlift/replication/tasks.py
@@ -476,4 +476,5 @@
         snapshot_entries=settings.snapshot_entries,
         snapshot_bytes=settings.snapshot_bytes,
         wanted_voters=settings.wanted_voters,
+        founding=settings.founding_seconds,
     )
--- a/cyclamenlift/replication/voter_changes.py
+++ b/cyclamenlift/replication/voter_changes.py
@@ -40,7 +40,7 @@
     committed = state.voters.at(state.commit_index)
     if committed is None or not committed.final:
         return True
-    return len(committed.storage_ids) < state.limits.wanted_voters
+    return committed.storages < state.limits.wanted_voters
 
 
 def change_voters(state: ReplicaState, now: float) -> None:
@@ -119,10 +119,17 @@
 
 
 def remove_voter(state: ReplicaState, now: float) -> Configuration | None:
-    """Remove an unreachable voter if enough remain."""
+    """Remove an unreachable voter if enough remain.
+
+    A founder that never took part is removed in any case: it counts for the
+    size of a majority alone, and is added like any other once it comes.
+    """
     latest = state.voters.latest
     unreachable = longest_unreachable(state, latest, now)
-    if unreachable and len(latest.storage_ids) > state.limits.wanted_voters:
+    if not unreachable:
+        return None
+    has_more = len(latest.storage_ids) > state.limits.wanted_voters
+    if has_more or not latest.storage_ids[unreachable]:
         return latest.without(unreachable)
     return None
 
--- a/cyclamenlift/replication/voters.py
+++ b/cyclamenlift/replication/voters.py
@@ -6,9 +6,12 @@
 and is itself an entry of the log.
 
 * Bootstrap: with no configuration in its log a candidate needs the votes of
-  *every* instance, all with empty logs. Any instance that holds an entry
+  *every* founder, all with empty logs. Any instance that holds an entry
   refuses, so wiped folders cannot form a second cluster beside existing
-  data.
+  data. Where wiped folders never take part in a bootstrap, a majority of the
+  founders may do after a while. The first configuration then names the
+  others without a storage, so that a majority of all founders is needed for
+  whatever it commits, and any two such majorities have a founder in common.
 * Reconfiguration (joint consensus): after a changed configuration a
   majority of the old *and* of the new one is needed, until a final one is
   in the log. That entry is appended only after the change was committed,
@@ -29,7 +32,9 @@
 class Configuration:
     """The voting storage id of each instance, from ``index`` on.
 
-    ``final`` means that earlier configurations are no longer in force.
+    ``final`` means that earlier configurations are no longer in force. The
+    storage id of a founder that has not taken part yet is empty; it counts
+    for nobody, but for the size of a majority.
     ``addresses`` holds each instance's ``host:port``, so that instances
     added later can be reached after a full restart.
     """
@@ -51,8 +56,18 @@
         matching = sum(
             present.get(name) == storage_id
             for name, storage_id in self.storage_ids.items()
+            if storage_id
         )
-        return matching > len(self.storage_ids) // 2
+        return matching >= self.majority
+
+    @property
+    def majority(self) -> int:
+        return len(self.storage_ids) // 2 + 1
+
+    @property
+    def storages(self) -> int:
+        """The number of voters that have a storage."""
+        return sum(map(bool, self.storage_ids.values()))
 
     def replaced(self, instance: str, storage_id: str) -> 'Configuration':
         """Return a non-final copy with the storage of one voter replaced."""
@@ -110,6 +125,8 @@
 
     def __init__(self, names: tuple[str, ...]):
         self.names = names
+        # Whether a majority of the founders may begin a log, instead of all.
+        self.majority_founds = False
         self.history: list[Configuration] = []
 
     def record_appended(self, configuration: Configuration) -> None:
@@ -172,8 +189,21 @@
         return all(c.has_majority(present) for c in active)
 
     def can_bootstrap(self, present: Mapping[str, str]) -> bool:
-        """Return whether every initial instance is present."""
-        return all(name in present for name in self.names)
+        """Return whether enough founders are present to begin a log."""
+        founders = sum(name in present for name in self.names)
+        if self.majority_founds:
+            return founders > len(self.names) // 2
+        return founders == len(self.names)
+
+    def first_configuration(
+        self, votes: Mapping[str, str], addresses: Mapping[str, str]
+    ) -> Configuration:
+        """Return the configuration that begins a log with these votes."""
+        return Configuration(
+            0,
+            {name: votes.get(name, '') for name in self.names},
+            addresses={n: a for n, a in addresses.items() if n in self.names},
+        )
 
     def names_storage(self, instance: str, storage_id: str) -> bool:
         """Return whether the latest configuration names this storage."""
--- a/cyclamenlift/runtime/control.py
+++ b/cyclamenlift/runtime/control.py
@@ -131,6 +131,7 @@
             founder=settings.instance in peers,
             own_address=settings.peer_listen,
             wanted_voters=settings.wanted_voters,
+            founding_seconds=settings.founding_seconds,
         )
         return Replica(
             self.loop, self.network, replica_settings, self.machine, self.rng
--- a/tests/platform/test_repairs.py
+++ b/tests/platform/test_repairs.py
@@ -98,3 +98,19 @@
         assert versions == {1}
     finally:
         fleet.close()
+
+
+# Guards against a system that never takes an order, as a seed was lost for
+# good before it had voted for the first leader.
+def test_a_seed_that_is_lost_at_the_first_start_is_not_waited_for(tmp_path):
+    fleet = Fleet(tmp_path, control=5, daemons=0)
+    try:
+        lost, *others = fleet.control
+        fleet.kill(lost)
+        assert not logged(fleet, lost, 'leader_known')
+        fleet.control = others
+        leader = fleet.publish_first()
+        voters = logged(fleet, leader, 'voters_changed')[-1]['voters']
+        assert all(voters.get(host) for host in others)
+    finally:
+        fleet.close()
