Search the log with messages that come late, over elections

An answer to a request of an earlier term that names the round of that request under a newer term would count as contact, or confirm a read, in a term whose leader never sent that round.

--- a/cyclamenlift/replication/inputs.py
+++ b/cyclamenlift/replication/inputs.py
@@ -14,7 +14,6 @@
 from cyclamenlift.wire.gen.protocol.ttypes import AppendRequest
 from cyclamenlift.wire.gen.protocol.ttypes import SnapshotChunk
 
-
 # What only the leader of a term sends.
 LEADER_MESSAGES = (AppendRequest, SnapshotChunk)
 
--- a/tests/replication/test_voter_changes.py
+++ b/tests/replication/test_voter_changes.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from cyclamenlift.replication import following
 from cyclamenlift.replication.inputs import tick
 from cyclamenlift.replication.message_handlers import InvariantError
 from cyclamenlift.replication.state import ReplicaState
@@ -11,6 +12,7 @@
 from cyclamenlift.replication.voter_changes import awaits_voters
 from cyclamenlift.replication.voters import Configuration
 from tests.replication.builders import SafetyViolation
+from tests.replication.late_message_explorer import LateMessageCluster
 from tests.replication.voter_change_explorer import ALL
 from tests.replication.voter_change_explorer import GrowingCluster
 from tests.replication.voter_change_explorer import JOINERS
@@ -19,6 +21,7 @@
 # removal was under way refused its vote.
 SEEDS = [*range(25), 1038]
 STEPS = 500
+MAKE_ANSWER = following.make_answer
 
 
 def bootstrapped_cluster() -> GrowingCluster:
@@ -144,6 +147,30 @@
     assert len(cluster.committed) > before
 
 
+# Guards against a leader that counts an answer for a round that it did not
+# send: contact, or a read, would rest on an answer from an earlier term.
+@pytest.mark.parametrize('seed', range(15))
+def test_late_messages_confirm_no_round_of_a_later_term(seed):
+    cluster = LateMessageCluster(seed)
+    cluster.recover(60)
+    cluster.run(STEPS)
+
+
+def name_any_round(state, request, accepted, match_index, hint_index=0):
+    answer = MAKE_ANSWER(state, request, accepted, match_index, hint_index)
+    answer.round_id = request.round_id
+    return answer
+
+
+def test_the_search_with_late_messages_finds_a_planted_fault(monkeypatch):
+    monkeypatch.setattr(following, 'make_answer', name_any_round)
+    with pytest.raises(SafetyViolation):
+        for seed in range(60):
+            cluster = LateMessageCluster(seed)
+            cluster.recover(60)
+            cluster.run(STEPS)
+
+
 def half_is_enough(self, present) -> bool:
     held = sum(present.get(n) == s for n, s in self.storage_ids.items())
     return held >= len(self.storage_ids) // 2
