--- a/cyclamenlift/calls/call.py
+++ b/cyclamenlift/calls/call.py
@@ -242,7 +242,7 @@
     ) -> None:
         if self.relay is not None and self.relay.attempt is attempt:
             self.tries.drop(attempt, outcome)
-            self.abort_relay()
+            self.relay.break_off(ResultCode.TARGET_BROKE_OFF)
             return
         ending = Ending(EndKind.UNKNOWN, code, detail=detail)
         self.end_try(attempt, outcome, ending)
@@ -266,7 +266,7 @@
 
     def on_answer_body(self, attempt: Try, chunk: BodyChunk) -> None:
         if self.relay is not None:
-            self.relay_body(attempt, chunk)
+            self.relay.take(attempt, chunk)
             return
         if chunk.data:
             attempt.buffered.append(chunk.data)
@@ -332,53 +332,16 @@
         if self.answered:
             return
         self.state.done = True
-        self.relay = Relay(self.exchange, attempt, self.calls.now())
         self.status = attempt.status
         self.tries.cancel(Outcome.OVERTAKEN, except_for=attempt)
         self.timer.cancel()
+        self.relay = Relay(self, attempt)
         self.timer = self.calls.scheduler.at(
-            self.request.deadline + LATE_ANSWER_SECONDS,
-            self.on_relay_deadline,
+            self.request.deadline + LATE_ANSWER_SECONDS, self.relay.on_deadline
         )
         if not self.caller_disconnected:
             self.relay.start()
 
-    def relay_body(self, attempt: Try, chunk: BodyChunk) -> None:
-        if self.relay.attempt is not attempt:
-            return
-        self.relay.note_chunk(len(chunk.data or b''), self.calls.now())
-        if chunk.data and not self.caller_disconnected:
-            self.relay.send(chunk.data)
-        if not chunk.last:
-            return
-        if self.claim_holder is not None:
-            self.claim_holder.record(attempt, None)
-        self.tries.drop(attempt, Outcome.ANSWERED)
-        if not self.caller_disconnected:
-            self.relay.finish()
-        self.close(ResultCode.ANSWERED)
-
-    def on_relay_deadline(self) -> None:
-        """Break off a streamed answer that its gate has not ended in time.
-
-        The gate may stand still, and its connection shows that late or never.
-        """
-        now = self.calls.now()
-        code = ResultCode.DEADLINE_UNKNOWN
-        ending = Ending(EndKind.UNKNOWN, code, detail=self.relay.progress(now))
-        self.record_trail(self.relay.attempt, ending, now)
-        self.tries.cancel(Outcome.TIMEOUT)
-        self.abort_relay(code)
-
-    def abort_relay(
-        self, code: ResultCode = ResultCode.TARGET_BROKE_OFF
-    ) -> None:
-        if self.claim_holder is not None:
-            self.claim_holder.mark_unknown()
-        if not self.caller_disconnected:
-            self.relay.abort()
-        self.close(code)
-
     # -- giving up --------------------------------------------------------
 
     def respond_failed(self) -> None:
@@ -403,7 +366,7 @@
             return
         self.tries.cancel(Outcome.CANCELLED)
         if self.relay is not None:
-            self.abort_relay()
+            self.relay.break_off(ResultCode.TARGET_BROKE_OFF)
         else:
             self.give_up(Problem(ResultCode.BAD_TARGET_ANSWER))
 
@@ -478,6 +441,7 @@
         collector, which stops the process for milliseconds.
         """
         self.tries.close()
+        self.relay = None
         self.parent = None
         self.exchange.on_disconnect = None
         self.exchange.on_broken = None
--- a/tests/replication/founding_explorer.py
+++ b/tests/replication/founding_explorer.py
@@ -7,15 +7,14 @@
 """
 
 import dataclasses
-import itertools
 import random
 
 from cyclamenlift.replication.inputs import tick
 from cyclamenlift.replication.state import ReplicaState
-from tests.replication.builders import Cluster
 from tests.replication.builders import LIMITS
 from tests.replication.builders import Node
-from tests.replication.voter_change_explorer import STEP_SECONDS
+from tests.replication.unreliable_cluster import STEP_SECONDS
+from tests.replication.unreliable_cluster import UnreliableCluster
 
 JOINERS = ('x', 'y')
 FOUNDING_SECONDS = 2.0
@@ -48,17 +47,14 @@
         )
 
 
-class FoundingCluster(Cluster):
+class FoundingCluster(UnreliableCluster):
     """Takes random steps; raises SafetyViolation on a safety violation."""
 
     def __init__(self, seed: int, founders: tuple[str, ...]):
-        self.rng = random.Random(seed)
+        super().__init__(seed, founders + JOINERS)
         self.founders = founders
-        self.all = founders + JOINERS
-        super().__init__(self.all)
-        self.starts = {n: self.draw_start() for n in self.all}
-        self.down = set(self.all)
-        self.cut: set[tuple[str, str]] = set()
+        self.starts = {n: self.draw_start() for n in self.names}
+        self.down = set(self.names)
         self.wiped: set[str] = set()
 
     def draw_start(self) -> float:
@@ -82,7 +78,7 @@
         self.inject_fault()
 
     def running(self) -> list[str]:
-        return [name for name in self.all if name not in self.down]
+        return [name for name in self.names if name not in self.down]
 
     def start_due(self) -> None:
         for name, at in self.starts.items():
@@ -105,21 +101,9 @@
             tick(self.nodes[name].state, self.now)
             self.process_effects(name)
 
-    def move_messages(self) -> None:
-        for _ in range(len(self.messages)):
-            if not self.messages:
-                return
-            position = self.rng.randrange(len(self.messages))
-            sender, to, _ = self.messages[position]
-            reached = to not in self.down and (sender, to) not in self.cut
-            if not reached or self.rng.random() < 0.05:
-                del self.messages[position]
-            else:
-                self.deliver(position, self.rng.random() < 0.05)
-
     def inject_fault(self) -> None:
         chance = self.rng.random()
-        name = self.rng.choice(self.all)
+        name = self.rng.choice(self.names)
         if chance < 0.1:
             for leader in self.running():
                 self.propose(leader)
@@ -128,18 +112,12 @@
         elif chance < 0.14 and name not in self.down:
             self.wipe_disk(name)
         elif chance < 0.16:
-            self.cut ^= {(name, self.rng.choice(self.all))}
+            self.cut ^= {(name, self.rng.choice(self.names))}
         elif chance < 0.18:
             self.cut.clear()
         elif chance < 0.19:
             self.split()
 
-    def split(self) -> None:
-        """Partition the instances into two halves."""
-        half = set(self.rng.sample(self.all, len(self.all) // 2))
-        pairs = itertools.permutations(self.all, 2)
-        self.cut = {(a, b) for a, b in pairs if (a in half) != (b in half)}
-
     def restart(self, name: str) -> None:
         """Crash; some of the pending writes had reached the disk."""
         node = self.nodes[name]
@@ -172,12 +150,6 @@
             while self.messages:
                 self.deliver(0)
 
-    def deliver(self, position: int, keep: bool = False) -> None:
-        if self.messages[position][1] in self.down:
-            del self.messages[position]
-            return
-        super().deliver(position, keep)
-
     def has_leader(self) -> bool:
         return any(self.leads(name) for name in self.running())
 
--- a/tests/replication/voter_change_explorer.py
+++ b/tests/replication/voter_change_explorer.py
@@ -8,20 +8,19 @@
 """
 
 import dataclasses
-import itertools
 import random
 
 from cyclamenlift.replication.inputs import tick
 from cyclamenlift.replication.state import ReplicaState
-from tests.replication.builders import Cluster
 from tests.replication.builders import LIMITS
 from tests.replication.builders import Node
+from tests.replication.unreliable_cluster import STEP_SECONDS
+from tests.replication.unreliable_cluster import UnreliableCluster
 
 FOUNDERS = ('a', 'b', 'c')
 JOINERS = ('d', 'e', 'f')
 ALL = FOUNDERS + JOINERS
 GROWING = dataclasses.replace(LIMITS, wanted_voters=5)
-STEP_SECONDS = 0.05
 
 
 class GrowingNode(Node):
@@ -45,15 +44,12 @@
         )
 
 
-class GrowingCluster(Cluster):
+class GrowingCluster(UnreliableCluster):
     """Takes random steps; raises SafetyViolation on a safety violation."""
 
     def __init__(self, seed: int):
-        super().__init__(ALL)
-        self.rng = random.Random(seed)
+        super().__init__(seed, ALL)
         self.nodes = {n: GrowingNode(n, ALL, 1) for n in ALL}
-        self.down: set[str] = set()
-        self.cut: set[tuple[str, str]] = set()
         self.lost: set[str] = set()
         self.wipes = 0
         # Instances that membership tells of no other.
@@ -81,18 +77,6 @@
         self.sync_some()
         self.inject_fault()
 
-    def move_messages(self) -> None:
-        for _ in range(len(self.messages)):
-            if not self.messages:
-                return
-            position = self.rng.randrange(len(self.messages))
-            sender, to, _ = self.messages[position]
-            reached = to not in self.down and (sender, to) not in self.cut
-            if not reached or self.rng.random() < 0.05:
-                del self.messages[position]
-            else:
-                self.deliver(position, self.rng.random() < 0.05)
-
     def sync_some(self) -> None:
         for name in ALL:
             if name not in self.down and self.rng.random() < 0.9:
@@ -118,12 +102,6 @@
         elif chance < 0.31:
             self.split()
 
-    def split(self) -> None:
-        """Partition the instances into two halves."""
-        half = set(self.rng.sample(ALL, len(ALL) // 2))
-        pairs = itertools.permutations(ALL, 2)
-        self.cut = {(a, b) for a, b in pairs if (a in half) != (b in half)}
-
     def stop(self, name: str) -> None:
         if len(self.down) < 3:
             self.down.add(name)
@@ -161,12 +139,6 @@
                     return False
         return found
 
-    def deliver(self, position: int, keep: bool = False) -> None:
-        if self.messages[position][1] in self.down:
-            del self.messages[position]
-            return
-        super().deliver(position, keep)
-
     # -- queries ----------------------------------------------------------
 
     def voters(self) -> dict[str, str]:
--- a/tests/runtime/builders.py
+++ b/tests/runtime/builders.py
@@ -342,9 +342,20 @@
 
     def receive(self, caller: socket.socket) -> Answer:
         """Run the loop until the answer is complete or broken off."""
+        found, data = self.receive_all(caller, 1)
+        return found[0] if found else Answer(0, 0, {}, data)
+
+    def receive_all(
+        self, caller: socket.socket, count: int
+    ) -> tuple[list[Answer], bytes]:
+        """Run the loop until so many answers have come, or the end.
+
+        Returns the whole answers and the bytes behind them.
+        """
         data = b''
+        answers: list[Answer] = []
         deadline = time.monotonic() + WAIT_SECONDS
-        while time.monotonic() < deadline:
+        while len(answers) < count and time.monotonic() < deadline:
             self.loop.tick(0.01)
             try:
                 piece = caller.recv(1 << 20)
@@ -355,10 +366,11 @@
             if not piece:
                 break
             data += piece
-            found = parse_answer(data)
-            if found is not None:
-                return found
-        return Answer(0, 0, {}, data)
+            while len(answers) < count and (found := parse_answer(data)):
+                if count > 1:
+                    data = cut_body(found)
+                answers.append(found)
+        return answers, data
 
     def ask(self, *arguments, **fields) -> Answer:
         return self.receive(self.send(*arguments, **fields))
@@ -398,6 +410,14 @@
     return Answer(int(lines[0].split()[1]), result, headers, body)
 
 
+def cut_body(answer: Answer) -> bytes:
+    """Cut a body to its length and return what follows it."""
+    length = int(answer.headers.get('content-length', '0'))
+    rest = answer.body[length:]
+    answer.body = answer.body[:length]
+    return rest
+
+
 class NullScheduler:
     """A scheduler with a constant clock that never runs a callback."""
 
--- a/tests/runtime/test_pipelined_answers.py
+++ b/tests/runtime/test_pipelined_answers.py
@@ -11,7 +11,6 @@
 from cyclamenlift.http.limits import HttpLimits
 from tests.runtime.builders import answer
 from tests.runtime.builders import CallPathHarness
-from tests.runtime.builders import parse_answer
 from tests.runtime.builders import ScriptedTarget
 
 BEHIND = 5
@@ -67,24 +66,7 @@
     caller = path.send()
     assert path.receive(caller).status == 200
     path.push(caller, b''.join(requests))
-    data = b''
-    found = []
-    while len(found) < len(requests):
-        path.loop.tick(0.01)
-        try:
-            piece = caller.recv(1 << 20)
-        except BlockingIOError:
-            continue
-        except ConnectionError:
-            break
-        if not piece:
-            break
-        data += piece
-        while one := parse_answer(data):
-            size = int(one.headers['content-length'])
-            data = one.body[size:]
-            one.body = one.body[:size]
-            found.append(one)
+    found, _ = path.receive_all(caller, len(requests))
     return found
 
 
